--- /dev/null
+++ b/crates/model/src/job.rs
@@ -0,0 +1,167 @@
+//! Jobs: checking what users submit.
+
+use crate::{JobId, JobKind, MachineName, Priority, Resources, Settings, Span, TeamName, ZoneName};
+use thiserror::Error;
+use wire::cloud::MachineType;
+use wire::users::JobRequest;
+
+/// Most tasks a job may have.
+pub const MAX_TASKS: u64 = 100_000;
+
+/// A checked job.
+#[derive(Debug, Clone, PartialEq)]
+pub struct JobSpec {
+    pub id: JobId,
+    pub class: String,
+    pub team: TeamName,
+    pub kind: JobKind,
+    pub priority: Priority,
+    pub tasks: u32,
+    pub needs: Resources,
+    pub image: std::sync::Arc<str>,
+    pub image_gb: f64,
+    pub types: Option<Vec<String>>,
+    pub zone: Option<ZoneName>,
+    pub one_zone: bool,
+    pub spread: bool,
+    pub spot: bool,
+    pub estimate: Span,
+    pub checkpoint: Span,
+    pub save: Span,
+    pub deadline: Option<Span>,
+}
+
+/// A field that makes a submission malformed (400).
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("field `{field}`: {problem}")]
+pub struct InvalidJob {
+    pub field: &'static str,
+    pub problem: &'static str,
+}
+
+/// Why a well-formed job can never run (422).
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum RejectReason {
+    #[error("unknown team")]
+    UnknownTeam,
+    #[error("a task fits no allowed machine type")]
+    FitsNoMachine,
+    #[error("the job needs more than the team's limit")]
+    BeyondLimit,
+}
+
+fn amount(field: &'static str, value: f64) -> Result<f64, InvalidJob> {
+    if value.is_finite() && (0.0..=1e9).contains(&value) {
+        Ok(value)
+    } else {
+        Err(InvalidJob { field, problem: "must be a number from 0" })
+    }
+}
+
+fn named(field: &'static str, value: &str) -> Result<(), InvalidJob> {
+    if value.is_empty() || value.len() > 200 {
+        Err(InvalidJob { field, problem: "must have 1 to 200 characters" })
+    } else {
+        Ok(())
+    }
+}
+
+impl TryFrom<&JobRequest> for JobSpec {
+    type Error = InvalidJob;
+
+    fn try_from(request: &JobRequest) -> Result<Self, InvalidJob> {
+        let id = JobId::parse(&request.id)
+            .ok_or(InvalidJob { field: "id", problem: "must look like j-000412" })?;
+        if request.tasks == 0 || request.tasks > MAX_TASKS {
+            return Err(InvalidJob { field: "pieces", problem: "must be from 1 to 100000" });
+        }
+        named("lane", &request.class)?;
+        named("crew", &request.team)?;
+        named("bundle", &request.image)?;
+        if let Some(zone) = &request.zone {
+            named("yard", zone)?;
+        }
+        for kind in request.types.iter().flatten() {
+            named("rigs", kind)?;
+        }
+        let cpus = amount("vcpus", request.cpus)?;
+        let gpus = amount("gpus", request.gpus)?;
+        let memory = amount("ram_gb", request.memory_gb)?;
+        if cpus == 0.0 && gpus == 0.0 && memory == 0.0 {
+            return Err(InvalidJob { field: "vcpus", problem: "a task must take something" });
+        }
+        let deadline = match request.deadline_s {
+            Some(seconds) => Some(Span::from_secs(amount("due_s", seconds)?)),
+            None => None,
+        };
+        Ok(JobSpec {
+            id,
+            class: request.class.clone(),
+            team: TeamName::from(request.team.as_str()),
+            kind: request.kind,
+            priority: request.priority,
+            tasks: request.tasks as u32,
+            needs: Resources::needed(cpus, gpus, memory),
+            image: request.image.as_str().into(),
+            image_gb: amount("pull_gb", request.image_gb)?,
+            types: request.types.clone(),
+            zone: request.zone.as_deref().map(ZoneName::from),
+            one_zone: request.one_zone,
+            spread: request.spread,
+            spot: request.spot,
+            estimate: Span::from_secs(amount("expect_s", request.estimate_s)?),
+            checkpoint: Span::from_secs(amount("notch_s", request.checkpoint_s)?),
+            save: Span::from_secs(amount("stash_s", request.save_s)?),
+            deadline,
+        })
+    }
+}
+
+impl JobSpec {
+    /// Whether a machine of this type, zone and kind may run the job's tasks.
+    pub fn allows(&self, machine_type: &str, zone: &ZoneName, spot: bool) -> bool {
+        (self.spot || !spot)
+            && self.zone.as_ref().is_none_or(|z| z == zone)
+            && self.types.as_ref().is_none_or(|t| t.iter().any(|name| name == machine_type))
+    }
+
+    /// Whether the whole job must run at one time (its limit check counts all tasks).
+    pub fn all_at_once(&self) -> bool {
+        self.kind != JobKind::Array
+    }
+
+    /// Most tasks that one zone may hold at a time.
+    pub fn zone_limit(&self) -> u32 {
+        if self.spread {
+            self.tasks.div_ceil(2)
+        } else {
+            self.tasks
+        }
+    }
+
+    /// Whether the job can ever run here.
+    pub fn check(&self, settings: &Settings, types: &[MachineType]) -> Result<(), RejectReason> {
+        let team = settings.team(&self.team).ok_or(RejectReason::UnknownTeam)?;
+        let fits = types.iter().any(|t| {
+            t.zones.iter().any(|zone| self.allows(&t.name, &ZoneName::from(zone.as_str()), false))
+                && self.needs.fits(&Resources::offered(t.cpus, t.gpus, t.memory_gb))
+        });
+        if !fits {
+            return Err(RejectReason::FitsNoMachine);
+        }
+        let at_once = if self.all_at_once() { u64::from(self.tasks) } else { 1 };
+        if !self.needs.times(at_once).fits_quota(&team.limit) {
+            return Err(RejectReason::BeyondLimit);
+        }
+        Ok(())
+    }
+}
+
+/// Name of a machine with what is known of it before it reports.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MachinePlace {
+    pub name: MachineName,
+    pub machine_type: String,
+    pub zone: ZoneName,
+    pub spot: bool,
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,14 @@
+//! Identities, times, resources, jobs and settings of trackcrank.
+
+pub mod ids;
+pub mod job;
+pub mod resources;
+pub mod settings;
+pub mod time;
+
+pub use ids::*;
+pub use job::{InvalidJob, JobSpec, RejectReason};
+pub use resources::Resources;
+pub use settings::Settings;
+pub use time::{Moment, Span};
+pub use wire::users::{JobKind, JobState, Priority};
--- /dev/null
+++ b/crates/wire/src/mesh.rs
@@ -0,0 +1,69 @@
+//! Messages between controller nodes (MessagePack frames).
+
+use serde::{Deserialize, Serialize};
+
+/// Version of the mesh protocol; frames of another version are refused.
+pub const MESH_VERSION: u16 = 1;
+/// Largest frame that is read.
+pub const MAX_FRAME: usize = 256 * 1024;
+
+/// Waiting work of one shape.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DemandShape {
+    pub milli_cpus: u64,
+    pub milli_gpus: u64,
+    pub memory_mb: u64,
+    pub types: Option<Vec<String>>,
+    pub zone: Option<String>,
+    pub spot: bool,
+    /// Tasks that wait for room.
+    pub tasks: u64,
+    /// Of these, tasks that must start without delay (services, work inside a guarantee).
+    pub urgent: u64,
+    /// Owner's estimate of a task's run time in ms; 0 for services.
+    pub estimate_ms: u64,
+}
+
+/// A holder's view of one of its machines.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineLoad {
+    pub machine: String,
+    pub tasks: u32,
+    /// How long it has been without tasks.
+    pub idle_ms: u64,
+    pub up: bool,
+    /// Quarantined: to be returned once empty.
+    pub faulty: bool,
+}
+
+/// What a holder tells the leader about its partition.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PartitionLoad {
+    pub partition: u32,
+    pub term: u64,
+    pub demand: Vec<DemandShape>,
+    pub machines: Vec<MachineLoad>,
+}
+
+/// One mesh message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum MeshMessage {
+    /// Regular sign of life.
+    Alive { state_contact: bool, workers_heard: bool, ready: bool },
+    /// Holder to leader.
+    Load(PartitionLoad),
+    /// Leader to holder: give up an idle machine, to a partition or to the cloud.
+    Release { machine: String, to: Option<u32> },
+    /// A new holder tells everybody, so that a predecessor stops at once.
+    Taken { partition: u32, term: u64, holder: String },
+    /// The home node of a partition offers to hold it again, under this lease.
+    WantHome { partition: u32, lease: u64 },
+}
+
+/// A frame.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Frame {
+    pub version: u16,
+    pub from: String,
+    pub message: MeshMessage,
+}
