--- /dev/null
+++ b/crates/coordination/src/ledger.rs
@@ -0,0 +1,278 @@
+//! The ledger of a partition: placements and progress of its jobs, packed into pages.
+//!
+//! Each round writes one page (more when much has changed): the page's items that are still
+//! the newest, and all that changed since. An item's newest copy is the one on the page with
+//! the highest round; older copies stay behind on other pages until those are written
+//! again. An item that has become empty is kept until every page that may hold an older copy
+//! has been rewritten.
+
+use model::{JobId, PartitionId, Version};
+use scheduler::{ChunkBody, ChunkKey};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use wire::state::{Item, Txn, Write};
+
+/// One item of a page.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Entry(u64, u32, ChunkBody);
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+struct PageBody {
+    round: u64,
+    items: Vec<Entry>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Page {
+    version: Version,
+    round: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Kept {
+    page: usize,
+    round: u64,
+    body: ChunkBody,
+    size: usize,
+}
+
+/// A round on its way.
+#[derive(Debug, Clone)]
+pub struct Round {
+    pub txn: Txn,
+    /// Chunks it writes anew.
+    pub keys: Vec<ChunkKey>,
+    pages: Vec<(usize, u64)>,
+    bodies: Vec<(usize, ChunkKey, ChunkBody, usize)>,
+    dropped: Vec<ChunkKey>,
+}
+
+/// The ledger.
+#[derive(Debug)]
+pub struct Ledger {
+    partition: PartitionId,
+    limit: usize,
+    most_pages: usize,
+    pages: Vec<Page>,
+    items: BTreeMap<ChunkKey, Kept>,
+    cursor: usize,
+    round: u64,
+}
+
+/// Pages that a partition starts with.
+const FIRST_PAGES: usize = 4;
+
+impl Ledger {
+    /// Key of a page.
+    fn key(&self, page: usize) -> String {
+        format!("{}{page:04}", crate::records::ledger_prefix(self.partition))
+    }
+
+    /// Reads a ledger from its pages. `value_bytes` bounds a page, `txn_ops` a round.
+    pub fn load(
+        partition: PartitionId,
+        items: &[Item],
+        value_bytes: usize,
+        txn_ops: usize,
+    ) -> Self {
+        let mut ledger = Ledger {
+            partition,
+            // Room for the frame of the page.
+            limit: value_bytes.saturating_sub(128),
+            most_pages: (txn_ops / 2).clamp(1, 4),
+            pages: vec![Page::default(); FIRST_PAGES],
+            items: BTreeMap::new(),
+            cursor: 0,
+            round: 0,
+        };
+        for item in items {
+            let Some(number) =
+                item.key.rsplit('/').next().and_then(|text| text.parse::<usize>().ok())
+            else {
+                continue;
+            };
+            if number > 100_000 {
+                continue;
+            }
+            let body = match PageBody::deserialize(&item.value) {
+                Ok(body) => body,
+                Err(error) => {
+                    tracing::error!(key = %item.key, %error, "a ledger page cannot be read");
+                    continue;
+                }
+            };
+            if ledger.pages.len() <= number {
+                ledger.pages.resize(number + 1, Page::default());
+            }
+            ledger.pages[number] = Page { version: Version(item.version), round: body.round };
+            if body.round >= ledger.round {
+                ledger.round = body.round;
+                ledger.cursor = number + 1;
+            }
+            for Entry(job, chunk, chunk_body) in body.items {
+                let key = (JobId(job), chunk);
+                let newer = ledger.items.get(&key).is_none_or(|kept| kept.round < body.round);
+                if newer {
+                    let size = size_of(&chunk_body);
+                    ledger.items.insert(
+                        key,
+                        Kept { page: number, round: body.round, body: chunk_body, size },
+                    );
+                }
+            }
+        }
+        ledger
+    }
+
+    /// What is known of a job.
+    pub fn chunks_of(&self, job: JobId) -> Vec<(u32, ChunkBody)> {
+        self.items
+            .range((job, 0)..=(job, u32::MAX))
+            .map(|(key, kept)| (key.1, kept.body.clone()))
+            .collect()
+    }
+
+    /// All jobs with anything kept.
+    pub fn jobs(&self) -> Vec<JobId> {
+        let mut jobs: Vec<JobId> = self.items.keys().map(|key| key.0).collect();
+        jobs.dedup();
+        jobs
+    }
+
+    /// The job is over: its items need not be kept.
+    pub fn forget_job(&mut self, job: JobId) {
+        let keys: Vec<ChunkKey> =
+            self.items.range((job, 0)..=(job, u32::MAX)).map(|(key, _)| *key).collect();
+        for key in keys {
+            self.items.remove(&key);
+        }
+    }
+
+    /// Prepares a round with these changes; returns it with the changes that found no room.
+    pub fn prepare(
+        &self,
+        partition_version: Version,
+        changes: Vec<(ChunkKey, ChunkBody)>,
+    ) -> (Round, Vec<ChunkKey>) {
+        let mut round = Round {
+            txn: Txn::default()
+                .when(crate::records::partition_key(self.partition), partition_version.0),
+            keys: Vec::new(),
+            pages: Vec::new(),
+            bodies: Vec::new(),
+            dropped: Vec::new(),
+        };
+        let oldest = self.pages.iter().map(|p| p.round).min().unwrap_or(0);
+        let mut left = VecDeque::from(changes);
+        let mut written: BTreeSet<ChunkKey> = BTreeSet::new();
+        let mut count = self.pages.len();
+        let mut number = self.round;
+        for step in 0..self.most_pages {
+            if step > 0 && left.is_empty() {
+                break;
+            }
+            let mut page = (self.cursor + step) % count;
+            // What stays on the page: also the old copy of a change that finds no room in this
+            // round, since dropping it would lose what is durable.
+            let mut items: BTreeMap<ChunkKey, (ChunkBody, usize)> = self.carried(page, &written);
+            let total = |items: &BTreeMap<ChunkKey, (ChunkBody, usize)>| {
+                items.values().map(|(_, size)| size).sum::<usize>()
+            };
+            if total(&items) * 4 > self.limit * 3 && !left.is_empty() {
+                // The page is nearly full of what must stay: a new one takes the changes.
+                page = count;
+                count += 1;
+                items.clear();
+            }
+            if round.pages.iter().any(|(used, _)| *used == page) {
+                break;
+            }
+            number += 1;
+            // An empty item may go once no page can hold an older copy of it.
+            items.retain(|key, (body, _)| {
+                let gone =
+                    body.is_empty() && self.items.get(key).is_some_and(|k| oldest >= k.round);
+                if gone {
+                    round.dropped.push(*key);
+                }
+                !gone
+            });
+            let mut size = total(&items);
+            while let Some((key, body)) = left.pop_front() {
+                let item = size_of(&body);
+                let replaced = items.get(&key).map_or(0, |(_, size)| *size);
+                if size - replaced + item > self.limit && !items.is_empty() {
+                    left.push_front((key, body));
+                    break;
+                }
+                size = size - replaced + item;
+                items.insert(key, (body.clone(), item));
+                written.insert(key);
+                round.keys.push(key);
+                round.bodies.push((page, key, body, item));
+            }
+            let version = self.pages.get(page).map_or(0, |p| p.version.0);
+            let items =
+                items.into_iter().map(|(key, (body, _))| Entry(key.0 .0, key.1, body)).collect();
+            let value = serde_json::to_value(PageBody { round: number, items }).unwrap_or_default();
+            round.txn =
+                round.txn.when(self.key(page), version).write(Write::put(self.key(page), value));
+            round.pages.push((page, number));
+        }
+        round.dropped.retain(|key| !written.contains(key));
+        (round, left.into_iter().map(|(key, _)| key).collect())
+    }
+
+    fn carried(
+        &self,
+        page: usize,
+        written: &BTreeSet<ChunkKey>,
+    ) -> BTreeMap<ChunkKey, (ChunkBody, usize)> {
+        self.items
+            .iter()
+            .filter(|(key, kept)| kept.page == page && !written.contains(key))
+            .map(|(key, kept)| (*key, (kept.body.clone(), kept.size)))
+            .collect()
+    }
+
+    /// The round is durable at this revision.
+    pub fn commit(&mut self, round: &Round, revision: u64) {
+        for (page, number) in &round.pages {
+            if self.pages.len() <= *page {
+                self.pages.resize(*page + 1, Page::default());
+            }
+            self.pages[*page] = Page { version: Version(revision), round: *number };
+            self.round = self.round.max(*number);
+            self.cursor = *page + 1;
+            for kept in self.items.values_mut().filter(|kept| kept.page == *page) {
+                kept.round = *number;
+            }
+        }
+        for key in &round.dropped {
+            self.items.remove(key);
+        }
+        for (page, key, body, size) in &round.bodies {
+            let number = round.pages.iter().find(|(p, _)| p == page).map_or(0, |(_, n)| *n);
+            self.items
+                .insert(*key, Kept { page: *page, round: number, body: body.clone(), size: *size });
+        }
+        if self.cursor >= self.pages.len() {
+            self.cursor = 0;
+        }
+    }
+
+    /// Key of a page that the round writes, with the number that proves it was written.
+    pub fn proof(&self, round: &Round) -> Option<(String, u64)> {
+        round.pages.first().map(|(page, number)| (self.key(*page), *number))
+    }
+
+    /// Whether a page read back is the one written as `number`.
+    pub fn proves(value: &serde_json::Value, number: u64) -> bool {
+        PageBody::deserialize(value).is_ok_and(|body| body.round == number)
+    }
+}
+
+fn size_of(body: &ChunkBody) -> usize {
+    let placed: usize = body.placed.iter().map(|p| p.2.len() + 32).sum();
+    32 + body.done.len() + placed
+}
--- /dev/null
+++ b/crates/coordination/src/node/holder.rs
@@ -0,0 +1,753 @@
+//! Holding a partition: loading its ledger, scheduling, writing rounds, ending jobs.
+
+use super::{Node, Purpose};
+use crate::budget::Importance;
+use crate::ledger::{Ledger, Round};
+use crate::records::{
+    final_key, job_key, machine_key, partition_key, FinalRecord, MachineRecord, COUNTER,
+};
+use model::{
+    JobId, JobState, MachineName, Moment, NodeName, PartitionId, Span, Token, Version, ZoneName,
+};
+use scheduler::{Machine, Route, Share, Source, Written};
+use std::collections::HashMap;
+use wire::mesh::{MeshMessage, PartitionLoad};
+use wire::state::{Item, StateReply, StateRequest, Txn, Write};
+use wire::workers::{Command, Report};
+
+/// Pause between rounds that carry placements.
+const ROUND_GAP: Span = Span(60);
+/// Pause between rounds that carry outcomes only.
+const OUTCOME_GAP: Span = Span(400);
+/// Entries tried in one step; the rest follow in the next.
+const CYCLES: usize = 400;
+
+/// A round that is being written.
+#[derive(Debug)]
+struct Writing {
+    round: Round,
+    written: Written,
+}
+
+/// A partition that this node holds.
+#[derive(Debug)]
+pub(crate) struct Holding {
+    term: Token,
+    version: Version,
+    /// Present once the ledger has been read.
+    loaded: Option<Box<Loaded>>,
+    /// Pages read so far.
+    pages: Vec<Item>,
+    /// Reports answered before the ledger was read; they still prove what they prove.
+    early: HashMap<MachineName, (Report, Moment)>,
+    suspects: Vec<(NodeName, u64)>,
+    entitled_until: Moment,
+    yielding: bool,
+    yield_until: Option<Moment>,
+    successor: Option<NodeName>,
+    round_at: Moment,
+}
+
+#[derive(Debug)]
+struct Loaded {
+    ledger: Ledger,
+    share: Share,
+    writing: Option<Writing>,
+    /// Machines whose record is being changed.
+    changing: HashMap<MachineName, Moment>,
+    more_cycles: bool,
+}
+
+impl Holding {
+    pub(super) fn new(
+        term: Token,
+        version: Version,
+        entitled_until: Moment,
+        suspects: Vec<(NodeName, u64)>,
+        now: Moment,
+    ) -> Self {
+        Holding {
+            term,
+            version,
+            loaded: None,
+            pages: Vec::new(),
+            early: HashMap::new(),
+            suspects,
+            entitled_until,
+            yielding: false,
+            yield_until: None,
+            successor: None,
+            round_at: now,
+        }
+    }
+
+    pub(super) fn term(&self) -> Token {
+        self.term
+    }
+    pub(super) fn version(&self) -> Version {
+        self.version
+    }
+    pub(super) fn set_version(&mut self, version: Version) {
+        self.version = version;
+    }
+    pub(super) fn suspects(&self) -> &[(NodeName, u64)] {
+        &self.suspects
+    }
+    pub(super) fn successor(&self) -> Option<&NodeName> {
+        self.successor.as_ref()
+    }
+    pub(super) fn set_successor(&mut self, successor: NodeName) {
+        self.successor = Some(successor);
+    }
+    pub(super) fn is_yielding(&self) -> bool {
+        self.yielding
+    }
+    pub(super) fn set_yielding(&mut self, yielding: bool) {
+        self.yielding = yielding;
+        self.yield_until = None;
+    }
+    pub(super) fn yield_until(&mut self, until: Moment) {
+        self.yield_until = Some(until);
+    }
+    pub(super) fn share_mut(&mut self) -> Option<&mut Share> {
+        self.loaded.as_mut().map(|l| &mut l.share)
+    }
+    pub(super) fn share(&self) -> Option<&Share> {
+        self.loaded.as_ref().map(|l| &l.share)
+    }
+
+    /// Nothing is on its way to the state service that a successor would have to guess at.
+    pub(super) fn may_hand_over(&self) -> bool {
+        !self.yielding
+            && self.successor.is_none()
+            && self.loaded.as_ref().is_some_and(|l| l.writing.is_none())
+    }
+
+    /// A peer says up to which revision it knows the changes: beyond our own record it knows
+    /// that it holds this partition no more, and answers for it no more.
+    pub(super) fn peer_knows(&mut self, peer: &NodeName, boot: u64, revision: u64, now: Moment) {
+        if revision < self.version.0 || self.suspects.is_empty() {
+            return;
+        }
+        self.suspects.retain(|suspect| suspect != &(peer.clone(), boot));
+        self.clear_suspicion(now);
+    }
+
+    fn clear_suspicion(&mut self, now: Moment) {
+        if self.suspects.is_empty() && self.entitled_until > now {
+            self.entitled_until = now;
+            if let Some(loaded) = &mut self.loaded {
+                loaded.share.entitled_until = now;
+            }
+        }
+    }
+
+    /// Done and running tasks of a job of this partition.
+    pub(super) fn progress_of(&self, id: JobId) -> Option<(u64, u64)> {
+        let job = self.share()?.jobs.get(&id)?;
+        Some((u64::from(job.done_count()), u64::from(job.running_count())))
+    }
+
+    /// Takes in a report and returns the commands for its answer.
+    pub(super) fn answer_report(
+        &mut self,
+        name: &MachineName,
+        report: &Report,
+        token: Token,
+        launches: bool,
+        now: Moment,
+    ) -> Vec<Command> {
+        let Some(loaded) = &mut self.loaded else {
+            // Keep the lease alive; what to do with the tasks is not known yet.
+            self.early.insert(name.clone(), (report.clone(), now));
+            return Vec::new();
+        };
+        let share = &mut loaded.share;
+        let Some(machine) = share.machines.get_mut(name) else { return Vec::new() };
+        machine.answered_at = now;
+        machine.token = machine.token.max(token);
+        if !share.observe(report, Source::Report, now) {
+            return Vec::new();
+        }
+        let mut commands = share.commands_for(name, Route::Answer);
+        if !launches {
+            commands.retain(|c| !matches!(c, Command::Start { .. }));
+        }
+        commands
+    }
+
+    pub(super) fn wants_tick(&self, now: Moment) -> Option<Moment> {
+        let loaded = self.loaded.as_ref()?;
+        if loaded.more_cycles {
+            return Some(now + Span(2));
+        }
+        let flush = loaded.share.queue.next_flush();
+        let round = (loaded.writing.is_none() && loaded.share.has_dirty())
+            .then(|| self.round_at + ROUND_GAP);
+        [flush, round].into_iter().flatten().min()
+    }
+}
+
+impl Node {
+    /// Whether a team belongs to a partition: teams are dealt out in proportion to the zones'
+    /// shares, so that a cut between zones leaves each holder with the machines next to it.
+    pub(super) fn partition_of_team(&self, team: &model::TeamName) -> Option<PartitionId> {
+        let index = self.settings.teams.iter().position(|t| t.name == *team)?;
+        Some(PartitionId(index as u32 % self.partition_count().max(1)))
+    }
+
+    pub(super) fn load_ledger(&mut self, partition: PartitionId) {
+        self.list_ledger(partition, String::new());
+    }
+
+    fn list_ledger(&mut self, partition: PartitionId, after: String) {
+        let Some(holding) = self.holdings.get(&partition) else { return };
+        let term = holding.term.0;
+        let prefix = crate::records::ledger_prefix(partition);
+        let request = StateRequest::List { prefix, after, limit: 100 };
+        self.state(Importance::Lease, request, Purpose::LedgerList { partition, term });
+    }
+
+    fn current(&mut self, partition: PartitionId, term: u64) -> Option<&mut Holding> {
+        self.holdings.get_mut(&partition).filter(|h| h.term.0 == term)
+    }
+
+    pub(super) fn on_ledger(&mut self, partition: PartitionId, term: u64, reply: StateReply) {
+        let Some(holding) = self.current(partition, term) else { return };
+        match reply {
+            StateReply::List(page) => {
+                let after = page.items.last().map(|item| item.key.clone());
+                holding.pages.extend(page.items);
+                match (page.more, after) {
+                    (true, Some(after)) => self.list_ledger(partition, after),
+                    _ => self.rebuild(partition),
+                }
+            }
+            _ => {
+                holding.pages.clear();
+                let prefix = crate::records::ledger_prefix(partition);
+                let request = StateRequest::List { prefix, after: String::new(), limit: 100 };
+                let purpose = Purpose::LedgerList { partition, term };
+                self.again(Span(150), Importance::Lease, request, purpose);
+            }
+        }
+    }
+
+    /// Builds the share from the records, the ledger and the reports that came meanwhile.
+    /// The mirror is at least as new as our own record, and no predecessor can write after it.
+    fn rebuild(&mut self, partition: PartitionId) {
+        let Some(mut holding) = self.holdings.remove(&partition) else { return };
+        let limits = &self.settings.state_limits;
+        let pages = std::mem::take(&mut holding.pages);
+        let mut ledger = Ledger::load(partition, &pages, limits.value_bytes, limits.txn_ops);
+        let teams: Vec<_> = self
+            .settings
+            .teams
+            .iter()
+            .filter(|t| self.partition_of_team(&t.name) == Some(partition))
+            .map(|t| (t.name.clone(), t.guarantee, t.limit))
+            .collect();
+        let workers = &self.settings.workers;
+        let mut share = Share::new(
+            teams,
+            workers.lease,
+            workers.gang_peer,
+            self.tuning.policy.clone(),
+            self.tuning.queue,
+            holding.term,
+        );
+        share.entitled_until = holding.entitled_until;
+        for (name, record) in &self.mirror.machines {
+            if record.record.partition == partition {
+                if let Some(machine) = self.machine_from(name, &record.record, holding.term) {
+                    share.add_machine(machine, self.now);
+                }
+            }
+        }
+        for job in ledger.jobs() {
+            if !self.mirror.jobs.contains_key(&job) {
+                ledger.forget_job(job);
+            }
+        }
+        for (id, open) in &self.mirror.jobs {
+            if self.partition_of_team(&open.spec.team) == Some(partition)
+                && !self.finals.contains_key(id)
+            {
+                let chunks = ledger.chunks_of(*id);
+                share.add_job((*open.spec).clone(), open.order, &chunks, self.now);
+                if open.record.cancelled {
+                    share.cancel_job(*id, self.now);
+                }
+            }
+        }
+        for (name, (report, at)) in holding.early.drain() {
+            if let Some(machine) = share.machines.get_mut(&name) {
+                machine.answered_at = at;
+            }
+            share.observe(&report, Source::Report, at);
+        }
+        tracing::info!(
+            %partition,
+            jobs = share.jobs.len(),
+            machines = share.machines.len(),
+            "partition ready"
+        );
+        holding.loaded = Some(Box::new(Loaded {
+            ledger,
+            share,
+            writing: None,
+            changing: HashMap::new(),
+            more_cycles: true,
+        }));
+        self.holdings.insert(partition, holding);
+    }
+
+    fn machine_from(
+        &self,
+        name: &MachineName,
+        record: &MachineRecord,
+        term: Token,
+    ) -> Option<Machine> {
+        let kind = self
+            .mirror
+            .types
+            .as_ref()?
+            .record
+            .types
+            .iter()
+            .find(|t| t.name == record.machine_type)?;
+        let token = term.max(Token(record.token));
+        let zone = ZoneName::from(record.zone.as_str());
+        let mut machine = Machine::new(name.clone(), kind, zone, record.spot, token);
+        machine.leaving = record.leaving;
+        machine.idle_since = self.now;
+        Some(machine)
+    }
+
+    /// A job's record has changed.
+    pub(super) fn job_changed(&mut self, id: JobId) {
+        let Some(open) = self.mirror.jobs.get(&id).cloned() else {
+            self.progress.remove(&id);
+            return;
+        };
+        let Some(partition) = self.partition_of_team(&open.spec.team) else { return };
+        let done_with = self.finals.contains_key(&id);
+        let now = self.now;
+        let Some(share) = self.holdings.get_mut(&partition).and_then(|h| h.share_mut()) else {
+            return;
+        };
+        if !share.jobs.contains_key(&id) && !done_with {
+            share.add_job((*open.spec).clone(), open.order, &[], now);
+        }
+        if open.record.cancelled {
+            share.cancel_job(id, now);
+        }
+    }
+
+    /// A machine's record has changed.
+    pub(super) fn machine_changed(&mut self, name: &MachineName) {
+        let record = self.mirror.machines.get(name).map(|m| m.record.clone());
+        let now = self.now;
+        if record.is_none() {
+            self.leader.machine_gone(name);
+        }
+        let mut add = None;
+        for (partition, holding) in &mut self.holdings {
+            let Some(loaded) = holding.loaded.as_mut() else { continue };
+            loaded.changing.remove(name);
+            match &record {
+                Some(record) if record.partition == *partition => {
+                    match loaded.share.machines.get_mut(name) {
+                        Some(machine) => {
+                            machine.token = holding.term.max(Token(record.token));
+                            machine.leaving = record.leaving;
+                        }
+                        None => add = Some((*partition, record.clone(), holding.term)),
+                    }
+                }
+                // Deleted only after the cloud has confirmed its release; moved only while idle.
+                _ => loaded.share.remove_machine(name, now),
+            }
+        }
+        if let Some((partition, record, term)) = add {
+            let machine = self.machine_from(name, &record, term);
+            if let (Some(machine), Some(share)) =
+                (machine, self.holdings.get_mut(&partition).and_then(|h| h.share_mut()))
+            {
+                share.add_machine(machine, now);
+            }
+        }
+    }
+
+    pub(super) fn step_holdings(&mut self) {
+        let partitions: Vec<PartitionId> = self.holdings.keys().copied().collect();
+        for partition in partitions {
+            self.step_holding(partition);
+        }
+        if self.now.since(self.load_at) >= Span(500) {
+            self.load_at = self.now;
+            self.tell_loads();
+        }
+    }
+
+    fn step_holding(&mut self, partition: PartitionId) {
+        let now = self.now;
+        let contact = self.in_contact(super::LAUNCH_CONTACT);
+        let ended: Vec<_> = self
+            .holdings
+            .get(&partition)
+            .map(|h| h.suspects.iter().filter(|s| self.surely_ended(s)).cloned().collect())
+            .unwrap_or_default();
+        let Some(holding) = self.holdings.get_mut(&partition) else { return };
+        if holding.yield_until.is_some_and(|until| now >= until) {
+            holding.set_yielding(false);
+        }
+        if !ended.is_empty() {
+            holding.suspects.retain(|s| !ended.contains(s));
+            holding.clear_suspicion(now);
+        }
+        if holding.yielding || holding.successor.is_some() {
+            return;
+        }
+        let Some(loaded) = holding.loaded.as_mut() else { return };
+        loaded.share.expire_leases(now);
+        loaded.changing.retain(|_, at| now.since(*at) < Span(5_000));
+        if contact {
+            loaded.more_cycles = loaded.share.run_cycles(now, CYCLES);
+        }
+        self.counters.waits.append(&mut loaded.share.waits);
+        self.finish_jobs(partition);
+        self.write_round(partition);
+        self.send_direct(partition);
+        self.raise_tokens(partition);
+    }
+
+    /// Writes what has changed, one round at a time.
+    fn write_round(&mut self, partition: PartitionId) {
+        let now = self.now;
+        let Some(holding) = self.holdings.get_mut(&partition) else { return };
+        let (version, term, since) = (holding.version, holding.term.0, now.since(holding.round_at));
+        let Some(loaded) = holding.loaded.as_mut() else { return };
+        if loaded.writing.is_some() || !loaded.share.has_dirty() {
+            return;
+        }
+        let gap = if loaded.share.has_unrecorded() { ROUND_GAP } else { OUTCOME_GAP };
+        if since < gap {
+            return;
+        }
+        let changes = loaded.share.take_dirty();
+        if changes.is_empty() {
+            return;
+        }
+        let (round, left) = loaded.ledger.prepare(version, changes);
+        loaded.share.put_back(left);
+        let written = loaded.share.written_by(&round.keys);
+        let txn = round.txn.clone();
+        loaded.writing = Some(Writing { round, written });
+        holding.round_at = now;
+        let purpose = Purpose::LedgerWrite { partition, term };
+        self.state(Importance::Placement, StateRequest::Txn(txn), purpose);
+    }
+
+    pub(super) fn on_round(&mut self, partition: PartitionId, term: u64, reply: StateReply) {
+        let now = self.now;
+        let Some(holding) = self.current(partition, term) else { return };
+        let Some(loaded) = holding.loaded.as_mut() else { return };
+        let Some(writing) = &loaded.writing else { return };
+        match reply {
+            StateReply::Committed { revision } => {
+                loaded.ledger.commit(&writing.round, revision);
+                loaded.share.confirm(&writing.written);
+                loaded.writing = None;
+                holding.round_at = now;
+            }
+            // Either an earlier copy of this very round was applied, or the right is lost.
+            StateReply::Conflict { .. } => {
+                if let Some((key, number)) = loaded.ledger.proof(&writing.round) {
+                    let purpose = Purpose::LedgerProof { partition, term, number };
+                    self.state(Importance::Placement, StateRequest::Get { key }, purpose);
+                }
+            }
+            StateReply::Invalid(problem) => {
+                tracing::error!(%partition, problem, "a round is malformed");
+                self.reload(partition);
+            }
+            // The same round again: its conditions let it be applied once at most.
+            other => {
+                let request = StateRequest::Txn(writing.round.txn.clone());
+                let after = match other {
+                    StateReply::Refused { throttled: true } => Span(80),
+                    _ => Span(200),
+                };
+                let purpose = Purpose::LedgerWrite { partition, term };
+                self.again(after, Importance::Placement, request, purpose);
+            }
+        }
+    }
+
+    pub(super) fn on_proof(
+        &mut self,
+        partition: PartitionId,
+        term: u64,
+        number: u64,
+        reply: StateReply,
+    ) {
+        let Some(holding) = self.current(partition, term) else { return };
+        let Some(loaded) = holding.loaded.as_mut() else { return };
+        let Some(writing) = &loaded.writing else { return };
+        match reply {
+            StateReply::Item(item) if Ledger::proves(&item.value, number) => {
+                loaded.ledger.commit(&writing.round, item.version);
+                loaded.share.confirm(&writing.written);
+                loaded.writing = None;
+            }
+            StateReply::Item(_) | StateReply::Missing => self.reload(partition),
+            _ => {
+                if let Some((key, number)) = loaded.ledger.proof(&writing.round) {
+                    let purpose = Purpose::LedgerProof { partition, term, number };
+                    let request = StateRequest::Get { key };
+                    self.again(Span(150), Importance::Placement, request, purpose);
+                }
+            }
+        }
+    }
+
+    /// Our idea of the partition is wrong: it is built anew from the records, and whatever we
+    /// may have answered counts as answered until now.
+    fn reload(&mut self, partition: PartitionId) {
+        let now = self.now;
+        let Some(holding) = self.holdings.get_mut(&partition) else { return };
+        tracing::warn!(%partition, "reading the partition again");
+        holding.loaded = None;
+        holding.pages.clear();
+        holding.early.clear();
+        holding.entitled_until = holding.entitled_until.max(now);
+        self.load_ledger(partition);
+    }
+
+    /// Writes the ends of jobs: done or cancelled, whichever the job's record allows.
+    fn finish_jobs(&mut self, partition: PartitionId) {
+        let per_txn = (self.settings.state_limits.txn_ops / 2).max(1);
+        let Some(holding) = self.holdings.get_mut(&partition) else { return };
+        let (version, term) = (holding.version, holding.term.0);
+        let Some(loaded) = holding.loaded.as_mut() else { return };
+        let finished = loaded.share.take_finished();
+        for batch in finished.chunks(per_txn) {
+            let mut txn = Txn::default().when(partition_key(partition), version.0);
+            let mut jobs = Vec::new();
+            for id in batch {
+                let Some(open) = self.mirror.jobs.get(id) else { continue };
+                let state =
+                    if open.record.cancelled { JobState::Cancelled } else { JobState::Done };
+                let value = serde_json::to_value(FinalRecord { state }).unwrap_or_default();
+                txn = txn
+                    .when(job_key(*id), open.version.0)
+                    .write(Write::delete(job_key(*id)))
+                    .write(Write::put(final_key(*id), value));
+                jobs.push((*id, state));
+            }
+            if jobs.is_empty() {
+                continue;
+            }
+            let purpose = Purpose::FinalWrite { partition, term, jobs };
+            self.state(Importance::Accept, StateRequest::Txn(txn), purpose);
+        }
+    }
+
+    pub(super) fn on_final_written(
+        &mut self,
+        partition: PartitionId,
+        term: u64,
+        jobs: Vec<(JobId, JobState)>,
+        reply: StateReply,
+    ) {
+        if let StateReply::Committed { .. } = reply {
+            for (id, state) in jobs {
+                self.ended(partition, id, state);
+            }
+            return;
+        }
+        if self.current(partition, term).is_none() {
+            return;
+        }
+        // Each job is looked up: it may have been written, cancelled, or left as it was.
+        let after = if matches!(reply, StateReply::Conflict { .. }) { Span(0) } else { Span(150) };
+        for (job, _) in jobs {
+            let request = StateRequest::Get { key: final_key(job) };
+            let purpose = Purpose::FinalProof { partition, term, job };
+            self.again(after, Importance::Accept, request, purpose);
+        }
+    }
+
+    pub(super) fn on_final_proof(
+        &mut self,
+        partition: PartitionId,
+        term: u64,
+        job: JobId,
+        reply: StateReply,
+    ) {
+        use serde::Deserialize;
+        match reply {
+            StateReply::Item(item) => {
+                if let Ok(record) = FinalRecord::deserialize(&item.value) {
+                    self.ended(partition, job, record.state);
+                }
+            }
+            StateReply::Missing => {
+                if let Some(share) = self.current(partition, term).and_then(|h| h.share_mut()) {
+                    share.finish_failed(job);
+                }
+            }
+            _ => {
+                let request = StateRequest::Get { key: final_key(job) };
+                let purpose = Purpose::FinalProof { partition, term, job };
+                self.again(Span(200), Importance::Accept, request, purpose);
+            }
+        }
+    }
+
+    fn ended(&mut self, partition: PartitionId, id: JobId, state: JobState) {
+        let now = self.now;
+        self.keep_final(id, state);
+        self.mirror.jobs.remove(&id);
+        if let Some(loaded) = self.holdings.get_mut(&partition).and_then(|h| h.loaded.as_mut()) {
+            loaded.share.remove_job(id, now);
+            loaded.ledger.forget_job(id);
+        }
+    }
+
+    /// Machines whose lost direct launches can only be voided by a higher token.
+    fn raise_tokens(&mut self, partition: PartitionId) {
+        let Some(holding) = self.holdings.get(&partition) else { return };
+        let Some(loaded) = &holding.loaded else { return };
+        let wanting: Option<MachineName> = loaded
+            .share
+            .machines
+            .values()
+            .find(|m| {
+                m.needs_token && !loaded.changing.contains_key(&m.name) && m.seen_token >= m.token
+            })
+            .map(|m| m.name.clone());
+        if let Some(name) = wanting {
+            self.change_machine(partition, &name, |record, token| record.token = token, true);
+        }
+    }
+
+    /// Changes the record of a machine of our share, with a new token if asked for.
+    pub(super) fn change_machine(
+        &mut self,
+        partition: PartitionId,
+        name: &MachineName,
+        change: impl FnOnce(&mut MachineRecord, u64),
+        new_token: bool,
+    ) {
+        let Some(current) = self.mirror.machines.get(name).cloned() else { return };
+        let mut counter =
+            self.mirror.counter.as_ref().map(|c| c.record.clone()).unwrap_or_default();
+        let token = self.mirror.next_token();
+        counter.next = token + 1;
+        let counter_version = self.mirror.counter_version();
+        let now = self.now;
+        let Some(holding) = self.holdings.get_mut(&partition) else { return };
+        let version = holding.version;
+        let Some(loaded) = holding.loaded.as_mut() else { return };
+        loaded.changing.insert(name.clone(), now);
+        let mut record = current.record;
+        change(&mut record, token);
+        let key = machine_key(name);
+        let mut txn = Txn::default()
+            .when(partition_key(partition), version.0)
+            .when(&key, current.version.0)
+            .write(Write::put(&key, serde_json::to_value(record).unwrap_or_default()));
+        if new_token {
+            txn = txn
+                .when(COUNTER, counter_version)
+                .write(Write::put(COUNTER, serde_json::to_value(counter).unwrap_or_default()));
+        }
+        let purpose = Purpose::MachineWrite { partition, machine: name.clone() };
+        self.state(Importance::Placement, StateRequest::Txn(txn), purpose);
+    }
+
+    pub(super) fn on_machine_written(&mut self, partition: PartitionId, name: &MachineName) {
+        let now = self.now;
+        let Some(loaded) = self.holdings.get_mut(&partition).and_then(|h| h.loaded.as_mut()) else {
+            return;
+        };
+        // The watch brings the change if there was one; after a moment the machine's flags
+        // follow its record again.
+        if let Some(at) = loaded.changing.get_mut(name) {
+            *at = Moment(now.0.saturating_sub(4_500));
+        }
+    }
+
+    /// The leader asks for an idle machine, for another partition or for the cloud.
+    pub(super) fn on_release_asked(&mut self, machine: &str, to: Option<u32>) {
+        let name = MachineName::from(machine);
+        let Some(record) = self.mirror.machines.get(&name).map(|m| m.record.clone()) else {
+            return;
+        };
+        let partition = record.partition;
+        let Some(loaded) = self.holdings.get_mut(&partition).and_then(|h| h.loaded.as_mut()) else {
+            return;
+        };
+        let Some(machine) = loaded.share.machines.get_mut(&name) else { return };
+        if !machine.tasks.is_empty() || machine.leaving || loaded.changing.contains_key(&name) {
+            return;
+        }
+        // Nothing is placed here from now on, whether or not the write succeeds at once.
+        machine.leaving = true;
+        match to {
+            None => self.change_machine(partition, &name, |record, _| record.leaving = true, false),
+            Some(other) if other < self.partition_count() => self.change_machine(
+                partition,
+                &name,
+                |record, token| {
+                    record.partition = PartitionId(other);
+                    record.token = token;
+                },
+                true,
+            ),
+            Some(_) => {}
+        }
+    }
+
+    /// What each of our partitions lacks and could spare, and how far its jobs are.
+    fn tell_loads(&mut self) {
+        let now = self.now;
+        let leader = self.leader_node();
+        let mut loads = Vec::new();
+        let mut jobs = Vec::new();
+        for (partition, holding) in &mut self.holdings {
+            let Some(loaded) = holding.loaded.as_mut() else { continue };
+            // A change of a record that came to nothing leaves the machine as recorded.
+            for machine in loaded.share.machines.values_mut() {
+                if machine.leaving && !loaded.changing.contains_key(&machine.name) {
+                    machine.leaving =
+                        self.mirror.machines.get(&machine.name).is_some_and(|m| m.record.leaving);
+                }
+            }
+            loads.push(PartitionLoad {
+                partition: partition.0,
+                term: holding.term.0,
+                demand: loaded.share.demand(),
+                machines: loaded.share.loads(now),
+            });
+            jobs.extend(loaded.share.jobs.iter().filter(|(_, j)| !j.placed.is_empty()).map(
+                |(id, job)| (id.0, u64::from(job.done_count()), u64::from(job.running_count())),
+            ));
+        }
+        if !jobs.is_empty() {
+            self.broadcast(MeshMessage::Progress { jobs });
+        }
+        for load in loads {
+            match &leader {
+                Some(name) if name == self.me() => self.on_load(load),
+                Some(name) => {
+                    let name = name.clone();
+                    self.mesh(&name, MeshMessage::Load(load));
+                }
+                None => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/node/leader.rs
@@ -0,0 +1,537 @@
+//! The leader: whoever holds the first partition makes the calls to the cloud.
+
+use super::{Effect, Node, Purpose};
+use crate::budget::{Bucket, Importance};
+use crate::records::{machine_key, partition_key, MachineRecord, TYPES};
+use fleet::{FleetAction, FleetMachine, Offer, PartitionNeed};
+use model::{CallId, MachineName, Moment, NodeName, PartitionId, Span, ZoneName};
+use std::collections::{BTreeMap, HashMap};
+use wire::cloud::{
+    CloudReply, CloudRequest, ListedMachine, MachineState, MachineType, MachineTypes, RentRequest,
+};
+use wire::mesh::{MeshMessage, PartitionLoad};
+use wire::state::{StateReply, StateRequest, Txn, Write};
+
+/// The partition whose holder is the leader.
+pub(crate) const LEAD: PartitionId = PartitionId(0);
+/// How long an offer that was refused is left alone.
+const REFUSED: Span = Span(6_000);
+
+/// A machine that has to get a record.
+#[derive(Debug, Clone)]
+struct Unrecorded {
+    record: MachineRecord,
+    writing: bool,
+}
+
+/// What the leader knows and has under way.
+#[derive(Debug)]
+pub(crate) struct Leader {
+    calls: Bucket,
+    loads: HashMap<PartitionId, (PartitionLoad, Moment)>,
+    listed: HashMap<MachineName, (ListedMachine, Moment)>,
+    first_seen: HashMap<MachineName, Moment>,
+    unrecorded: BTreeMap<MachineName, Unrecorded>,
+    refused: HashMap<Offer, Moment>,
+    renting: HashMap<CallId, (RentRequest, PartitionId)>,
+    releasing: HashMap<MachineName, Moment>,
+    deleting: HashMap<MachineName, Moment>,
+    asked: HashMap<MachineName, Moment>,
+    pub(super) types_pending: bool,
+    types_at: Option<Moment>,
+    prices: Option<MachineTypes>,
+    list_at: Moment,
+    listing: bool,
+    plan_at: Moment,
+    requests: u64,
+    retries: Vec<(Moment, CloudRequest, RentRequest, PartitionId)>,
+}
+
+impl Leader {
+    pub(super) fn new(rps: f64) -> Self {
+        Leader {
+            calls: Bucket::new(rps * 0.8, rps),
+            loads: HashMap::new(),
+            listed: HashMap::new(),
+            first_seen: HashMap::new(),
+            unrecorded: BTreeMap::new(),
+            refused: HashMap::new(),
+            renting: HashMap::new(),
+            releasing: HashMap::new(),
+            deleting: HashMap::new(),
+            asked: HashMap::new(),
+            types_pending: false,
+            types_at: None,
+            prices: None,
+            list_at: Moment::default(),
+            listing: false,
+            plan_at: Moment::default(),
+            requests: 0,
+            retries: Vec::new(),
+        }
+    }
+
+    /// A machine without a record has been seen.
+    pub(super) fn found(
+        &mut self,
+        name: &MachineName,
+        machine_type: &str,
+        zone: &str,
+        spot: bool,
+        now: Moment,
+    ) {
+        // One that has just been released may still be in a late report or an old list.
+        let gone = self.deleting.get(name).is_some_and(|at| now.since(*at) < Span(60_000));
+        if gone || self.unrecorded.contains_key(name) {
+            return;
+        }
+        let rented = self.renting.values().next().map_or(LEAD, |(_, partition)| *partition);
+        let record = MachineRecord {
+            machine_type: machine_type.into(),
+            zone: zone.into(),
+            spot,
+            partition: rented,
+            token: 0,
+            leaving: false,
+        };
+        self.unrecorded.insert(name.clone(), Unrecorded { record, writing: false });
+    }
+
+    pub(super) fn machine_gone(&mut self, name: &MachineName) {
+        self.first_seen.remove(name);
+        self.releasing.remove(name);
+        self.asked.remove(name);
+    }
+}
+
+impl Node {
+    /// The node that leads now, as far as the mirror tells.
+    pub(super) fn leader_node(&self) -> Option<NodeName> {
+        self.mirror.partitions.get(&LEAD).map(|p| p.record.holder.clone())
+    }
+
+    pub(super) fn on_load(&mut self, load: PartitionLoad) {
+        let partition = PartitionId(load.partition);
+        let newer = self.leader.loads.get(&partition).is_none_or(|(old, _)| old.term <= load.term);
+        if newer {
+            self.leader.loads.insert(partition, (load, self.now));
+        }
+    }
+
+    pub(super) fn types_changed(&mut self) {
+        // Machines whose type was unknown until now can be taken into their shares.
+        let names: Vec<MachineName> = self.mirror.machines.keys().cloned().collect();
+        for name in names {
+            self.machine_changed(&name);
+        }
+    }
+
+    pub(super) fn step_leader(&mut self) {
+        let leads =
+            self.holdings.get(&LEAD).is_some_and(|h| h.share().is_some() && !h.is_yielding());
+        // Every node may ask for the types while nobody knows them.
+        if self.synced && (leads || self.mirror.types.is_none()) {
+            self.ask_types();
+        }
+        if !leads || !self.in_contact(super::LAUNCH_CONTACT) {
+            return;
+        }
+        self.record_machines();
+        self.release_leaving();
+        if self.now.since(self.leader.list_at) >= Span(4_000)
+            && !self.leader.listing
+            && self.leader.calls.take(self.now, 1.0, 1.0)
+        {
+            self.leader.list_at = self.now;
+            self.leader.listing = true;
+            let request = CloudRequest::List { after: String::new(), limit: 500 };
+            self.cloud(request, Purpose::CloudList { gathered: Vec::new() });
+        }
+        let now = self.now;
+        let (due, later) =
+            std::mem::take(&mut self.leader.retries).into_iter().partition(|r| r.0 <= now);
+        self.leader.retries = later;
+        let due: Vec<(Moment, CloudRequest, RentRequest, PartitionId)> = due;
+        for (_, _, request, partition) in due {
+            self.rent(request, partition);
+        }
+        if self.now.since(self.leader.plan_at) >= Span(500) {
+            self.leader.plan_at = self.now;
+            self.plan_fleet();
+        }
+    }
+
+    fn ask_types(&mut self) {
+        let pause = if self.mirror.types.is_none() { Span(400) } else { Span(60_000) };
+        let due = self.leader.types_at.is_none_or(|at| self.now.since(at) >= pause);
+        if due && self.leader.calls.take(self.now, 1.0, 0.0) {
+            self.leader.types_at = Some(self.now);
+            self.cloud(CloudRequest::Types, Purpose::Types);
+        }
+    }
+
+    /// Writes records of machines that have none, several at a time.
+    fn record_machines(&mut self) {
+        let Some(version) = self.holdings.get(&LEAD).map(|h| h.version()) else { return };
+        let most = self.settings.state_limits.txn_ops;
+        let mut txn = Txn::default().when(partition_key(LEAD), version.0);
+        let mut machines = Vec::new();
+        let known: Vec<MachineName> = self
+            .leader
+            .unrecorded
+            .keys()
+            .filter(|name| self.mirror.machines.contains_key(*name))
+            .cloned()
+            .collect();
+        for name in known {
+            self.leader.unrecorded.remove(&name);
+        }
+        for (name, entry) in &mut self.leader.unrecorded {
+            if entry.writing || machines.len() >= most {
+                continue;
+            }
+            entry.writing = true;
+            let key = machine_key(name);
+            let value = serde_json::to_value(&entry.record).unwrap_or_default();
+            txn = txn.when(&key, 0).write(Write::put(&key, value));
+            machines.push(name.clone());
+        }
+        if !machines.is_empty() {
+            let purpose = Purpose::MachineRecord { machines };
+            self.state(Importance::Placement, StateRequest::Txn(txn), purpose);
+        }
+    }
+
+    pub(super) fn on_machines_recorded(&mut self, machines: &[MachineName], reply: &StateReply) {
+        for name in machines {
+            match reply {
+                StateReply::Committed { .. } => {
+                    self.leader.first_seen.entry(name.clone()).or_insert(self.now);
+                    // Kept until the mirror shows the record, so that the plan counts it.
+                }
+                _ => {
+                    if let Some(entry) = self.leader.unrecorded.get_mut(name) {
+                        entry.writing = false;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Releases machines that their holders have given up.
+    fn release_leaving(&mut self) {
+        let now = self.now;
+        let names: Vec<MachineName> = self
+            .mirror
+            .machines
+            .iter()
+            .filter(|(name, m)| {
+                m.record.leaving
+                    && self
+                        .leader
+                        .releasing
+                        .get(*name)
+                        .is_none_or(|at| now.since(*at) >= Span(5_000))
+            })
+            .map(|(name, _)| name.clone())
+            .take(100)
+            .collect();
+        if names.is_empty() || !self.leader.calls.take(now, 1.0, 0.0) {
+            return;
+        }
+        for name in &names {
+            self.leader.releasing.insert(name.clone(), now);
+        }
+        let request = CloudRequest::Release(names.iter().map(|n| n.to_string()).collect());
+        self.cloud(request, Purpose::Release(names));
+    }
+
+    fn delete_record(&mut self, name: MachineName) {
+        let Some(current) = self.mirror.machines.get(&name) else { return };
+        let key = machine_key(&name);
+        let txn = Txn::default().when(&key, current.version.0).write(Write::delete(&key));
+        self.leader.deleting.insert(name.clone(), self.now);
+        self.state(Importance::Placement, StateRequest::Txn(txn), Purpose::MachineDelete(name));
+    }
+
+    pub(super) fn on_machine_deleted(&mut self, name: &MachineName) {
+        if self.mirror.machines.contains_key(name) {
+            // If the write failed, the release is repeated, which does no harm.
+            let at = Moment(self.now.0.saturating_sub(3_500));
+            self.leader.releasing.insert(name.clone(), at);
+        }
+    }
+
+    fn rent(&mut self, request: RentRequest, partition: PartitionId) {
+        let call = self.call(Purpose::Rent { request: request.clone(), partition });
+        self.leader.renting.insert(call, (request.clone(), partition));
+        self.counters.cloud_calls += 1;
+        self.effects.push(Effect::Cloud { call, request: CloudRequest::Rent(request) });
+    }
+
+    pub(super) fn on_cloud(&mut self, call: CallId, reply: CloudReply) {
+        let Some(purpose) = self.calls.remove(&call) else { return };
+        if reply == CloudReply::Refused {
+            self.counters.cloud_refused += 1;
+        }
+        match purpose {
+            Purpose::Types => {
+                if let CloudReply::Types(types) = reply {
+                    self.take_types(types);
+                }
+            }
+            Purpose::Rent { request, partition } => {
+                self.leader.renting.remove(&call);
+                self.on_rented(request, partition, reply);
+            }
+            Purpose::Release(names) => {
+                for name in names {
+                    match reply {
+                        CloudReply::Released => self.delete_record(name),
+                        _ => {
+                            let at = Moment(self.now.0.saturating_sub(4_000));
+                            self.leader.releasing.insert(name, at);
+                        }
+                    }
+                }
+            }
+            Purpose::CloudList { gathered } => self.on_cloud_list(gathered, reply),
+            _ => {}
+        }
+    }
+
+    fn take_types(&mut self, types: MachineTypes) {
+        let shape = |t: &MachineTypes| -> Vec<MachineType> {
+            let mut list = t.types.clone();
+            for kind in &mut list {
+                (kind.price, kind.spot_price) = (0.0, 0.0);
+            }
+            list
+        };
+        let known = self.mirror.types.as_ref().map(|t| shape(&t.record));
+        let changed = known.as_ref() != Some(&shape(&types));
+        self.leader.prices = Some(types.clone());
+        if changed && !self.leader.types_pending {
+            self.leader.types_pending = true;
+            let version = self.mirror.types.as_ref().map_or(0, |t| t.version.0);
+            let value = serde_json::to_value(types).unwrap_or_default();
+            let txn = Txn::default().when(TYPES, version).write(Write::put(TYPES, value));
+            self.state(Importance::Lease, StateRequest::Txn(txn), Purpose::TypesWrite);
+        }
+    }
+
+    fn on_rented(&mut self, request: RentRequest, partition: PartitionId, reply: CloudReply) {
+        let offer: Offer =
+            (request.machine_type.clone(), ZoneName::from(request.zone.as_str()), request.spot);
+        match reply {
+            CloudReply::Rented(names) => {
+                if (names.len() as u32) < request.count {
+                    self.leader.refused.insert(offer, self.now + REFUSED);
+                }
+                tracing::info!(
+                    machine_type = request.machine_type,
+                    zone = request.zone,
+                    spot = request.spot,
+                    asked = request.count,
+                    got = names.len(),
+                    %partition,
+                    "rented"
+                );
+                for name in names {
+                    let name = MachineName::from(name.as_str());
+                    self.leader.first_seen.insert(name.clone(), self.now);
+                    let record = MachineRecord {
+                        machine_type: request.machine_type.clone(),
+                        zone: request.zone.clone(),
+                        spot: request.spot,
+                        partition,
+                        token: 0,
+                        leaving: false,
+                    };
+                    self.leader.unrecorded.insert(name, Unrecorded { record, writing: false });
+                }
+            }
+            CloudReply::NoCapacity => {
+                self.leader.refused.insert(offer, self.now + REFUSED);
+            }
+            // Its answer is lost: the same name asks for the same machines.
+            CloudReply::Unknown => {
+                let at = self.now + Span(500);
+                let again = CloudRequest::Rent(request.clone());
+                self.leader.retries.push((at, again, request, partition));
+            }
+            _ => {
+                self.leader.refused.insert(offer, self.now + Span(1_500));
+            }
+        }
+    }
+
+    fn on_cloud_list(&mut self, mut gathered: Vec<ListedMachine>, reply: CloudReply) {
+        let CloudReply::List(list) = reply else {
+            self.leader.listing = false;
+            return;
+        };
+        let after = list.machines.last().map(|m| m.id.clone());
+        gathered.extend(list.machines);
+        if let (true, Some(after)) = (list.more, after) {
+            self.cloud(CloudRequest::List { after, limit: 500 }, Purpose::CloudList { gathered });
+            return;
+        }
+        self.leader.listing = false;
+        let now = self.now;
+        for machine in gathered {
+            let name = MachineName::from(machine.id.as_str());
+            if !self.mirror.machines.contains_key(&name) {
+                self.leader.found(&name, &machine.machine_type, &machine.zone, machine.spot, now);
+            }
+            self.leader.listed.insert(name, (machine, now));
+        }
+        self.leader.listed.retain(|_, (_, at)| now.since(*at) < Span(120_000));
+        self.leader.deleting.retain(|_, at| now.since(*at) < Span(120_000));
+    }
+
+    /// The fleet as the leader knows it.
+    fn fleet(&mut self) -> Vec<FleetMachine> {
+        let now = self.now;
+        let mut machines = Vec::new();
+        for (name, record) in &self.mirror.machines {
+            let seen = *self.leader.first_seen.entry(name.clone()).or_insert(now);
+            let r = &record.record;
+            let load = self.leader.loads.get(&r.partition).and_then(|(load, at)| {
+                let fresh = now.since(*at) <= Span(2_500);
+                load.machines.iter().find(|m| m.machine == name.as_str()).map(|m| (m, fresh))
+            });
+            let listed = self.leader.listed.get(name).map(|(m, _)| m);
+            let age = listed.map_or(Span::ZERO, |m| Span::from_secs(m.age_s));
+            machines.push(FleetMachine {
+                name: name.clone(),
+                machine_type: r.machine_type.clone(),
+                zone: ZoneName::from(r.zone.as_str()),
+                spot: r.spot,
+                partition: r.partition,
+                up: load.is_some_and(|(m, _)| m.up),
+                tasks: load.map_or(0, |(m, _)| m.tasks),
+                idle: load.map_or(Span::ZERO, |(m, _)| Span(m.idle_ms)),
+                faulty: load.is_some_and(|(m, _)| m.faulty),
+                leaving: r.leaving,
+                age: age.max(now.since(seen)),
+                silent: load.map_or(Span::ZERO, |(m, _)| Span(m.silent_ms)),
+                failed: listed.is_some_and(|m| m.state == MachineState::Failed),
+                known: load.is_some_and(|(_, fresh)| fresh),
+            });
+        }
+        let mut pending: Vec<(String, MachineRecord)> = self
+            .leader
+            .unrecorded
+            .iter()
+            .filter(|(name, _)| !self.mirror.machines.contains_key(*name))
+            .map(|(name, entry)| (name.to_string(), entry.record.clone()))
+            .collect();
+        // Machines that are being asked for count as coming.
+        let retries = self.leader.retries.iter().map(|r| (&r.2, r.3));
+        let asked = self.leader.renting.values().map(|(request, p)| (request, *p)).chain(retries);
+        for (request, partition) in asked {
+            for n in 0..request.count {
+                let record = MachineRecord {
+                    machine_type: request.machine_type.clone(),
+                    zone: request.zone.clone(),
+                    spot: request.spot,
+                    partition,
+                    token: 0,
+                    leaving: false,
+                };
+                pending.push((format!("{}#{n}", request.request), record));
+            }
+        }
+        for (name, record) in pending {
+            machines.push(FleetMachine {
+                name: MachineName::from(name.as_str()),
+                machine_type: record.machine_type,
+                zone: ZoneName::from(record.zone.as_str()),
+                spot: record.spot,
+                partition: record.partition,
+                up: false,
+                tasks: 0,
+                idle: Span::ZERO,
+                faulty: false,
+                leaving: false,
+                age: Span::ZERO,
+                silent: Span::ZERO,
+                failed: false,
+                known: false,
+            });
+        }
+        machines
+    }
+
+    fn plan_fleet(&mut self) {
+        let now = self.now;
+        let Some(types) = self
+            .leader
+            .prices
+            .clone()
+            .or_else(|| self.mirror.types.as_ref().map(|t| t.record.clone()))
+        else {
+            return;
+        };
+        let machines = self.fleet();
+        let mut needs = Vec::new();
+        for number in 0..self.partition_count() {
+            let partition = PartitionId(number);
+            let Some((load, at)) = self.leader.loads.get(&partition) else { continue };
+            if now.since(*at) > Span(2_500) {
+                continue;
+            }
+            let home_zone = self
+                .nodes
+                .get(number as usize)
+                .map_or_else(|| self.settings.zone.clone(), |(_, zone)| zone.clone());
+            needs.push(PartitionNeed { partition, home_zone, demand: load.demand.clone() });
+        }
+        self.leader.refused.retain(|_, until| *until > now);
+        let refused: HashMap<Offer, u32> =
+            self.leader.refused.keys().map(|offer| (offer.clone(), 0)).collect();
+        let actions = fleet::plan(&self.tuning.fleet, &types.types, &machines, &needs, &refused);
+        for action in actions {
+            match action {
+                FleetAction::Rent { machine_type, zone, spot, count, partition } => {
+                    if !self.leader.calls.take(now, 1.0, 0.0) {
+                        continue;
+                    }
+                    self.leader.requests += 1;
+                    // The incarnation is random, so the name is never used again.
+                    let request = RentRequest {
+                        request: format!("{}-{:x}-{}", self.me(), self.boot, self.leader.requests),
+                        machine_type,
+                        zone: zone.to_string(),
+                        spot,
+                        count,
+                    };
+                    self.rent(request, partition);
+                }
+                FleetAction::Shift { machine, to } => self.ask_release(&machine, Some(to.0)),
+                FleetAction::Return { machine } => self.ask_release(&machine, None),
+            }
+        }
+    }
+
+    fn ask_release(&mut self, machine: &MachineName, to: Option<u32>) {
+        let now = self.now;
+        if self.leader.asked.get(machine).is_some_and(|at| now.since(*at) < Span(2_000)) {
+            return;
+        }
+        self.leader.asked.insert(machine.clone(), now);
+        let Some(record) = self.mirror.machines.get(machine) else { return };
+        let Some(holder) =
+            self.mirror.partitions.get(&record.record.partition).map(|p| p.record.holder.clone())
+        else {
+            return;
+        };
+        tracing::info!(%machine, ?to, "releasing an idle machine");
+        if holder == *self.me() {
+            self.on_release_asked(machine.as_str(), to);
+        } else {
+            self.mesh(&holder, MeshMessage::Release { machine: machine.to_string(), to });
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/node/mod.rs
@@ -0,0 +1,506 @@
+//! The node: its state, its events and its effects.
+
+mod holder;
+mod leader;
+mod partitions;
+mod sync;
+mod users;
+mod workers;
+
+use crate::budget::{Bucket, Importance};
+use crate::mirror::Mirror;
+use fleet::FleetPolicy;
+use holder::Holding;
+use leader::Leader;
+use model::{
+    CallId, JobId, JobState, LeaseId, MachineName, Moment, NodeName, PartitionId, RejectReason,
+    Settings, Span, TaskId, ZoneName,
+};
+use queue::QueueConfig;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use scheduler::Policy;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use wire::cloud::{CloudReply, CloudRequest, RentRequest};
+use wire::mesh::MeshMessage;
+use wire::state::{StateReply, StateRequest, Txn};
+use wire::users::{JobRequest, JobStatus};
+use wire::workers::{DirectCommands, Report, ReportAnswer};
+
+/// What operators may change at run time. Nothing here can loosen a rule.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Tuning {
+    pub queue: QueueConfig,
+    pub policy: Policy,
+    pub fleet: FleetPolicy,
+}
+
+/// Identifies a request that waits for its answer.
+pub type Ticket = u64;
+
+/// A user's request, its body already read.
+#[derive(Debug, Clone)]
+pub enum UserRequest {
+    Submit(Box<JobRequest>),
+    Get(JobId),
+    Cancel(JobId),
+}
+
+/// An answer to a user.
+#[derive(Debug, Clone, PartialEq)]
+pub enum UserReply {
+    Created(JobStatus),
+    Status(JobStatus),
+    NotFound,
+    Invalid(String),
+    Rejected(RejectReason),
+    /// Refused at once; come back after so many seconds.
+    Busy {
+        retry_after_s: u64,
+    },
+}
+
+/// An answer to a worker's report.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ReportReply {
+    Answer(ReportAnswer),
+    Redirect(Option<NodeName>),
+    Unavailable,
+}
+
+/// How a direct call to a worker ended.
+#[derive(Debug, Clone)]
+pub enum DirectReply {
+    /// Executed, or refused as a whole; either way it will not be executed later.
+    Answered(Box<Report>),
+    /// No usable answer: it may yet be executed.
+    Unknown,
+}
+
+/// What happens to the node.
+#[derive(Debug, Clone)]
+pub enum Event {
+    Tick,
+    State { call: CallId, reply: StateReply },
+    Cloud { call: CallId, reply: CloudReply },
+    Worker { call: CallId, reply: DirectReply },
+    Mesh { from: NodeName, message: MeshMessage },
+    User { ticket: Ticket, request: UserRequest },
+    Report { ticket: Ticket, report: Box<Report> },
+}
+
+/// What the node wants done.
+#[derive(Debug, Clone)]
+pub enum Effect {
+    State { call: CallId, request: StateRequest, timeout: Span },
+    Cloud { call: CallId, request: CloudRequest },
+    Worker { call: CallId, address: String, body: DirectCommands },
+    Mesh { to: NodeName, message: MeshMessage },
+    User { ticket: Ticket, reply: UserReply },
+    Report { ticket: Ticket, reply: ReportReply },
+}
+
+/// A user's request that waits for a read of the state service.
+#[derive(Debug, Clone)]
+pub(crate) struct Poll {
+    ticket: Ticket,
+    kind: PollKind,
+    id: JobId,
+    arrived: Moment,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) enum PollKind {
+    Get,
+    Cancel {
+        tries: u32,
+    },
+    /// A submission of a job that may be known already; if it is not, it is rejected.
+    Known {
+        reject: Option<RejectReason>,
+    },
+}
+
+/// Why a call was made.
+#[derive(Debug)]
+pub(crate) enum Purpose {
+    List,
+    Watch,
+    Fresh(Vec<Poll>),
+    NewLease,
+    Renew(LeaseId),
+    Boot,
+    Acquire(PartitionId),
+    HandOver {
+        partition: PartitionId,
+        to: NodeName,
+    },
+    LedgerList {
+        partition: PartitionId,
+        term: u64,
+    },
+    LedgerWrite {
+        partition: PartitionId,
+        term: u64,
+    },
+    LedgerProof {
+        partition: PartitionId,
+        term: u64,
+        number: u64,
+    },
+    Accept {
+        ticket: Ticket,
+        id: JobId,
+        tries: u32,
+        txn: Box<Txn>,
+    },
+    CancelWrite {
+        poll: Poll,
+    },
+    FinalRead {
+        poll: Poll,
+    },
+    FinalWrite {
+        partition: PartitionId,
+        term: u64,
+        jobs: Vec<(JobId, JobState)>,
+    },
+    FinalProof {
+        partition: PartitionId,
+        term: u64,
+        job: JobId,
+    },
+    /// A change of a machine's record by its holder.
+    MachineWrite {
+        partition: PartitionId,
+        machine: MachineName,
+    },
+    /// A record of a rented or found machine.
+    MachineRecord {
+        machines: Vec<MachineName>,
+    },
+    MachineDelete(MachineName),
+    TypesWrite,
+    Types,
+    Rent {
+        request: RentRequest,
+        partition: PartitionId,
+    },
+    Release(Vec<MachineName>),
+    CloudList {
+        gathered: Vec<wire::cloud::ListedMachine>,
+    },
+    Direct {
+        partition: PartitionId,
+        machine: MachineName,
+        launches: Vec<(TaskId, model::Attempt)>,
+    },
+}
+
+/// What a peer said last.
+#[derive(Debug, Clone)]
+pub(crate) struct PeerView {
+    heard_at: Moment,
+    state_contact: bool,
+    ready: bool,
+}
+
+/// Counts for the metrics.
+#[derive(Debug, Clone, Default)]
+pub struct Counters {
+    pub takeovers: u64,
+    pub hand_overs: u64,
+    pub state_calls: u64,
+    pub state_writes: u64,
+    pub state_refused: u64,
+    pub cloud_calls: u64,
+    pub cloud_refused: u64,
+    pub refusals: BTreeMap<&'static str, u64>,
+    /// Waits from first sight to placement (ms), to be drained by the metrics.
+    pub waits: Vec<u64>,
+}
+
+/// A controller node.
+pub struct Node {
+    settings: Settings,
+    tuning: Tuning,
+    rng: SmallRng,
+    now: Moment,
+    boot: u64,
+    booted: bool,
+    nodes: Vec<(NodeName, ZoneName)>,
+    mirror: Mirror,
+    synced: bool,
+    listing: Option<sync::Listing>,
+    watch_since: Option<Moment>,
+    /// Sending time of the last confirmed read of changes.
+    contact_at: Option<Moment>,
+    sent_at: HashMap<CallId, Moment>,
+    lease: Option<(LeaseId, Moment)>,
+    lease_pending: bool,
+    renew_at: Moment,
+    calls: HashMap<CallId, Purpose>,
+    next_call: u64,
+    outbox: BTreeMap<Importance, VecDeque<(CallId, StateRequest)>>,
+    /// Calls to be made again later.
+    retries: Vec<(Moment, CallId, Importance, StateRequest)>,
+    requests: Bucket,
+    writes: Bucket,
+    holdings: BTreeMap<PartitionId, Holding>,
+    acquiring: HashMap<PartitionId, Moment>,
+    vacant_since: HashMap<PartitionId, Moment>,
+    peers: HashMap<NodeName, PeerView>,
+    home_asked_at: Option<Moment>,
+    alive_at: Moment,
+    load_at: Moment,
+    progress: HashMap<JobId, (u64, u64)>,
+    finals: HashMap<JobId, JobState>,
+    polls: Vec<Poll>,
+    fresh_pending: bool,
+    leader: Leader,
+    effects: Vec<Effect>,
+    pub counters: Counters,
+}
+
+/// Life of a node's lease in the state service.
+const LEASE: Span = Span(3_500);
+/// Time between renewals.
+const RENEW: Span = Span(900);
+/// Longest wait of the watch.
+const WATCH_WAIT: Span = Span(1_500);
+/// Patience with a call to the state service.
+const CALL_TIMEOUT: Span = Span(1_500);
+/// Launches need changes read not longer ago than this.
+const LAUNCH_CONTACT: Span = Span(4_500);
+/// Final states that are kept in memory.
+const FINALS: usize = 200_000;
+
+impl Node {
+    /// A node that has just started. `seed` must be random, it names the incarnation.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let nodes = settings.nodes();
+        let limits = settings.state_limits.clone();
+        let count = nodes.len().max(1) as f64;
+        // Others are often idle, so each node may use more than its even part for a while;
+        // a 429 tells when that was too much.
+        let share = |rate: f64| (rate / count) * 1.5;
+        Node {
+            tuning: Tuning::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            now: Moment::default(),
+            boot: seed >> 12,
+            booted: false,
+            nodes,
+            mirror: Mirror::default(),
+            synced: false,
+            listing: None,
+            watch_since: None,
+            contact_at: None,
+            sent_at: HashMap::new(),
+            lease: None,
+            lease_pending: false,
+            renew_at: Moment::default(),
+            calls: HashMap::new(),
+            next_call: 0,
+            outbox: BTreeMap::new(),
+            retries: Vec::new(),
+            requests: Bucket::new(share(limits.requests_per_s), limits.requests_per_s / count),
+            writes: Bucket::new(share(limits.writes_per_s), limits.writes_per_s * 0.6),
+            holdings: BTreeMap::new(),
+            acquiring: HashMap::new(),
+            vacant_since: HashMap::new(),
+            peers: HashMap::new(),
+            home_asked_at: None,
+            alive_at: Moment::default(),
+            load_at: Moment::default(),
+            progress: HashMap::new(),
+            finals: HashMap::new(),
+            polls: Vec::new(),
+            fresh_pending: false,
+            leader: Leader::new(settings.cloud_rps),
+            effects: Vec::new(),
+            counters: Counters::default(),
+            settings,
+        }
+    }
+
+    /// Takes in an event at a steady time and returns what is to be done.
+    pub fn handle(&mut self, now: Moment, event: Event) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        match event {
+            Event::Tick => {}
+            Event::State { call, reply } => self.on_state(call, reply),
+            Event::Cloud { call, reply } => self.on_cloud(call, reply),
+            Event::Worker { call, reply } => self.on_direct(call, reply),
+            Event::Mesh { from, message } => self.on_mesh(from, message),
+            Event::User { ticket, request } => self.on_user(ticket, request),
+            Event::Report { ticket, report } => self.on_report(ticket, *report),
+        }
+        self.step();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// The loops that work out the difference between what is wanted and what is.
+    fn step(&mut self) {
+        self.step_sync();
+        self.step_lease();
+        self.step_partitions();
+        self.step_holdings();
+        self.step_leader();
+        self.step_mesh();
+        self.step_polls();
+        self.pump();
+    }
+
+    /// When the next `Tick` is due at the latest.
+    pub fn next_tick(&self) -> Moment {
+        let mut next = self.now + Span(100);
+        for holding in self.holdings.values() {
+            if let Some(at) = holding.wants_tick(self.now) {
+                next = next.min(at);
+            }
+        }
+        if let Some(at) = self.retries.iter().map(|r| r.0).min() {
+            next = next.min(at);
+        }
+        if self.outbox.values().any(|queue| !queue.is_empty()) {
+            next = next.min(self.now + Span(20));
+        }
+        next.max(self.now + Span(2))
+    }
+
+    /// Whether users may be sent here.
+    pub fn healthy(&self) -> bool {
+        let contact = |at: Moment| self.now.since(at) <= Span(4_000);
+        if self.synced && self.contact_at.is_some_and(contact) {
+            return true;
+        }
+        // When nobody has contact, going unhealthy helps nobody and costs time afterwards.
+        let peer_serves = self
+            .peers
+            .values()
+            .any(|p| p.state_contact && self.now.since(p.heard_at) <= Span(2_000));
+        self.synced && !peer_serves
+    }
+
+    fn in_contact(&self, within: Span) -> bool {
+        self.contact_at.is_some_and(|at| self.now.since(at) <= within)
+    }
+
+    fn me(&self) -> &NodeName {
+        &self.settings.name
+    }
+
+    fn call(&mut self, purpose: Purpose) -> CallId {
+        self.next_call += 1;
+        let call = CallId(self.next_call);
+        self.calls.insert(call, purpose);
+        call
+    }
+
+    fn state(&mut self, importance: Importance, request: StateRequest, purpose: Purpose) {
+        let call = self.call(purpose);
+        self.outbox.entry(importance).or_default().push_back((call, request));
+    }
+
+    fn cloud(&mut self, request: CloudRequest, purpose: Purpose) {
+        let call = self.call(purpose);
+        self.counters.cloud_calls += 1;
+        self.effects.push(Effect::Cloud { call, request });
+    }
+
+    fn mesh(&mut self, to: &NodeName, message: MeshMessage) {
+        self.effects.push(Effect::Mesh { to: to.clone(), message });
+    }
+
+    fn broadcast(&mut self, message: MeshMessage) {
+        for peer in self.settings.peers.iter().map(|p| p.name.clone()).collect::<Vec<_>>() {
+            self.mesh(&peer, message.clone());
+        }
+    }
+
+    /// Makes the same call again after a pause: its outcome is still open, or it was refused.
+    fn again(
+        &mut self,
+        after: Span,
+        importance: Importance,
+        request: StateRequest,
+        purpose: Purpose,
+    ) {
+        let call = self.call(purpose);
+        let jitter = Span(self.rng.random_range(0..40));
+        self.retries.push((self.now + after + jitter, call, importance, request));
+    }
+
+    /// Sends what the budgets allow, the most important first.
+    fn pump(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.retries).into_iter().partition(|r| r.0 <= now);
+        self.retries = later;
+        let due: Vec<(Moment, CallId, Importance, StateRequest)> = due;
+        for (_, call, importance, request) in due {
+            self.outbox.entry(importance).or_default().push_front((call, request));
+        }
+        for importance in
+            [Importance::Lease, Importance::Accept, Importance::Placement, Importance::Rest]
+        {
+            let (request_reserve, write_reserve) = match importance {
+                Importance::Lease => (-20.0, -5.0),
+                Importance::Accept => (2.0, 0.0),
+                Importance::Placement => (4.0, 1.0),
+                Importance::Rest => (6.0, 3.0),
+            };
+            while let Some((_, request)) =
+                self.outbox.get(&importance).and_then(|queue| queue.front())
+            {
+                let puts = match request {
+                    StateRequest::Txn(txn) => txn.writes.len() as f64,
+                    _ => 0.0,
+                };
+                if self.requests.level(now) < 1.0 + request_reserve
+                    || (puts > 0.0 && !self.writes.take(now, puts, write_reserve))
+                {
+                    break;
+                }
+                self.requests.take(now, 1.0, request_reserve);
+                let Some((call, request)) =
+                    self.outbox.get_mut(&importance).and_then(|queue| queue.pop_front())
+                else {
+                    break;
+                };
+                self.counters.state_calls += 1;
+                self.counters.state_writes += puts as u64;
+                let timeout = match &request {
+                    StateRequest::Watch { wait_ms, .. } => CALL_TIMEOUT + Span(*wait_ms),
+                    _ => CALL_TIMEOUT,
+                };
+                self.sent_at.insert(call, now);
+                self.effects.push(Effect::State { call, request, timeout });
+            }
+        }
+    }
+
+    /// How many users' writes wait for budget.
+    fn accepts_waiting(&self) -> usize {
+        self.outbox.get(&Importance::Accept).map_or(0, VecDeque::len)
+    }
+
+    fn reply_user(&mut self, ticket: Ticket, reply: UserReply) {
+        if let UserReply::Busy { .. } = reply {
+            *self.counters.refusals.entry("busy").or_default() += 1;
+        }
+        self.effects.push(Effect::User { ticket, reply });
+    }
+
+    fn keep_final(&mut self, id: JobId, state: JobState) {
+        if self.finals.len() >= FINALS {
+            // Any answer can be read again, so which ones go does not matter.
+            let some: Vec<JobId> = self.finals.keys().take(FINALS / 10).copied().collect();
+            for id in some {
+                self.finals.remove(&id);
+            }
+        }
+        self.finals.insert(id, state);
+        self.progress.remove(&id);
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/node/partitions.rs
@@ -0,0 +1,341 @@
+//! Who holds which partition: taking vacant ones, handing them home, word from peers.
+
+use super::holder::Holding;
+use super::{Node, PeerView, Purpose};
+use crate::budget::Importance;
+use crate::records::{partition_key, CounterRecord, PartitionRecord, COUNTER};
+use model::{NodeName, PartitionId, Span, Token};
+use wire::mesh::MeshMessage;
+use wire::state::{StateReply, StateRequest, Txn, Write};
+
+/// Time between signs of life.
+const ALIVE: Span = Span(400);
+/// A peer that has been silent for longer is not counted on.
+const PEER_SILENCE: Span = Span(1_500);
+/// How long a vacant partition is left to its home node while that seems alive.
+const HOME_FIRST: Span = Span(600);
+/// How long a vacant partition is left to each node that is before us in line.
+const LINE: Span = Span(250);
+
+impl Node {
+    /// Number of partitions: one a node.
+    pub(super) fn partition_count(&self) -> u32 {
+        self.nodes.len() as u32
+    }
+
+    pub(super) fn home_of(&self, partition: PartitionId) -> Option<&NodeName> {
+        self.nodes.get(partition.0 as usize).map(|(name, _)| name)
+    }
+
+    fn peer_lives(&self, name: &NodeName) -> bool {
+        self.peers.get(name).is_some_and(|p| self.now.since(p.heard_at) <= PEER_SILENCE)
+    }
+
+    pub(super) fn step_partitions(&mut self) {
+        if !self.synced || !self.booted || self.lease.is_none() || !self.in_contact(Span(3_000)) {
+            return;
+        }
+        for number in 0..self.partition_count() {
+            let partition = PartitionId(number);
+            if let Some(held) = self.mirror.partitions.get(&partition) {
+                self.vacant_since.remove(&partition);
+                let ours = held.record.holder == *self.me() && held.record.boot == self.boot;
+                if ours && !self.holdings.contains_key(&partition) {
+                    self.partition_changed(partition);
+                }
+                continue;
+            }
+            let now = self.now;
+            let vacant = *self.vacant_since.entry(partition).or_insert(now);
+            if self.acquiring.contains_key(&partition)
+                || now < vacant + self.wait_in_line(partition)
+            {
+                continue;
+            }
+            self.acquire(partition);
+        }
+        self.ask_for_home();
+    }
+
+    /// How long we leave a vacant partition to others: its home node goes first, then the
+    /// node with the fewest partitions.
+    fn wait_in_line(&self, partition: PartitionId) -> Span {
+        let Some(home) = self.home_of(partition) else { return Span::ZERO };
+        if home == self.me() {
+            return Span::ZERO;
+        }
+        let mut wait = Span::ZERO;
+        if self.peers.get(home).is_none() && self.now.0 < 3_000 {
+            // We have just started ourselves; perhaps all have.
+            wait = Span(1_500);
+        } else if self.peer_lives(home) {
+            wait = HOME_FIRST;
+        }
+        let burden = |name: &NodeName| {
+            self.mirror.partitions.values().filter(|p| p.record.holder == *name).count()
+        };
+        let mine = (burden(self.me()), self.me().clone());
+        let before = self
+            .nodes
+            .iter()
+            .filter(|(name, _)| {
+                name != self.me()
+                    && name != home
+                    && self.peer_lives(name)
+                    && (burden(name), name.clone()) < mine
+            })
+            .count() as u64;
+        wait + LINE * before
+    }
+
+    fn counter_after(
+        &self,
+        partition: PartitionId,
+        to: (NodeName, u64),
+        suspects: &[(NodeName, u64)],
+    ) -> CounterRecord {
+        let mut counter =
+            self.mirror.counter.as_ref().map(|c| c.record.clone()).unwrap_or_default();
+        counter.next = self.mirror.next_token() + 1;
+        counter.takers.insert(partition.0, to);
+        counter.suspects.insert(partition.0, suspects.to_vec());
+        counter
+    }
+
+    fn acquire(&mut self, partition: PartitionId) {
+        let Some((lease, _)) = self.lease else { return };
+        let suspects = self.suspects_of(partition);
+        let counter = self.counter_after(partition, (self.me().clone(), self.boot), &suspects);
+        let record = PartitionRecord {
+            holder: self.me().clone(),
+            boot: self.boot,
+            term: self.mirror.next_token(),
+            // Those who may still answer, to be waited out by whoever comes after them.
+            suspects,
+            handed: false,
+        };
+        let (Ok(value), Ok(count)) = (serde_json::to_value(record), serde_json::to_value(counter))
+        else {
+            return;
+        };
+        let key = partition_key(partition);
+        let txn = Txn::default()
+            .when(&key, 0)
+            .when(COUNTER, self.mirror.counter_version())
+            .write(Write::put_leased(&key, value, lease.0))
+            .write(Write::put(COUNTER, count));
+        self.acquiring.insert(partition, self.now);
+        self.state(Importance::Lease, StateRequest::Txn(txn), Purpose::Acquire(partition));
+    }
+
+    /// Earlier holders of a partition that may not know yet that they have lost it.
+    fn suspects_of(&self, partition: PartitionId) -> Vec<(NodeName, u64)> {
+        let Some(counter) = &self.mirror.counter else { return Vec::new() };
+        let mut suspects: Vec<(NodeName, u64)> =
+            counter.record.suspects.get(&partition.0).cloned().unwrap_or_default();
+        suspects.extend(counter.record.takers.get(&partition.0).cloned());
+        // What we answered ourselves ended when we lost it.
+        suspects.retain(|suspect| !self.surely_ended(suspect) && suspect.0 != *self.me());
+        suspects.dedup();
+        suspects
+    }
+
+    /// Whether this incarnation is known to be over: a later one has announced itself.
+    pub(super) fn surely_ended(&self, (name, boot): &(NodeName, u64)) -> bool {
+        self.mirror.boots.get(name).is_some_and(|b| b.record.boot != *boot)
+    }
+
+    pub(super) fn on_acquired(&mut self, partition: PartitionId, reply: &StateReply) {
+        self.acquiring.remove(&partition);
+        match reply {
+            // The watch brings the record, and with it the holding.
+            StateReply::Committed { .. } => {
+                self.counters.takeovers += 1;
+                self.vacant_since.remove(&partition);
+            }
+            // Whatever came of it, the watch tells.
+            _ => {
+                self.vacant_since.insert(partition, self.now);
+            }
+        }
+    }
+
+    /// A partition's record has changed.
+    pub(super) fn partition_changed(&mut self, partition: PartitionId) {
+        let Some(held) = self.mirror.partitions.get(&partition).cloned() else {
+            if self.holdings.remove(&partition).is_some() {
+                tracing::warn!(%partition, "lost a partition: its record is gone");
+            }
+            return;
+        };
+        let record = held.record;
+        if record.holder != *self.me() || record.boot != self.boot {
+            if self.holdings.remove(&partition).is_some() {
+                tracing::info!(%partition, holder = %record.holder, "a partition has moved on");
+            }
+            return;
+        }
+        let term = Token(record.term);
+        if self.holdings.get(&partition).is_some_and(|h| h.term() == term) {
+            if let Some(holding) = self.holdings.get_mut(&partition) {
+                holding.set_version(held.version);
+            }
+            return;
+        }
+        let suspects: Vec<_> =
+            record.suspects.into_iter().filter(|s| !self.surely_ended(s)).collect();
+        let until = if suspects.is_empty() {
+            self.now
+        } else {
+            self.now + self.settings.blind_span().with_drift()
+        };
+        tracing::info!(%partition, %term, suspects = suspects.len(), "took a partition");
+        let holding = Holding::new(term, held.version, until, suspects, self.now);
+        self.holdings.insert(partition, holding);
+        self.load_ledger(partition);
+        let message = MeshMessage::Taken {
+            partition: partition.0,
+            term: term.0,
+            holder: self.me().to_string(),
+        };
+        self.broadcast(message);
+    }
+
+    /// Offers to take our own partition back from whoever holds it for us.
+    fn ask_for_home(&mut self) {
+        let Some(number) = self.nodes.iter().position(|(name, _)| name == self.me()) else {
+            return;
+        };
+        let partition = PartitionId(number as u32);
+        let Some((lease, _)) = self.lease else { return };
+        let Some(held) = self.mirror.partitions.get(&partition) else { return };
+        if held.record.holder == *self.me() || self.acquiring.contains_key(&partition) {
+            return;
+        }
+        let holder = held.record.holder.clone();
+        let due = self.home_asked_at.is_none_or(|at| self.now.since(at) >= Span(1_000));
+        if due && self.peer_lives(&holder) && self.mirror.types.is_some() {
+            self.home_asked_at = Some(self.now);
+            let message =
+                MeshMessage::WantHome { partition: partition.0, lease: lease.0, boot: self.boot };
+            self.mesh(&holder, message);
+        }
+    }
+
+    fn hand_over(&mut self, partition: PartitionId, to: &NodeName, lease: u64, boot: u64) {
+        if self.home_of(partition) != Some(to) || !self.in_contact(Span(3_000)) {
+            return;
+        }
+        let Some(holding) = self.holdings.get_mut(&partition) else { return };
+        if !holding.may_hand_over() {
+            return;
+        }
+        // From here on nobody is answered, so the successor need not wait for us.
+        holding.set_yielding(true);
+        let version = holding.version();
+        // Should the outcome stay unknown, we may answer again before we know; so the successor
+        // waits until we show that we do.
+        let mut suspects = holding.suspects().to_vec();
+        suspects.push((self.settings.name.clone(), self.boot));
+        let counter = self.counter_after(partition, (to.clone(), boot), &suspects);
+        let record = PartitionRecord {
+            holder: to.clone(),
+            boot,
+            term: self.mirror.next_token(),
+            suspects,
+            handed: true,
+        };
+        let (Ok(value), Ok(count)) = (serde_json::to_value(record), serde_json::to_value(counter))
+        else {
+            return;
+        };
+        let key = partition_key(partition);
+        let txn = Txn::default()
+            .when(&key, version.0)
+            .when(COUNTER, self.mirror.counter_version())
+            .write(Write::put_leased(&key, value, lease))
+            .write(Write::put(COUNTER, count));
+        let purpose = Purpose::HandOver { partition, to: to.clone() };
+        self.state(Importance::Lease, StateRequest::Txn(txn), purpose);
+    }
+
+    pub(super) fn on_handed_over(
+        &mut self,
+        partition: PartitionId,
+        to: NodeName,
+        reply: StateReply,
+    ) {
+        match reply {
+            StateReply::Committed { .. } => {
+                tracing::info!(%partition, %to, "handed a partition over");
+                self.counters.hand_overs += 1;
+                self.holdings.remove(&partition);
+            }
+            // It may yet be applied.
+            StateReply::Unknown => {
+                if let Some(holding) = self.holdings.get_mut(&partition) {
+                    holding.set_yielding(true);
+                    holding.yield_until(self.now + Span(2_000));
+                }
+            }
+            _ => {
+                if let Some(holding) = self.holdings.get_mut(&partition) {
+                    holding.set_yielding(false);
+                }
+            }
+        }
+    }
+
+    pub(super) fn step_mesh(&mut self) {
+        if self.now.since(self.alive_at) < ALIVE && self.alive_at.0 > 0 {
+            return;
+        }
+        self.alive_at = self.now;
+        let message = MeshMessage::Alive {
+            boot: self.boot,
+            revision: if self.synced { self.mirror.revision.0 } else { 0 },
+            state_contact: self.synced && self.in_contact(Span(3_000)),
+            ready: self.synced && self.booted,
+        };
+        self.broadcast(message);
+    }
+
+    pub(super) fn on_mesh(&mut self, from: NodeName, message: MeshMessage) {
+        if !self.settings.peers.iter().any(|p| p.name == from) {
+            return;
+        }
+        match message {
+            MeshMessage::Alive { boot, revision, state_contact, ready } => {
+                let view = PeerView { heard_at: self.now, state_contact, ready };
+                self.peers.insert(from.clone(), view);
+                let now = self.now;
+                for holding in self.holdings.values_mut() {
+                    holding.peer_knows(&from, boot, revision, now);
+                }
+            }
+            MeshMessage::Load(load) => self.on_load(load),
+            MeshMessage::Release { machine, to } => self.on_release_asked(&machine, to),
+            MeshMessage::Taken { partition, term, holder } => {
+                if let Some(holding) = self.holdings.get_mut(&PartitionId(partition)) {
+                    if Token(term) > holding.term() {
+                        tracing::warn!(partition, term, holder, "a successor has taken over");
+                        holding.set_successor(NodeName::from(holder.as_str()));
+                    }
+                }
+            }
+            MeshMessage::WantHome { partition, lease, boot } => {
+                if self.peers.get(&from).is_some_and(|p| p.ready) {
+                    self.hand_over(PartitionId(partition), &from, lease, boot);
+                }
+            }
+            MeshMessage::Progress { jobs } => {
+                for (id, done, running) in jobs {
+                    let id = model::JobId(id);
+                    if self.mirror.jobs.contains_key(&id) {
+                        self.progress.insert(id, (done, running));
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/node/sync.rs
@@ -0,0 +1,218 @@
+//! Keeping the mirror: full read, watch, lease, and where answers of the state service go.
+
+use super::{Node, Purpose, LEASE, RENEW, WATCH_WAIT};
+use crate::budget::Importance;
+use crate::mirror::Changed;
+use crate::records::{boot_key, BootRecord, WATCHED};
+use model::{CallId, LeaseId, Moment, Span};
+use wire::state::{Changes, Item, StateReply, StateRequest, Txn, Write};
+
+/// A full read on its way.
+#[derive(Debug, Default)]
+pub(crate) struct Listing {
+    items: Vec<Item>,
+    revision: Option<u64>,
+}
+
+impl Node {
+    pub(super) fn step_sync(&mut self) {
+        if !self.synced && self.listing.is_none() {
+            self.listing = Some(Listing::default());
+            self.list_from(String::new());
+        }
+        if self.synced && self.watch_since.is_none() {
+            self.watch_since = Some(self.now);
+            let request = StateRequest::Watch {
+                prefix: WATCHED.into(),
+                after: self.mirror.revision.0,
+                wait_ms: WATCH_WAIT.0,
+            };
+            self.state(Importance::Lease, request, Purpose::Watch);
+        }
+    }
+
+    fn list_from(&mut self, after: String) {
+        let request = StateRequest::List { prefix: WATCHED.into(), after, limit: 500 };
+        self.state(Importance::Lease, request, Purpose::List);
+    }
+
+    pub(super) fn step_lease(&mut self) {
+        if !self.synced {
+            return;
+        }
+        if !self.booted {
+            // Announce this incarnation before holding anything, so that others can tell that
+            // the one before it is dead.
+            let key = boot_key(self.me());
+            let version = self.mirror.boots.get(self.me()).map_or(0, |b| b.version.0);
+            let known = self.mirror.boots.get(self.me()).map(|b| b.record.boot);
+            if known == Some(self.boot) {
+                self.booted = true;
+            } else if !self.calls.values().any(|p| matches!(p, Purpose::Boot)) {
+                let value =
+                    serde_json::to_value(BootRecord { boot: self.boot }).unwrap_or_default();
+                let txn = Txn::default().when(&key, version).write(Write::put(&key, value));
+                self.state(Importance::Lease, StateRequest::Txn(txn), Purpose::Boot);
+            }
+            return;
+        }
+        if self.lease_pending || self.now < self.renew_at {
+            return;
+        }
+        self.lease_pending = true;
+        match self.lease {
+            Some((lease, _)) => {
+                let request = StateRequest::Renew { lease: lease.0 };
+                self.state(Importance::Lease, request, Purpose::Renew(lease));
+            }
+            None => {
+                let request = StateRequest::NewLease { ttl_ms: LEASE.0 };
+                self.state(Importance::Lease, request, Purpose::NewLease);
+            }
+        }
+    }
+
+    /// An answer of the state service.
+    pub(super) fn on_state(&mut self, call: CallId, reply: StateReply) {
+        let sent = self.sent_at.remove(&call).unwrap_or(self.now);
+        let Some(purpose) = self.calls.remove(&call) else { return };
+        if let StateReply::Refused { throttled } = reply {
+            self.counters.state_refused += 1;
+            if throttled {
+                self.writes.drain(self.now);
+            }
+        }
+        match purpose {
+            Purpose::List => self.on_list(reply),
+            Purpose::Watch => self.on_watch(reply, sent),
+            Purpose::Fresh(polls) => self.on_fresh(polls, reply, sent),
+            Purpose::NewLease => {
+                self.lease_pending = false;
+                self.renew_at = self.now + Span(200);
+                if let StateReply::Lease(lease) = reply {
+                    self.lease = Some((LeaseId(lease), sent));
+                    self.renew_at = self.now + RENEW;
+                }
+            }
+            Purpose::Renew(lease) => self.on_renewed(lease, reply, sent),
+            Purpose::Boot => {}
+            Purpose::Acquire(partition) => self.on_acquired(partition, &reply),
+            Purpose::HandOver { partition, to } => self.on_handed_over(partition, to, reply),
+            Purpose::LedgerList { partition, term } => self.on_ledger(partition, term, reply),
+            Purpose::LedgerWrite { partition, term } => self.on_round(partition, term, reply),
+            Purpose::LedgerProof { partition, term, number } => {
+                self.on_proof(partition, term, number, reply);
+            }
+            Purpose::Accept { ticket, id, tries, txn } => {
+                self.on_accepted(ticket, id, tries, txn, reply);
+            }
+            Purpose::CancelWrite { poll } => self.on_cancel_written(poll, reply),
+            Purpose::FinalRead { poll } => self.on_final_read(poll, reply),
+            Purpose::FinalWrite { partition, term, jobs } => {
+                self.on_final_written(partition, term, jobs, reply);
+            }
+            Purpose::FinalProof { partition, term, job } => {
+                self.on_final_proof(partition, term, job, reply);
+            }
+            Purpose::MachineWrite { partition, machine } => {
+                self.on_machine_written(partition, &machine);
+            }
+            Purpose::MachineRecord { machines } => self.on_machines_recorded(&machines, &reply),
+            Purpose::MachineDelete(machine) => self.on_machine_deleted(&machine),
+            Purpose::TypesWrite => self.leader.types_pending = false,
+            // These go to the cloud or to workers.
+            Purpose::Types
+            | Purpose::Rent { .. }
+            | Purpose::Release(_)
+            | Purpose::CloudList { .. }
+            | Purpose::Direct { .. } => {}
+        }
+    }
+
+    fn on_list(&mut self, reply: StateReply) {
+        match reply {
+            StateReply::List(page) => {
+                let Some(listing) = self.listing.as_mut() else { return };
+                // Later pages may be newer; the watch repeats what lies between.
+                listing.revision.get_or_insert(page.revision);
+                let after = page.items.last().map(|item| item.key.clone());
+                listing.items.extend(page.items);
+                match (page.more, after) {
+                    (true, Some(after)) => self.list_from(after),
+                    _ => {
+                        let Some(listing) = self.listing.take() else { return };
+                        let revision = listing.revision.unwrap_or(0);
+                        let changed = self.mirror.replace(&listing.items, revision);
+                        self.synced = true;
+                        self.watch_since = None;
+                        self.on_changed(changed);
+                    }
+                }
+            }
+            _ => {
+                self.listing = Some(Listing::default());
+                let request =
+                    StateRequest::List { prefix: WATCHED.into(), after: String::new(), limit: 500 };
+                self.again(Span(200), Importance::Lease, request, Purpose::List);
+            }
+        }
+    }
+
+    fn on_watch(&mut self, reply: StateReply, sent: Moment) {
+        match reply {
+            StateReply::Changes(changes) => {
+                self.watch_since = None;
+                self.take_changes(&changes, sent);
+            }
+            StateReply::Compacted => {
+                self.watch_since = None;
+                self.synced = false;
+            }
+            _ => {
+                let request = StateRequest::Watch {
+                    prefix: WATCHED.into(),
+                    after: self.mirror.revision.0,
+                    wait_ms: WATCH_WAIT.0,
+                };
+                self.again(Span(200), Importance::Lease, request, Purpose::Watch);
+            }
+        }
+    }
+
+    pub(super) fn take_changes(&mut self, changes: &Changes, sent: Moment) {
+        self.contact_at = Some(self.contact_at.map_or(sent, |at| at.max(sent)));
+        let changed = self.mirror.apply(changes);
+        self.on_changed(changed);
+    }
+
+    fn on_changed(&mut self, changed: Vec<Changed>) {
+        for change in changed {
+            match change {
+                Changed::Job(id) => self.job_changed(id),
+                Changed::Partition(id) => self.partition_changed(id),
+                Changed::Machine(name) => self.machine_changed(&name),
+                Changed::Types => self.types_changed(),
+                Changed::Tuning => self.tuning_changed(),
+                Changed::Boot(_) => {}
+            }
+        }
+    }
+
+    fn on_renewed(&mut self, lease: LeaseId, reply: StateReply, sent: Moment) {
+        self.lease_pending = false;
+        match reply {
+            StateReply::Ok => {
+                self.lease = Some((lease, sent));
+                self.renew_at = sent + RENEW;
+            }
+            StateReply::LeaseGone => {
+                tracing::warn!(%lease, "our lease has ended");
+                self.lease = None;
+                self.renew_at = self.now;
+            }
+            _ => self.renew_at = self.now + Span(200),
+        }
+    }
+
+    fn tuning_changed(&mut self) {}
+}
--- /dev/null
+++ b/crates/coordination/src/node/workers.rs
@@ -0,0 +1,114 @@
+//! Reports of workers and direct calls to them.
+
+use super::{DirectReply, Effect, Node, Purpose, ReportReply, Ticket, LAUNCH_CONTACT};
+use model::{CallId, MachineName, PartitionId, TaskId, Token};
+use scheduler::{Route, Source};
+use wire::workers::{Command, DirectCommands, Report, ReportAnswer};
+
+impl Node {
+    pub(super) fn on_report(&mut self, ticket: Ticket, report: Report) {
+        let reply = self.report_reply(&report);
+        if reply == ReportReply::Unavailable {
+            *self.counters.refusals.entry("report").or_default() += 1;
+        }
+        self.effects.push(Effect::Report { ticket, reply });
+    }
+
+    fn report_reply(&mut self, report: &Report) -> ReportReply {
+        let name = MachineName::from(report.machine.as_str());
+        let Some(record) = self.mirror.machines.get(&name) else {
+            return self.report_of_unknown(&name, report);
+        };
+        let partition = record.record.partition;
+        let recorded = Token(record.record.token);
+        // Without a confirmed read of changes within the span that `cancel_s` leaves, nobody
+        // may keep a worker's lease alive: a cancelled task could live on.
+        let entitled = self.in_contact(self.settings.blind_span());
+        let launches = self.in_contact(LAUNCH_CONTACT);
+        let Some(holding) = self.holdings.get_mut(&partition) else {
+            return match self.mirror.partitions.get(&partition) {
+                Some(p) if p.record.holder != self.settings.name => {
+                    ReportReply::Redirect(Some(p.record.holder.clone()))
+                }
+                _ => ReportReply::Unavailable,
+            };
+        };
+        if let Some(successor) = holding.successor() {
+            return ReportReply::Redirect(Some(successor.clone()));
+        }
+        if !entitled || holding.is_yielding() {
+            return ReportReply::Unavailable;
+        }
+        let token = holding.term().max(recorded);
+        if Token(report.token) > token {
+            // Someone with a newer right has spoken to it.
+            return ReportReply::Redirect(None);
+        }
+        let commands = holding.answer_report(&name, report, token, launches, self.now);
+        ReportReply::Answer(ReportAnswer { token: token.0, commands })
+    }
+
+    /// A machine without a record: the leader takes it in.
+    fn report_of_unknown(&mut self, name: &MachineName, report: &Report) -> ReportReply {
+        match self.leader_node() {
+            Some(leader) if leader == *self.me() => {
+                self.leader.found(name, &report.machine_type, &report.zone, report.spot, self.now);
+                ReportReply::Unavailable
+            }
+            Some(leader) => ReportReply::Redirect(Some(leader)),
+            None => ReportReply::Unavailable,
+        }
+    }
+
+    /// Sends commands straight to machines for which something has become urgent.
+    pub(super) fn send_direct(&mut self, partition: PartitionId) {
+        if !self.in_contact(LAUNCH_CONTACT) {
+            return;
+        }
+        let Some(holding) = self.holdings.get_mut(&partition) else { return };
+        if holding.is_yielding() || holding.successor().is_some() {
+            return;
+        }
+        let mut calls = Vec::new();
+        if let Some(share) = holding.share_mut() {
+            for name in share.take_urgent() {
+                let Some((address, token, session)) = share.direct_terms(&name) else { continue };
+                let commands = share.commands_for(&name, Route::Direct);
+                if !commands.is_empty() {
+                    calls.push((name, address, token, session, commands));
+                }
+            }
+        }
+        for (machine, address, token, session, commands) in calls {
+            let launches = commands
+                .iter()
+                .filter_map(|command| match command {
+                    Command::Start { task, attempt } => {
+                        TaskId::parse(task).map(|task| (task, model::Attempt(*attempt)))
+                    }
+                    _ => None,
+                })
+                .collect();
+            let call = self.call(Purpose::Direct { partition, machine, launches });
+            let body = DirectCommands { token: token.0, session: session.0, commands };
+            self.effects.push(Effect::Worker { call, address, body });
+        }
+    }
+
+    pub(super) fn on_direct(&mut self, call: CallId, reply: DirectReply) {
+        let Some(Purpose::Direct { partition, machine, launches }) = self.calls.remove(&call)
+        else {
+            return;
+        };
+        let now = self.now;
+        let Some(share) = self.holdings.get_mut(&partition).and_then(|h| h.share_mut()) else {
+            return;
+        };
+        if let DirectReply::Answered(report) = reply {
+            share.direct_answered(&machine, &launches);
+            if report.machine == machine.as_str() {
+                share.observe(&report, Source::Direct, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/commands.rs
@@ -0,0 +1,91 @@
+//! What a machine is told.
+
+use crate::share::Share;
+use model::{Attempt, MachineName, Session, TaskId, Token};
+use wire::workers::{Command, TaskState};
+
+/// By which way commands go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Route {
+    /// In the answer to a report: dies with it.
+    Answer,
+    /// Straight to the worker: may arrive late.
+    Direct,
+}
+
+impl Share {
+    /// Commands for a machine: launches of durable placements, stops, and forgets of tasks
+    /// whose outcome is durable.
+    pub fn commands_for(&mut self, name: &MachineName, route: Route) -> Vec<Command> {
+        let Some(machine) = self.machines.get(name) else { return Vec::new() };
+        let mut commands = Vec::new();
+        for stray in &machine.strays {
+            let task = stray.task.to_string();
+            let attempt = stray.attempt.0;
+            if stray.state != TaskState::Exited {
+                commands.push(Command::Stop { task, attempt, grace_s: 0.0 });
+            } else if !self.unsaved.contains(&(stray.task, stray.attempt)) && !machine.needs_token {
+                commands.push(Command::Forget { task, attempt });
+            }
+        }
+        let (session, token) = (machine.session, machine.token);
+        let launches_allowed = machine.heard_at.is_some() && !machine.leaving;
+        let noticed = machine.notice.is_some();
+        let tasks: Vec<TaskId> = machine.tasks.iter().copied().collect();
+        let mut launches = Vec::new();
+        for task in tasks {
+            let Some(job) = self.jobs.get_mut(&task.job) else { continue };
+            let cancelled = job.cancelled;
+            let Some(p) = job.placed.get_mut(&task.index) else { continue };
+            let id = task.to_string();
+            let attempt = p.attempt.0;
+            if let Some(stop) = p.stop {
+                let saving = p.seen == Some(TaskState::Saving);
+                // A second halt with no grace would end a task that is saving.
+                if !saving || stop.grace_ms == 0 {
+                    let grace_s = stop.grace_ms as f64 / 1000.0;
+                    commands.push(Command::Stop { task: id, attempt, grace_s });
+                }
+            } else if p.recorded
+                && !p.inherited
+                && p.seen.is_none()
+                && launches_allowed
+                && !cancelled
+                && !(noticed && p.launched.is_none())
+            {
+                // A direct launch that waits for its answer is not doubled by another.
+                if route == Route::Direct && p.unanswered.is_some() {
+                    continue;
+                }
+                p.launched = Some(session);
+                match route {
+                    Route::Direct => p.unanswered = Some((token, session)),
+                    Route::Answer => p.in_answer = true,
+                }
+                launches.push(Command::Start { task: id, attempt });
+            }
+        }
+        commands.extend(launches);
+        commands
+    }
+
+    /// A direct call was answered: what it carried has been executed or refused, and will
+    /// not be executed later.
+    pub fn direct_answered(&mut self, name: &MachineName, sent: &[(TaskId, Attempt)]) {
+        for (task, attempt) in sent {
+            let Some(job) = self.jobs.get_mut(&task.job) else { continue };
+            if let Some(p) = job.placed.get_mut(&task.index) {
+                if p.attempt == *attempt && p.machine == *name {
+                    p.unanswered = None;
+                }
+            }
+        }
+    }
+
+    /// Session and token under which a direct call to the machine would be accepted.
+    pub fn direct_terms(&self, name: &MachineName) -> Option<(String, Token, Session)> {
+        let machine = self.machines.get(name)?;
+        machine.heard_at?;
+        Some((machine.address.clone()?, machine.token, machine.session))
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/cycle.rs
@@ -0,0 +1,188 @@
+//! The scheduling cycle: one entry of the queue is tried on the share's machines.
+
+use crate::job::Job;
+use crate::machine::Machine;
+use crate::share::{EntryKey, Share};
+use model::{JobId, JobKind, MachineName, Moment, Resources, TaskId, ZoneName};
+use std::collections::BTreeMap;
+
+/// Why an entry found no place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unplaced {
+    /// The team's limit is reached.
+    Quota,
+    /// No usable machine has room.
+    Room,
+}
+
+impl Share {
+    /// Runs both flushes and then cycles until the active heap is empty or `most` entries
+    /// have been tried. True if entries are left.
+    pub fn run_cycles(&mut self, now: Moment, most: usize) -> bool {
+        self.refresh_guarantees();
+        self.queue.flush(now);
+        self.nominated.retain(|_, (_, _, until)| *until > now);
+        for _ in 0..most {
+            let Some(entry) = self.queue.pop() else { return false };
+            let placed = match entry {
+                EntryKey::Task(task) => self.try_task(task, now),
+                EntryKey::Gang(job) => self.try_gang(job, now),
+            };
+            match placed {
+                Ok(()) => {
+                    self.queue.scheduled(entry);
+                    self.nominated.remove(&entry);
+                    self.enqueue(entry.job());
+                }
+                Err(why) => {
+                    if self.policy.preempt {
+                        self.make_room(entry, why, now);
+                    }
+                    self.queue.failed(entry, now);
+                }
+            }
+        }
+        self.queue.has_active()
+    }
+
+    fn try_task(&mut self, task: TaskId, now: Moment) -> Result<(), Unplaced> {
+        let Some(job) = self.jobs.get(&task.job) else { return Ok(()) };
+        if job.cancelled || job.is_done(task.index) || job.placed.contains_key(&task.index) {
+            return Ok(());
+        }
+        if !self.quota_room(job, 1) {
+            return Err(Unplaced::Quota);
+        }
+        let zones = self.zones_of(job);
+        let entry = EntryKey::Task(task);
+        let machine = self
+            .machines
+            .values()
+            .filter(|m| self.admits(job, m, now))
+            .filter(|m| zone_allowed(job, &m.zone, &zones))
+            .filter(|m| job.spec.needs.fits(&self.room_for(entry, m)))
+            .min_by_key(|m| score(job, m))
+            .map(|m| m.name.clone())
+            .ok_or(Unplaced::Room)?;
+        let attempt = self.new_attempt();
+        self.place(task, &machine, attempt, now);
+        Ok(())
+    }
+
+    /// A gang is placed as a whole or not at all.
+    fn try_gang(&mut self, id: JobId, now: Moment) -> Result<(), Unplaced> {
+        let Some(job) = self.jobs.get(&id) else { return Ok(()) };
+        // The old attempt's tasks keep their machines and zones until they are gone.
+        if job.cancelled || job.all_done() || !job.placed.is_empty() {
+            return Ok(());
+        }
+        if !self.quota_room(job, u64::from(job.spec.tasks)) {
+            return Err(Unplaced::Quota);
+        }
+        let places = self.fit_gang(job, now).ok_or(Unplaced::Room)?;
+        let attempt = self.new_attempt();
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.gang_attempt = Some(attempt);
+            job.gang_started = false;
+        }
+        for (index, machine) in places.into_iter().enumerate() {
+            self.place(TaskId { job: id, index: index as u32 }, &machine, attempt, now);
+        }
+        Ok(())
+    }
+
+    /// Machines for all tasks of a gang, or none.
+    fn fit_gang(&self, job: &Job, now: Moment) -> Option<Vec<MachineName>> {
+        let entry = EntryKey::Gang(job.spec.id);
+        let mut by_zone: BTreeMap<&ZoneName, Vec<(&Machine, u64)>> = BTreeMap::new();
+        for machine in self.machines.values().filter(|m| self.admits(job, m, now)) {
+            let count = self.room_for(entry, machine).holds(&job.spec.needs);
+            if count > 0 {
+                by_zone.entry(&machine.zone).or_default().push((machine, count));
+            }
+        }
+        let wanted = u64::from(job.spec.tasks);
+        let per_zone = u64::from(job.spec.zone_limit());
+        let total = |list: &[(&Machine, u64)]| list.iter().map(|(_, n)| *n).sum::<u64>();
+        let mut zones: Vec<Vec<(&Machine, u64)>> = by_zone.into_values().collect();
+        // The roomiest zone first keeps a gang together where it may be.
+        zones.sort_by_key(|list| std::cmp::Reverse(total(list)));
+        if job.spec.one_zone {
+            zones.truncate(1);
+        }
+        let mut places = Vec::new();
+        for mut list in zones {
+            list.sort_by_key(|(m, _)| score(job, m));
+            let mut left = per_zone.min(wanted - places.len() as u64);
+            for (machine, count) in list {
+                let here = count.min(left);
+                places.extend((0..here).map(|_| machine.name.clone()));
+                left -= here;
+            }
+        }
+        (places.len() as u64 == wanted).then_some(places)
+    }
+
+    /// Whether the team's limit leaves room for so many more tasks of the job.
+    pub(crate) fn quota_room(&self, job: &Job, tasks: u64) -> bool {
+        self.teams
+            .get(&job.spec.team)
+            .is_some_and(|team| (team.used + job.spec.needs.times(tasks)).fits_quota(&team.limit))
+    }
+
+    /// Filters that do not depend on the room left.
+    pub(crate) fn admits(&self, job: &Job, machine: &Machine, now: Moment) -> bool {
+        machine.usable(now, self.policy.silence)
+            && job.spec.allows(&machine.machine_type, &machine.zone, machine.spot)
+            && !(job.failed_on.contains(&machine.name)
+                && job.failed_on.len() < self.machines.len().min(4))
+    }
+
+    /// Room on a machine, less what is promised to other entries.
+    pub(crate) fn room_for(&self, entry: EntryKey, machine: &Machine) -> Resources {
+        let mut room = machine.free();
+        if self.nominated.is_empty() {
+            return room;
+        }
+        for (other, (name, promised, _)) in &self.nominated {
+            if *other != entry && *name == machine.name {
+                room -= *promised;
+            }
+        }
+        room
+    }
+
+    /// How many of a job's tasks each zone holds, gone or not proven gone.
+    pub(crate) fn zones_of(&self, job: &Job) -> BTreeMap<ZoneName, u32> {
+        let mut zones = BTreeMap::new();
+        if job.spec.one_zone || job.spec.spread {
+            for placement in job.placed.values() {
+                if let Some(machine) = self.machines.get(&placement.machine) {
+                    *zones.entry(machine.zone.clone()).or_default() += 1;
+                }
+            }
+        }
+        zones
+    }
+}
+
+/// `together` and `spread`, given where the job's other tasks are.
+pub(crate) fn zone_allowed(job: &Job, zone: &ZoneName, zones: &BTreeMap<ZoneName, u32>) -> bool {
+    let together = !job.spec.one_zone || zones.keys().all(|used| used == zone);
+    let spread = !job.spec.spread || zones.get(zone).copied().unwrap_or(0) < job.spec.zone_limit();
+    together && spread
+}
+
+/// The least score is taken: first the shortest image fetch, then cheap machines for work
+/// that may use them, then the fullest machine, so that others fall idle and can be returned.
+pub(crate) fn score(job: &Job, machine: &Machine) -> (u64, u8, u64, u64) {
+    let fetch_ms = if machine.has_image(&job.spec.image) {
+        0
+    } else {
+        (job.spec.image_gb / machine.fetch_gb_per_s.max(0.01) * 1000.0) as u64
+    };
+    let empty_ordinary =
+        u8::from(job.spec.kind != JobKind::Service && !machine.spot && machine.tasks.is_empty());
+    let left = machine.free().less(&job.spec.needs);
+    (fetch_ms, empty_ordinary, left.milli_gpus, left.milli_cpus)
+}
--- /dev/null
+++ b/crates/scheduler/src/demand.rs
@@ -0,0 +1,80 @@
+//! What the share lacks and what it could spare.
+
+use crate::share::{EntryKey, Share};
+use model::{JobId, Moment, Resources, TeamName};
+use std::collections::{BTreeMap, HashMap};
+use wire::mesh::{DemandShape, MachineLoad};
+
+impl Share {
+    /// Waiting work that its team's limit would let start, by shape.
+    pub fn demand(&self) -> Vec<DemandShape> {
+        let mut waiting: BTreeMap<(u64, JobId), u64> = BTreeMap::new();
+        for key in self.queue.keys() {
+            let job = key.job();
+            let Some(entry) = self.jobs.get(&job) else { continue };
+            let tasks = match key {
+                EntryKey::Task(_) => 1,
+                EntryKey::Gang(_) => u64::from(entry.spec.tasks),
+            };
+            *waiting.entry((entry.order, job)).or_default() += tasks;
+        }
+        let mut room: HashMap<TeamName, Resources> = HashMap::new();
+        let mut shapes: Vec<DemandShape> = Vec::new();
+        for ((_, id), tasks) in waiting {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let Some(team) = self.teams.get(&job.spec.team) else { continue };
+            let left =
+                room.entry(job.spec.team.clone()).or_insert_with(|| team.limit.less(&team.used));
+            let per = Resources { memory_mb: 0, ..job.spec.needs };
+            let tasks = tasks.min(left.holds(&per));
+            *left -= per.times(tasks);
+            if tasks == 0 {
+                continue;
+            }
+            let urgent = if job.guaranteed || job.spec.estimate.0 == 0 { tasks } else { 0 };
+            let same = shapes.iter_mut().find(|s| {
+                s.milli_cpus == per.milli_cpus
+                    && s.milli_gpus == per.milli_gpus
+                    && s.memory_mb == job.spec.needs.memory_mb
+                    && s.types == job.spec.types
+                    && s.zone.as_deref() == job.spec.zone.as_ref().map(|z| z.as_str())
+                    && s.spot == job.spec.spot
+                    && (s.estimate_ms == 0) == (job.spec.estimate.0 == 0)
+            });
+            match same {
+                Some(shape) => {
+                    shape.tasks += tasks;
+                    shape.urgent += urgent;
+                    shape.estimate_ms = shape.estimate_ms.max(job.spec.estimate.0);
+                }
+                None => shapes.push(DemandShape {
+                    milli_cpus: per.milli_cpus,
+                    milli_gpus: per.milli_gpus,
+                    memory_mb: job.spec.needs.memory_mb,
+                    types: job.spec.types.clone(),
+                    zone: job.spec.zone.as_ref().map(|z| z.to_string()),
+                    spot: job.spec.spot,
+                    tasks,
+                    urgent,
+                    estimate_ms: job.spec.estimate.0,
+                }),
+            }
+        }
+        shapes
+    }
+
+    /// The share's machines for the leader.
+    pub fn loads(&self, now: Moment) -> Vec<MachineLoad> {
+        self.machines
+            .values()
+            .map(|m| MachineLoad {
+                machine: m.name.to_string(),
+                tasks: m.tasks.len() as u32,
+                idle_ms: if m.tasks.is_empty() { now.since(m.idle_since).0 } else { 0 },
+                up: m.heard_at.is_some(),
+                faulty: m.faulty,
+                silent_ms: m.heard_at.map_or(0, |at| now.since(at).0),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/job.rs
@@ -0,0 +1,190 @@
+//! A job within a partition, and the placements of its tasks.
+
+use model::{Attempt, JobSpec, MachineName, Moment, Session, Token};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use wire::workers::TaskState;
+
+/// Tasks whose progress is recorded together.
+pub const CHUNK: u32 = 64;
+
+/// Why and how a task is being stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Stop {
+    /// Grace handed to the worker, in ms.
+    pub grace_ms: u64,
+    pub since: Moment,
+}
+
+/// A task's one place. It counts against machine and team until it is proven gone.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Placement {
+    pub machine: MachineName,
+    pub attempt: Attempt,
+    /// Durable in the state service; only then may it be launched.
+    pub recorded: bool,
+    /// Taken over from a predecessor, which may have launched it in ways unknown to us.
+    pub inherited: bool,
+    /// Session of the worker in which it was launched by us.
+    pub launched: Option<Session>,
+    /// Launched in the answer to a report. Only the next report settles whether it got there:
+    /// the body of a direct answer may be older than the arrival of that answer.
+    pub in_answer: bool,
+    /// A direct launch whose answer never came: it may yet be executed until the worker has
+    /// seen a higher token or a newer session.
+    pub unanswered: Option<(Token, Session)>,
+    /// State in the newest report.
+    pub seen: Option<TaskState>,
+    pub stop: Option<Stop>,
+    pub placed_at: Moment,
+}
+
+/// A job that is neither done nor cleared away.
+#[derive(Debug)]
+pub struct Job {
+    pub spec: JobSpec,
+    /// Revision of its acceptance: the order of submissions.
+    pub order: u64,
+    pub seen_at: Moment,
+    pub cancelled: bool,
+    /// Its end is being written or has been written.
+    pub finishing: bool,
+    done: Vec<u64>,
+    done_count: u32,
+    pub placed: BTreeMap<u32, Placement>,
+    /// Next task that has never been queued; later ones enter the queue as room appears.
+    pub cursor: u32,
+    /// Failures in a row of each task that failed.
+    pub failures: BTreeMap<u32, u32>,
+    /// Machines on which a task of this job failed, a few at most.
+    pub failed_on: Vec<MachineName>,
+    pub successes: u32,
+    /// Within the team's guarantee at present.
+    pub guaranteed: bool,
+    /// Attempt of a gang, while it is placed.
+    pub gang_attempt: Option<Attempt>,
+    /// The gang's tasks have been seen running.
+    pub gang_started: bool,
+}
+
+/// A placed task as the ledger keeps it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacedTask(pub u32, pub u64, pub String);
+
+/// Progress of one chunk of a job's tasks, as the ledger keeps it.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ChunkBody {
+    /// Bit i: task i of the chunk is done. Hexadecimal, to be exact in every JSON reader.
+    #[serde(rename = "d", default, skip_serializing_if = "String::is_empty")]
+    pub done: String,
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub placed: Vec<PlacedTask>,
+}
+
+impl ChunkBody {
+    /// Whether nothing is to be remembered.
+    pub fn is_empty(&self) -> bool {
+        self.done.is_empty() && self.placed.is_empty()
+    }
+}
+
+impl Job {
+    /// A job of which nothing has run.
+    pub fn new(spec: JobSpec, order: u64, now: Moment) -> Self {
+        let words = spec.tasks.div_ceil(CHUNK) as usize;
+        Job {
+            spec,
+            order,
+            seen_at: now,
+            cancelled: false,
+            finishing: false,
+            done: vec![0; words],
+            done_count: 0,
+            placed: BTreeMap::new(),
+            cursor: 0,
+            failures: BTreeMap::new(),
+            failed_on: Vec::new(),
+            successes: 0,
+            guaranteed: false,
+            gang_attempt: None,
+            gang_started: false,
+        }
+    }
+
+    /// Whether a task is done.
+    pub fn is_done(&self, index: u32) -> bool {
+        self.done
+            .get((index / CHUNK) as usize)
+            .is_some_and(|word| word & (1 << (index % CHUNK)) != 0)
+    }
+
+    /// Marks a task done; false if it was already.
+    pub fn mark_done(&mut self, index: u32) -> bool {
+        if index >= self.spec.tasks || self.is_done(index) {
+            return false;
+        }
+        self.done[(index / CHUNK) as usize] |= 1 << (index % CHUNK);
+        self.done_count += 1;
+        self.failures.remove(&index);
+        true
+    }
+
+    /// Tasks that are done.
+    pub fn done_count(&self) -> u32 {
+        self.done_count
+    }
+
+    /// Whether every task is done.
+    pub fn all_done(&self) -> bool {
+        self.done_count == self.spec.tasks
+    }
+
+    /// Tasks that run now, for display.
+    pub fn running_count(&self) -> u32 {
+        let runs = |p: &&Placement| matches!(p.seen, Some(TaskState::Running | TaskState::Saving));
+        self.placed.values().filter(runs).count() as u32
+    }
+
+    /// The chunk's progress for the ledger.
+    pub fn chunk(&self, chunk: u32) -> ChunkBody {
+        let word = self.done.get(chunk as usize).copied().unwrap_or(0);
+        let from = chunk * CHUNK;
+        let placed = self
+            .placed
+            .range(from..from + CHUNK)
+            .map(|(index, p)| PlacedTask(index - from, p.attempt.0, p.machine.to_string()))
+            .collect();
+        ChunkBody { done: if word == 0 { String::new() } else { format!("{word:x}") }, placed }
+    }
+
+    /// Takes over a chunk from the ledger. Placements come back as inherited.
+    pub fn restore(&mut self, chunk: u32, body: &ChunkBody, now: Moment) {
+        let from = chunk * CHUNK;
+        if let Ok(word) = u64::from_str_radix(&body.done, 16) {
+            for bit in (0..CHUNK).filter(|bit| word & (1 << bit) != 0) {
+                self.mark_done(from + bit);
+            }
+        }
+        for PlacedTask(at, attempt, machine) in &body.placed {
+            let index = from + at;
+            if *at >= CHUNK || index >= self.spec.tasks || self.is_done(index) {
+                continue;
+            }
+            self.placed.insert(
+                index,
+                Placement {
+                    machine: MachineName::from(machine.as_str()),
+                    attempt: Attempt(*attempt),
+                    recorded: true,
+                    inherited: true,
+                    launched: None,
+                    in_answer: false,
+                    unanswered: None,
+                    seen: None,
+                    stop: None,
+                    placed_at: now,
+                },
+            );
+        }
+    }
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,1 +1,21 @@
+//! What runs where within one partition: scheduling cycles, filters and scores, quota,
+//! guarantee, preemption, gangs, and the bookkeeping of what workers report.
+//!
+//! Nothing here does I/O. The owner of a [`Share`] feeds it jobs, machines, reports and
+//! times, writes what [`Share::take_dirty`] hands out, and sends what
+//! [`Share::commands_for`] says.
 
+pub mod commands;
+pub mod cycle;
+pub mod demand;
+pub mod job;
+pub mod machine;
+pub mod observe;
+pub mod preempt;
+pub mod share;
+
+pub use commands::Route;
+pub use job::{ChunkBody, Job, PlacedTask, Placement, Stop, CHUNK};
+pub use machine::Machine;
+pub use observe::Source;
+pub use share::{ChunkKey, EntryKey, Policy, Share, Written};
--- /dev/null
+++ b/crates/scheduler/src/machine.rs
@@ -0,0 +1,130 @@
+//! A machine of the share, as its newest report and our own doings show it.
+
+use model::{Attempt, MachineName, Moment, Resources, Seq, Session, Span, TaskId, Token, ZoneName};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use wire::cloud::MachineType;
+use wire::workers::{ExitCause, TaskState};
+
+/// A task in the newest report that has no placement here.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Stray {
+    pub task: TaskId,
+    pub attempt: Attempt,
+    pub state: TaskState,
+    pub why: Option<ExitCause>,
+}
+
+/// A machine.
+#[derive(Debug)]
+pub struct Machine {
+    pub name: MachineName,
+    pub machine_type: String,
+    pub zone: ZoneName,
+    pub spot: bool,
+    pub address: Option<String>,
+    pub capacity: Resources,
+    pub cache_gb: f64,
+    pub fetch_gb_per_s: f64,
+    /// What placements take, proven gone or not.
+    pub used: Resources,
+    pub tasks: BTreeSet<TaskId>,
+    /// Token that our answers bear.
+    pub token: Token,
+    pub session: Session,
+    pub seq: Seq,
+    /// Highest token that the worker says it has seen.
+    pub seen_token: Token,
+    /// When the newest report came in; none: not heard since we hold the share.
+    pub heard_at: Option<Moment>,
+    /// When we answered it last.
+    pub answered_at: Moment,
+    /// When the cloud takes it.
+    pub notice: Option<Moment>,
+    /// On its way to another partition or back to the cloud.
+    pub leaving: bool,
+    /// Fails what it starts.
+    pub faulty: bool,
+    pub errors: u32,
+    pub error_jobs: Vec<model::JobId>,
+    pub strays: Vec<Stray>,
+    /// Images it holds, least recently used first.
+    pub images: Vec<(Arc<str>, f64)>,
+    pub idle_since: Moment,
+    /// The token must rise before a lost direct launch is out of the world.
+    pub needs_token: bool,
+}
+
+impl Machine {
+    /// A machine of which nothing is known but its record.
+    pub fn new(
+        name: MachineName,
+        kind: &MachineType,
+        zone: ZoneName,
+        spot: bool,
+        token: Token,
+    ) -> Self {
+        Machine {
+            name,
+            machine_type: kind.name.clone(),
+            zone,
+            spot,
+            address: None,
+            capacity: Resources::offered(kind.cpus, kind.gpus, kind.memory_gb),
+            cache_gb: kind.cache_gb,
+            fetch_gb_per_s: kind.fetch_gb_per_s,
+            used: Resources::default(),
+            tasks: BTreeSet::new(),
+            token,
+            session: Session(0),
+            seq: Seq(0),
+            seen_token: Token(0),
+            heard_at: None,
+            answered_at: Moment::default(),
+            notice: None,
+            leaving: false,
+            faulty: false,
+            errors: 0,
+            error_jobs: Vec::new(),
+            strays: Vec::new(),
+            images: Vec::new(),
+            idle_since: Moment::default(),
+            needs_token: false,
+        }
+    }
+
+    /// Room that is neither used nor promised.
+    pub fn free(&self) -> Resources {
+        self.capacity.less(&self.used)
+    }
+
+    /// Whether the image is here already.
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(name, _)| &**name == image)
+    }
+
+    /// Notes that a task with this image got past its fetch.
+    pub fn touch_image(&mut self, image: &Arc<str>, gb: f64) {
+        self.images.retain(|(name, _)| name != image);
+        self.images.push((image.clone(), gb));
+        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while total > self.cache_gb && self.images.len() > 1 {
+            total -= self.images.remove(0).1;
+        }
+    }
+
+    /// Whether new tasks may be placed here.
+    pub fn usable(&self, now: Moment, silence: Span) -> bool {
+        !self.leaving
+            && !self.faulty
+            && !self.needs_token
+            && self.notice.is_none()
+            && self.seen_token <= self.token
+            && self.heard_at.is_some_and(|at| now.since(at) <= silence)
+    }
+
+    /// Whether every task must be gone: nobody entitled has answered for a whole lease.
+    pub fn lapsed(&self, now: Moment, entitled_until: Moment, lease: Span) -> bool {
+        now > self.answered_at.max(entitled_until) + lease.with_drift()
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/observe.rs
@@ -0,0 +1,247 @@
+//! What reports prove.
+
+use crate::job::Placement;
+use crate::machine::{Machine, Stray};
+use crate::share::Share;
+use model::{Attempt, JobKind, MachineName, Moment, Seq, Session, Span, TaskId, Token};
+use std::collections::HashMap;
+use wire::workers::{ExitCause, Report, TaskReport, TaskState};
+
+/// How a worker's message reached us.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// A report: the worker has dealt with the answer to the one before.
+    Report,
+    /// The answer to a direct call: an answer of ours may still be on its way.
+    Direct,
+}
+
+impl Share {
+    /// Takes in a report or the body of a worker's answer. False if it is not newer than
+    /// what is known: then it proves nothing.
+    pub fn observe(&mut self, report: &Report, source: Source, now: Moment) -> bool {
+        let name = MachineName::from(report.machine.as_str());
+        let Some(machine) = self.machines.get_mut(&name) else { return false };
+        let (session, seq) = (Session(report.session), Seq(report.seq));
+        if machine.heard_at.is_some() && (session, seq) <= (machine.session, machine.seq) {
+            return false;
+        }
+        let first = machine.heard_at.is_none();
+        machine.session = session;
+        machine.seq = seq;
+        machine.seen_token = machine.seen_token.max(Token(report.token));
+        machine.heard_at = Some(now);
+        machine.address = Some(report.address.clone());
+        machine.notice = report.notice_s.map(|s| now + Span::from_secs(s));
+        if first && machine.tasks.is_empty() {
+            machine.idle_since = now;
+        }
+        let has_token = Token(report.token) >= machine.token;
+        if has_token {
+            machine.needs_token = false;
+        }
+        let mut listed: HashMap<TaskId, Vec<&TaskReport>> = HashMap::new();
+        for task in &report.tasks {
+            if let Some(id) = TaskId::parse(&task.task) {
+                listed.entry(id).or_default().push(task);
+            }
+        }
+        let placed: Vec<TaskId> = machine.tasks.iter().copied().collect();
+        for task in placed {
+            self.observe_placement(task, &name, listed.get(&task), has_token, source, now);
+        }
+        self.find_strays(&name, report);
+        if first {
+            self.queue.move_all(now);
+        }
+        true
+    }
+
+    fn observe_placement(
+        &mut self,
+        task: TaskId,
+        name: &MachineName,
+        listed: Option<&Vec<&TaskReport>>,
+        has_token: bool,
+        source: Source,
+        now: Moment,
+    ) {
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(placement) = job.placed.get_mut(&task.index) else { return };
+        settle_direct(placement, machine);
+        let entry =
+            listed.and_then(|list| list.iter().find(|t| Attempt(t.attempt) == placement.attempt));
+        let Some(entry) = entry else {
+            self.absent(task, has_token, source, now);
+            return;
+        };
+        placement.seen = Some(entry.state);
+        placement.inherited = false;
+        placement.launched = Some(machine.session);
+        placement.in_answer = false;
+        if entry.state != TaskState::Fetching {
+            machine.touch_image(&job.spec.image, job.spec.image_gb);
+        }
+        match entry.state {
+            TaskState::Exited => self.exited(task, entry.why.unwrap_or(ExitCause::Error), now),
+            TaskState::Running if job.spec.kind == JobKind::Gang => job.gang_started = true,
+            _ => {}
+        }
+    }
+
+    /// A newer report does not show the task.
+    fn absent(&mut self, task: TaskId, has_token: bool, source: Source, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let gang = job.spec.kind == JobKind::Gang;
+        let Some(placement) = job.placed.get_mut(&task.index) else { return };
+        if placement.unanswered.is_some() {
+            // A direct launch may still be under way: the task stays bound to its machine.
+            let machine = placement.machine.clone();
+            if placement.stop.is_some() || placement.seen.is_some() {
+                if let Some(machine) = self.machines.get_mut(&machine) {
+                    machine.needs_token = true;
+                }
+            }
+            return;
+        }
+        if placement.in_answer && source == Source::Direct {
+            return;
+        }
+        placement.in_answer = false;
+        if placement.inherited {
+            // Until the worker has seen our token, a predecessor's command may arrive.
+            if !has_token {
+                return;
+            }
+            placement.inherited = false;
+        }
+        let was_seen = placement.seen.take().is_some();
+        let was_launched = placement.launched.take().is_some();
+        if placement.stop.is_some() || was_seen || (gang && was_launched && job.gang_started) {
+            // It was there and is not any more (a new session), or it never got there and is
+            // no longer wanted.
+            self.drop_placement(task, now, true);
+        }
+        // Otherwise the launch was lost with its answer; it is sent again to the same place.
+    }
+
+    /// An exited task: its outcome is kept, and the task forgotten once that is durable.
+    fn exited(&mut self, task: TaskId, why: ExitCause, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(placement) = job.placed.get(&task.index) else { return };
+        let attempt = placement.attempt;
+        let name = placement.machine.clone();
+        if placement.unanswered.is_some() {
+            // Forgetting it now could let the lost launch start it again.
+            if let Some(machine) = self.machines.get_mut(&name) {
+                machine.needs_token = true;
+            }
+        }
+        let stopped = placement.stop.is_some();
+        match why {
+            ExitCause::Done => {
+                job.successes += 1;
+                if job.spec.kind == JobKind::Gang {
+                    // One task done: every task is.
+                    for index in 0..job.spec.tasks {
+                        job.mark_done(index);
+                    }
+                } else {
+                    job.mark_done(task.index);
+                }
+                if let Some(machine) = self.machines.get_mut(&name) {
+                    machine.errors = 0;
+                    machine.error_jobs.clear();
+                }
+            }
+            ExitCause::Error if !stopped => self.task_error(task, &name),
+            ExitCause::NoRoom | ExitCause::Busy | ExitCause::Unknown => {
+                *job.failures.entry(task.index).or_default() += 1;
+            }
+            _ => {}
+        }
+        self.unsaved.insert((task, attempt));
+        self.touch(task);
+        self.drop_placement(task, now, true);
+    }
+
+    /// A task failed: mostly the machine is to blame, unless its job fails everywhere.
+    fn task_error(&mut self, task: TaskId, name: &MachineName) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        *job.failures.entry(task.index).or_default() += 1;
+        if !job.failed_on.contains(name) {
+            job.failed_on.push(name.clone());
+        }
+        // A job that failed on several machines and never succeeded says nothing about them.
+        let job_suspect = job.failed_on.len() >= 3 && job.successes == 0;
+        if job.failed_on.len() > 6 {
+            job.failed_on.remove(0);
+        }
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        if job_suspect {
+            return;
+        }
+        machine.errors += 1;
+        if !machine.error_jobs.contains(&task.job) {
+            machine.error_jobs.push(task.job);
+        }
+        if machine.errors >= self.policy.faulty_after {
+            machine.faulty = true;
+        }
+    }
+
+    /// Tasks on the machine that have no placement here.
+    fn find_strays(&mut self, name: &MachineName, report: &Report) {
+        let mut strays = Vec::new();
+        for entry in &report.tasks {
+            let Some(task) = TaskId::parse(&entry.task) else { continue };
+            let attempt = Attempt(entry.attempt);
+            let ours = self
+                .jobs
+                .get(&task.job)
+                .and_then(|job| job.placed.get(&task.index))
+                .is_some_and(|p| p.machine == *name && p.attempt == attempt);
+            if !ours {
+                strays.push(Stray { task, attempt, state: entry.state, why: entry.why });
+            }
+        }
+        if let Some(machine) = self.machines.get_mut(name) {
+            machine.strays = strays;
+        }
+    }
+
+    /// Machines on which every task must be gone since nobody can have answered them for a
+    /// whole lease.
+    pub fn expire_leases(&mut self, now: Moment) {
+        let lapsed: Vec<MachineName> = self
+            .machines
+            .values()
+            .filter(|m| !m.tasks.is_empty() && m.lapsed(now, self.entitled_until, self.lease))
+            .map(|m| m.name.clone())
+            .collect();
+        for name in lapsed {
+            let tasks: Vec<TaskId> = match self.machines.get(&name) {
+                Some(machine) => machine.tasks.iter().copied().collect(),
+                None => continue,
+            };
+            for task in tasks {
+                let Some(job) = self.jobs.get_mut(&task.job) else { continue };
+                let Some(p) = job.placed.get_mut(&task.index) else { continue };
+                // The lease ends a session, and a launch names the session it was meant for.
+                p.unanswered = None;
+                self.drop_placement(task, now, true);
+            }
+        }
+    }
+}
+
+/// A worker that has seen a higher token, or has begun a newer session, executes no command
+/// that was sent before.
+fn settle_direct(placement: &mut Placement, machine: &Machine) {
+    if let Some((token, session)) = placement.unanswered {
+        if machine.seen_token > token || machine.session > session {
+            placement.unanswered = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/preempt.rs
@@ -0,0 +1,103 @@
+//! Stopping tasks to make room.
+//!
+//! A job of higher priority may stop lower work. Work inside its team's guarantee may also
+//! stop work of any priority that another team runs beyond its own guarantee.
+
+use crate::cycle::{zone_allowed, Unplaced};
+use crate::job::{Job, Placement};
+use crate::share::{EntryKey, Share};
+use model::{JobKind, Moment, Resources, Span, TaskId};
+
+/// How long freed room is kept for the entry that asked for it.
+const NOMINATION: Span = Span(15_000);
+
+impl Share {
+    /// Whether `victim` may be stopped for the sake of `job`.
+    fn may_stop(&self, job: &Job, victim: &Job, placement: &Placement) -> bool {
+        if placement.stop.is_some() || victim.spec.kind == JobKind::Gang {
+            return false;
+        }
+        if victim.spec.priority < job.spec.priority {
+            return true;
+        }
+        job.guaranteed
+            && victim.spec.team != job.spec.team
+            && !victim.guaranteed
+            && self.teams.get(&victim.spec.team).is_some_and(|t| !t.used.fits_quota(&t.guarantee))
+    }
+
+    /// After a failed cycle: stops the cheapest set of tasks on one machine that lets the
+    /// entry in, and keeps the room for it.
+    pub(crate) fn make_room(&mut self, entry: EntryKey, why: Unplaced, now: Moment) {
+        let EntryKey::Task(task) = entry else { return };
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        if self.nominated.contains_key(&entry) {
+            return;
+        }
+        if job.spec.priority < model::Priority::High && !job.guaranteed {
+            return;
+        }
+        let zones = self.zones_of(job);
+        let mut best: Option<(u64, Vec<TaskId>, model::MachineName)> = None;
+        for machine in self.machines.values() {
+            if !self.admits(job, machine, now) || !zone_allowed(job, &machine.zone, &zones) {
+                continue;
+            }
+            let mut victims: Vec<(u64, TaskId, Resources)> = machine
+                .tasks
+                .iter()
+                .filter_map(|id| {
+                    let victim = self.jobs.get(&id.job)?;
+                    let placement = victim.placed.get(&id.index)?;
+                    // Against the team's own limit only the team's own tasks help.
+                    let helps = why == Unplaced::Room || victim.spec.team == job.spec.team;
+                    (helps && self.may_stop(job, victim, placement))
+                        .then(|| (now.since(placement.placed_at).0, *id, victim.spec.needs))
+                })
+                .collect();
+            // The work that is lost is what they have run so far.
+            victims.sort_unstable_by_key(|(lost, id, _)| (*lost, *id));
+            let mut room = self.room_for(entry, machine);
+            let mut freed = Resources::default();
+            let mut lost = 0;
+            let mut chosen = Vec::new();
+            let quota = |freed: &Resources| {
+                why == Unplaced::Room
+                    || self.teams.get(&job.spec.team).is_some_and(|team| {
+                        (team.used.less(freed) + job.spec.needs).fits_quota(&team.limit)
+                    })
+            };
+            for (cost, id, needs) in victims {
+                if job.spec.needs.fits(&room) && quota(&freed) {
+                    break;
+                }
+                room += needs;
+                freed += needs;
+                lost += cost + 1;
+                chosen.push(id);
+            }
+            let enough = !chosen.is_empty() && job.spec.needs.fits(&room) && quota(&freed);
+            if enough && best.as_ref().is_none_or(|(least, _, _)| lost < *least) {
+                best = Some((lost, chosen, machine.name.clone()));
+            }
+        }
+        let Some((_, victims, machine)) = best else { return };
+        let needs = job.spec.needs;
+        self.nominated.insert(entry, (machine, needs, now + NOMINATION));
+        for victim in victims {
+            let grace = self.grace_of(victim);
+            self.stop_task(victim, grace, now);
+        }
+    }
+
+    /// Grace that lets a task save, 0 if it never does.
+    pub(crate) fn grace_of(&self, task: TaskId) -> u64 {
+        self.jobs.get(&task.job).map_or(0, |job| {
+            if job.spec.checkpoint > Span::ZERO {
+                job.spec.save.0 + 1_000
+            } else {
+                0
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/share.rs
@@ -0,0 +1,541 @@
+//! The partition's share: its jobs, machines, teams and queue.
+
+use crate::job::{ChunkBody, Job, Placement, Stop, CHUNK};
+use crate::machine::Machine;
+use model::{
+    Attempt, JobId, JobKind, JobSpec, MachineName, Moment, Priority, Resources, Span, TaskId,
+    TeamName, Token,
+};
+use queue::{QueueConfig, SchedulingQueue};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+
+/// An entry of the queue: a task, or a whole gang.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum EntryKey {
+    Task(TaskId),
+    Gang(JobId),
+}
+
+impl EntryKey {
+    /// The job it belongs to.
+    pub fn job(&self) -> JobId {
+        match self {
+            EntryKey::Task(task) => task.job,
+            EntryKey::Gang(job) => *job,
+        }
+    }
+}
+
+/// Order of the active heap: work inside a guarantee, then priority, then submission.
+pub type Rank = (u8, std::cmp::Reverse<Priority>, u64, u32);
+
+/// Names a chunk of a job's progress.
+pub type ChunkKey = (JobId, u32);
+
+/// What operators may tune about placement. None of it can loosen a rule.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Policy {
+    /// A machine that has been silent for longer gets no new tasks.
+    pub silence: Span,
+    /// Tasks of one array that wait in the queue at a time.
+    pub window: u32,
+    /// Failures without a success after which a machine is set aside.
+    pub faulty_after: u32,
+    /// Whether tasks are stopped to make room.
+    pub preempt: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Policy { silence: Span(4_000), window: 256, faulty_after: 2, preempt: true }
+    }
+}
+
+/// A team's amounts.
+#[derive(Debug, Clone, Default)]
+pub struct TeamUse {
+    pub guarantee: Resources,
+    pub limit: Resources,
+    pub used: Resources,
+}
+
+/// What a ledger round holds, to be confirmed when it is durable.
+#[derive(Debug, Clone, Default)]
+pub struct Written {
+    pub placements: Vec<(TaskId, Attempt)>,
+    pub outcomes: Vec<(TaskId, Attempt)>,
+}
+
+/// The share.
+#[derive(Debug)]
+pub struct Share {
+    pub policy: Policy,
+    pub lease: Span,
+    pub gang_peer: Span,
+    /// Until when a predecessor may have answered any machine.
+    pub entitled_until: Moment,
+    pub jobs: BTreeMap<JobId, Job>,
+    pub machines: BTreeMap<MachineName, Machine>,
+    pub teams: HashMap<TeamName, TeamUse>,
+    pub queue: SchedulingQueue<EntryKey, Rank>,
+    term: Token,
+    attempts: u64,
+    dirty: BTreeSet<ChunkKey>,
+    /// Outcomes that are not durable yet: their tasks must not be forgotten.
+    pub(crate) unsaved: HashSet<(TaskId, Attempt)>,
+    /// Jobs that are done, or cancelled with every task gone.
+    finished: Vec<JobId>,
+    /// Machines to be sent commands at once.
+    urgent: BTreeSet<MachineName>,
+    /// Room promised to an entry for which tasks are being stopped.
+    pub(crate) nominated: HashMap<EntryKey, (MachineName, Resources, Moment)>,
+    guarantees_stale: bool,
+    /// Waits from first sight to placement, for the metrics (ms).
+    pub waits: Vec<u64>,
+}
+
+impl Share {
+    /// An empty share held under `term`.
+    pub fn new(
+        teams: impl IntoIterator<Item = (TeamName, Resources, Resources)>,
+        lease: Span,
+        gang_peer: Span,
+        policy: Policy,
+        queue: QueueConfig,
+        term: Token,
+    ) -> Self {
+        Share {
+            policy,
+            lease,
+            gang_peer,
+            entitled_until: Moment::default(),
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            teams: teams
+                .into_iter()
+                .map(|(name, guarantee, limit)| {
+                    (name, TeamUse { guarantee, limit, used: Resources::default() })
+                })
+                .collect(),
+            queue: SchedulingQueue::new(queue),
+            term,
+            attempts: 0,
+            dirty: BTreeSet::new(),
+            unsaved: HashSet::new(),
+            finished: Vec::new(),
+            urgent: BTreeSet::new(),
+            nominated: HashMap::new(),
+            guarantees_stale: true,
+            waits: Vec::new(),
+        }
+    }
+
+    /// A number that no start of any task has had: terms only rise.
+    pub(crate) fn new_attempt(&mut self) -> Attempt {
+        self.attempts += 1;
+        Attempt((self.term.0 << 24) | self.attempts)
+    }
+
+    /// Adds an open job, with what the ledger knows of it.
+    pub fn add_job(&mut self, spec: JobSpec, order: u64, chunks: &[(u32, ChunkBody)], now: Moment) {
+        let id = spec.id;
+        if self.jobs.contains_key(&id) || !self.teams.contains_key(&spec.team) {
+            return;
+        }
+        let mut job = Job::new(spec, order, now);
+        for (chunk, body) in chunks {
+            job.restore(*chunk, body, now);
+        }
+        for (index, placement) in &job.placed {
+            let task = TaskId { job: id, index: *index };
+            if let Some(team) = self.teams.get_mut(&job.spec.team) {
+                team.used += job.spec.needs;
+            }
+            if let Some(machine) = self.machines.get_mut(&placement.machine) {
+                machine.tasks.insert(task);
+                machine.used += job.spec.needs;
+            }
+            if job.spec.kind == JobKind::Gang {
+                job.gang_attempt = Some(placement.attempt);
+            }
+        }
+        let orphans: Vec<TaskId> = job
+            .placed
+            .iter()
+            .filter(|(_, p)| !self.machines.contains_key(&p.machine))
+            .map(|(index, _)| TaskId { job: id, index: *index })
+            .collect();
+        self.jobs.insert(id, job);
+        // A machine's record is deleted only after the cloud confirmed its release, so what
+        // the ledger places on a machine without a record is gone.
+        for task in orphans {
+            self.drop_placement(task, now, false);
+        }
+        self.guarantees_stale = true;
+        self.enqueue(id);
+        self.check_finished(id);
+    }
+
+    /// Adds a machine to the share.
+    pub fn add_machine(&mut self, machine: Machine, now: Moment) {
+        let name = machine.name.clone();
+        if self.machines.contains_key(&name) {
+            return;
+        }
+        self.machines.insert(name, machine);
+        self.queue.move_all(now);
+    }
+
+    /// The cloud has confirmed that a machine and everything on it are gone, or it has left
+    /// the share while empty.
+    pub fn remove_machine(&mut self, name: &MachineName, now: Moment) {
+        let Some(machine) = self.machines.get(name) else { return };
+        let tasks: Vec<TaskId> = machine.tasks.iter().copied().collect();
+        for task in tasks {
+            self.drop_placement(task, now, true);
+        }
+        self.machines.remove(name);
+        self.nominated.retain(|_, (machine, _, _)| machine != name);
+    }
+
+    /// The user has cancelled: nothing is started any more, everything is stopped.
+    pub fn cancel_job(&mut self, id: JobId, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.cancelled {
+            return;
+        }
+        job.cancelled = true;
+        let entries: Vec<u32> = job.placed.keys().copied().collect();
+        let queued = job.cursor;
+        for index in 0..queued {
+            self.queue.remove(EntryKey::Task(TaskId { job: id, index }));
+        }
+        self.queue.remove(EntryKey::Gang(id));
+        self.nominated.retain(|entry, _| entry.job() != id);
+        for index in entries {
+            self.stop_task(TaskId { job: id, index }, 0, now);
+        }
+        self.guarantees_stale = true;
+        self.check_finished(id);
+    }
+
+    /// Stops a task. One that was certainly never launched is gone at once.
+    pub fn stop_task(&mut self, task: TaskId, grace_ms: u64, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(placement) = job.placed.get_mut(&task.index) else { return };
+        if placement.launched.is_none() && !placement.inherited && placement.seen.is_none() {
+            self.drop_placement(task, now, true);
+            return;
+        }
+        let machine = placement.machine.clone();
+        match &mut placement.stop {
+            // A second stop may only shorten the grace.
+            Some(stop) => stop.grace_ms = stop.grace_ms.min(grace_ms),
+            None => placement.stop = Some(Stop { grace_ms, since: now }),
+        }
+        self.urgent.insert(machine);
+    }
+
+    /// Puts a job's waiting tasks into the queue, as many as the window allows.
+    pub(crate) fn enqueue(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.cancelled || job.finishing {
+            return;
+        }
+        let rank = rank_of(job);
+        if job.spec.kind == JobKind::Gang {
+            if job.placed.is_empty() && !job.all_done() {
+                self.queue.add(EntryKey::Gang(id), rank);
+            }
+            return;
+        }
+        // All tasks placed and queued lie below the cursor, so this is a bound on how many
+        // wait: an array of 100,000 does not fill the heap.
+        let limit = self.policy.window.max(1);
+        let mut waiting = job.cursor.saturating_sub(job.done_count() + job.placed.len() as u32);
+        while job.cursor < job.spec.tasks && waiting < limit {
+            let index = job.cursor;
+            job.cursor += 1;
+            if !job.is_done(index) && !job.placed.contains_key(&index) {
+                self.queue.add(
+                    EntryKey::Task(TaskId { job: id, index }),
+                    (rank.0, rank.1, rank.2, index),
+                );
+                waiting += 1;
+            }
+        }
+    }
+
+    /// Removes a placement whose task is proven gone or was never launched, and queues the
+    /// task again unless the job is over.
+    pub(crate) fn drop_placement(&mut self, task: TaskId, now: Moment, requeue: bool) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(placement) = job.placed.remove(&task.index) else { return };
+        let needs = job.spec.needs;
+        if let Some(team) = self.teams.get_mut(&job.spec.team) {
+            team.used -= needs;
+        }
+        if let Some(machine) = self.machines.get_mut(&placement.machine) {
+            machine.tasks.remove(&task);
+            machine.used -= needs;
+            if machine.tasks.is_empty() {
+                machine.idle_since = now;
+            }
+        }
+        self.dirty.insert((task.job, task.index / CHUNK));
+        if job.spec.kind == JobKind::Gang {
+            self.gang_lost_member(task.job, now);
+        } else if requeue && !job.cancelled && !job.is_done(task.index) && task.index < job.cursor {
+            let failures = job.failures.get(&task.index).copied().unwrap_or(0);
+            let rank = rank_of(job);
+            let rank = (rank.0, rank.1, rank.2, task.index);
+            if failures == 0 {
+                self.queue.add(EntryKey::Task(task), rank);
+            } else {
+                self.queue.add_failed(EntryKey::Task(task), rank, failures, now);
+            }
+        }
+        self.queue.move_all(now);
+        self.check_finished(task.job);
+    }
+
+    /// The rest of a gang that lost a member stops; when all are gone it starts anew.
+    fn gang_lost_member(&mut self, id: JobId, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.placed.is_empty() {
+            job.gang_attempt = None;
+            job.gang_started = false;
+            let failures = job.failures.values().copied().max().unwrap_or(0);
+            if job.cancelled || job.all_done() {
+                return;
+            }
+            let rank = rank_of(job);
+            if failures == 0 {
+                self.queue.add(EntryKey::Gang(id), rank);
+            } else {
+                self.queue.add_failed(EntryKey::Gang(id), rank, failures, now);
+            }
+        } else if !job.all_done() {
+            self.stop_gang(id, now);
+        }
+    }
+
+    /// Orderly stop of a gang: every member gets its halt in the same round, with grace to
+    /// save if the gang has started.
+    pub fn stop_gang(&mut self, id: JobId, now: Moment) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let grace = if job.spec.checkpoint > Span::ZERO && job.gang_started && !job.cancelled {
+            job.spec.save.0 + 1_000
+        } else {
+            0
+        };
+        let members: Vec<u32> =
+            job.placed.iter().filter(|(_, p)| p.stop.is_none()).map(|(i, _)| *i).collect();
+        for index in members {
+            self.stop_task(TaskId { job: id, index }, grace, now);
+        }
+    }
+
+    pub(crate) fn check_finished(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if !job.finishing && (job.all_done() || (job.cancelled && job.placed.is_empty())) {
+            job.finishing = true;
+            self.finished.push(id);
+            self.guarantees_stale = true;
+        }
+    }
+
+    /// Jobs whose end is to be written now.
+    pub fn take_finished(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.finished)
+    }
+
+    /// The end of a job could not be written: its record had changed meanwhile.
+    pub fn finish_failed(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.finishing = false;
+        }
+        self.check_finished(id);
+    }
+
+    /// The job's end is durable, which settles the outcomes of all its tasks.
+    pub fn remove_job(&mut self, id: JobId, now: Moment) {
+        let Some(job) = self.jobs.remove(&id) else { return };
+        for index in 0..job.cursor {
+            self.queue.remove(EntryKey::Task(TaskId { job: id, index }));
+        }
+        self.queue.remove(EntryKey::Gang(id));
+        for (index, placement) in &job.placed {
+            let task = TaskId { job: id, index: *index };
+            if let Some(team) = self.teams.get_mut(&job.spec.team) {
+                team.used -= job.spec.needs;
+            }
+            if let Some(machine) = self.machines.get_mut(&placement.machine) {
+                machine.tasks.remove(&task);
+                machine.used -= job.spec.needs;
+                if machine.tasks.is_empty() {
+                    machine.idle_since = now;
+                }
+            }
+        }
+        self.unsaved.retain(|(task, _)| task.job != id);
+        for chunk in 0..job.spec.tasks.div_ceil(CHUNK) {
+            self.dirty.remove(&(id, chunk));
+        }
+        self.nominated.retain(|entry, _| entry.job() != id);
+        self.guarantees_stale = true;
+    }
+
+    pub(crate) fn touch(&mut self, task: TaskId) {
+        self.dirty.insert((task.job, task.index / CHUNK));
+    }
+
+    /// Machines to which commands should go without waiting for their next report.
+    pub fn take_urgent(&mut self) -> BTreeSet<MachineName> {
+        std::mem::take(&mut self.urgent)
+    }
+
+    /// Whether progress waits to be written.
+    pub fn has_dirty(&self) -> bool {
+        !self.dirty.is_empty()
+    }
+
+    /// Whether a placement waits to be written, so that starts hang on the next round.
+    pub fn has_unrecorded(&self) -> bool {
+        self.dirty.iter().any(|(id, chunk)| {
+            self.jobs.get(id).is_some_and(|job| {
+                let from = chunk * CHUNK;
+                job.placed.range(from..from + CHUNK).any(|(_, p)| !p.recorded)
+            })
+        })
+    }
+
+    /// Hands out the chunks that changed since the last call.
+    pub fn take_dirty(&mut self) -> Vec<(ChunkKey, ChunkBody)> {
+        std::mem::take(&mut self.dirty)
+            .into_iter()
+            .filter_map(|key| self.jobs.get(&key.0).map(|job| (key, job.chunk(key.1))))
+            .collect()
+    }
+
+    /// Gives back chunks that did not fit into the round.
+    pub fn put_back(&mut self, keys: impl IntoIterator<Item = ChunkKey>) {
+        self.dirty.extend(keys);
+    }
+
+    /// What a round with these chunks would make durable.
+    pub fn written_by(&self, keys: &[ChunkKey]) -> Written {
+        let mut written = Written::default();
+        for (id, chunk) in keys {
+            let Some(job) = self.jobs.get(id) else { continue };
+            let from = chunk * CHUNK;
+            for (index, p) in job.placed.range(from..from + CHUNK) {
+                if !p.recorded {
+                    written.placements.push((TaskId { job: *id, index: *index }, p.attempt));
+                }
+            }
+        }
+        let included: BTreeSet<&ChunkKey> = keys.iter().collect();
+        written.outcomes = self
+            .unsaved
+            .iter()
+            .filter(|(task, _)| included.contains(&(task.job, task.index / CHUNK)))
+            .copied()
+            .collect();
+        written
+    }
+
+    /// The round is durable: its placements may be launched, its outcomes forgotten.
+    pub fn confirm(&mut self, written: &Written) {
+        for (task, attempt) in &written.placements {
+            let Some(job) = self.jobs.get_mut(&task.job) else { continue };
+            if let Some(p) = job.placed.get_mut(&task.index) {
+                if p.attempt == *attempt {
+                    p.recorded = true;
+                    let machine = p.machine.clone();
+                    self.urgent.insert(machine);
+                }
+            }
+        }
+        for outcome in &written.outcomes {
+            self.unsaved.remove(outcome);
+        }
+    }
+
+    /// Recomputes which jobs lie within their team's guarantee: those that fit into it
+    /// together with the team's earlier unfinished jobs.
+    pub(crate) fn refresh_guarantees(&mut self) {
+        if !std::mem::take(&mut self.guarantees_stale) {
+            return;
+        }
+        let mut order: Vec<(u64, JobId)> =
+            self.jobs.values().filter(|j| !j.finishing).map(|j| (j.order, j.spec.id)).collect();
+        order.sort_unstable();
+        let mut sums: HashMap<TeamName, Resources> = HashMap::new();
+        let mut changed = Vec::new();
+        for (_, id) in order {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            if job.cancelled {
+                continue;
+            }
+            let Some(team) = self.teams.get(&job.spec.team) else { continue };
+            let sum = sums.entry(job.spec.team.clone()).or_default();
+            *sum += job.spec.needs.times(u64::from(job.spec.tasks));
+            let guaranteed = sum.fits_quota(&team.guarantee);
+            if guaranteed != job.guaranteed {
+                job.guaranteed = guaranteed;
+                changed.push(id);
+            }
+        }
+        for id in changed {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let rank = rank_of(job);
+            for index in 0..job.cursor {
+                let key = EntryKey::Task(TaskId { job: id, index });
+                self.queue.rerank(key, (rank.0, rank.1, rank.2, index));
+            }
+            self.queue.rerank(EntryKey::Gang(id), rank);
+        }
+    }
+}
+
+/// Rank of a job's entries.
+pub(crate) fn rank_of(job: &Job) -> Rank {
+    (u8::from(!job.guaranteed), std::cmp::Reverse(job.spec.priority), job.order, 0)
+}
+
+impl Share {
+    /// Records a placement and counts it at once.
+    pub(crate) fn place(
+        &mut self,
+        task: TaskId,
+        machine: &MachineName,
+        attempt: Attempt,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let placement = Placement {
+            machine: machine.clone(),
+            attempt,
+            recorded: false,
+            inherited: false,
+            launched: None,
+            in_answer: false,
+            unanswered: None,
+            seen: None,
+            stop: None,
+            placed_at: now,
+        };
+        self.waits.push(now.since(job.seen_at).0);
+        job.placed.insert(task.index, placement);
+        let needs = job.spec.needs;
+        if let Some(team) = self.teams.get_mut(&job.spec.team) {
+            team.used += needs;
+        }
+        if let Some(machine) = self.machines.get_mut(machine) {
+            machine.tasks.insert(task);
+            machine.used += needs;
+        }
+        self.touch(task);
+    }
+}
--- /dev/null
+++ b/crates/trackcrank/src/clients.rs
@@ -0,0 +1,209 @@
+//! HTTP clients of the state service, the cloud and the workers.
+
+use bytes::Bytes;
+use coordination::node::DirectReply;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use model::Span;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+use wire::cloud::{CloudReply, CloudRequest, MachineNames};
+use wire::state::{LeaseAnswer, LeaseRequest, StateReply, StateRequest, TxnAnswer};
+use wire::workers::{DirectCommands, Report};
+
+/// Largest answer that is read.
+const MAX_ANSWER: usize = 16 * 1024 * 1024;
+
+/// Patience with the cloud and with workers.
+const CLOUD_TIMEOUT: Duration = Duration::from_millis(4_000);
+const WORKER_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// A client with pooled connections.
+#[derive(Clone)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpClient {
+    /// A client.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(1_200)));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_secs(20))
+            .build(connector);
+        HttpClient { client }
+    }
+
+    /// One call; none if there was no complete answer in time.
+    async fn call(
+        &self,
+        method: Method,
+        to: &str,
+        path: &str,
+        body: Option<Vec<u8>>,
+        timeout: Duration,
+    ) -> Option<(StatusCode, Bytes)> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{to}{path}"))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body.unwrap_or_default())))
+            .ok()?;
+        let exchange = async {
+            let answer = self.client.request(request).await.ok()?;
+            let status = answer.status();
+            let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await.ok()?;
+            Some((status, body.to_bytes()))
+        };
+        tokio::time::timeout(timeout, exchange).await.ok().flatten()
+    }
+
+    /// A call to the state service.
+    pub async fn state(&self, to: SocketAddr, request: &StateRequest, timeout: Span) -> StateReply {
+        let (method, path, body) = state_call(request);
+        let timeout = Duration::from_millis(timeout.0);
+        match self.call(method, &to.to_string(), &path, body, timeout).await {
+            Some((status, body)) => state_reply(request, status, &body),
+            None => StateReply::Unknown,
+        }
+    }
+
+    /// A call to the cloud.
+    pub async fn cloud(&self, to: SocketAddr, request: &CloudRequest) -> CloudReply {
+        let (method, path, body) = match request {
+            CloudRequest::Types => (Method::GET, "/machine_types".to_owned(), None),
+            CloudRequest::Rent(rent) => (Method::POST, "/hosts".to_owned(), encode(rent)),
+            CloudRequest::Release(names) => (
+                Method::POST,
+                "/hosts/release".to_owned(),
+                encode(&MachineNames { machines: names.clone() }),
+            ),
+            CloudRequest::List { after, limit } => {
+                (Method::GET, format!("/hosts?after={after}&limit={limit}"), None)
+            }
+        };
+        let Some((status, body)) =
+            self.call(method, &to.to_string(), &path, body, CLOUD_TIMEOUT).await
+        else {
+            return CloudReply::Unknown;
+        };
+        if status != StatusCode::OK {
+            let short = matches!(request, CloudRequest::Rent(_))
+                && String::from_utf8_lossy(&body).contains("no capacity");
+            return match (status.as_u16(), short) {
+                (503, true) => CloudReply::NoCapacity,
+                (429 | 503 | 400, _) => CloudReply::Refused,
+                _ => CloudReply::Unknown,
+            };
+        }
+        let reply = match request {
+            CloudRequest::Types => decode(&body).map(CloudReply::Types),
+            CloudRequest::Rent(_) => {
+                decode::<MachineNames>(&body).map(|names| CloudReply::Rented(names.machines))
+            }
+            CloudRequest::Release(_) => Some(CloudReply::Released),
+            CloudRequest::List { .. } => decode(&body).map(CloudReply::List),
+        };
+        reply.unwrap_or(CloudReply::Unknown)
+    }
+
+    /// Commands straight to a worker.
+    pub async fn worker(&self, to: &str, commands: &DirectCommands) -> DirectReply {
+        let body = encode(commands);
+        let answer = self.call(Method::POST, to, "/commands", body, WORKER_TIMEOUT).await;
+        match answer {
+            Some((status, body)) if status == StatusCode::OK || status == StatusCode::CONFLICT => {
+                match decode::<Report>(&body) {
+                    Some(report) => DirectReply::Answered(Box::new(report)),
+                    None => DirectReply::Unknown,
+                }
+            }
+            _ => DirectReply::Unknown,
+        }
+    }
+
+    /// A plain call for the operators' command line.
+    pub async fn plain(
+        &self,
+        method: Method,
+        to: &str,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) -> Option<(u16, String)> {
+        let (status, body) = self.call(method, to, path, body, Duration::from_secs(5)).await?;
+        Some((status.as_u16(), String::from_utf8_lossy(&body).into_owned()))
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> Option<Vec<u8>> {
+    serde_json::to_vec(value).ok()
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
+    serde_json::from_slice(body).ok()
+}
+
+fn state_call(request: &StateRequest) -> (Method, String, Option<Vec<u8>>) {
+    match request {
+        StateRequest::Get { key } => (Method::GET, format!("/store/{key}"), None),
+        StateRequest::List { prefix, after, limit } => {
+            let mut path = format!("/store?prefix={prefix}&limit={limit}");
+            if !after.is_empty() {
+                path.push_str("&after=");
+                path.push_str(after);
+            }
+            (Method::GET, path, None)
+        }
+        StateRequest::Txn(txn) => (Method::POST, "/txn".into(), encode(txn)),
+        StateRequest::NewLease { ttl_ms } => {
+            (Method::POST, "/holds".into(), encode(&LeaseRequest { ttl_ms: *ttl_ms }))
+        }
+        StateRequest::Renew { lease } => (Method::POST, format!("/holds/{lease}/renew"), None),
+        StateRequest::EndLease { lease } => (Method::DELETE, format!("/holds/{lease}"), None),
+        StateRequest::Watch { prefix, after, wait_ms } => {
+            (Method::GET, format!("/changes?prefix={prefix}&after={after}&wait_ms={wait_ms}"), None)
+        }
+    }
+}
+
+fn state_reply(request: &StateRequest, status: StatusCode, body: &[u8]) -> StateReply {
+    let text = || String::from_utf8_lossy(body).into_owned();
+    let lease_call = matches!(request, StateRequest::Renew { .. } | StateRequest::EndLease { .. });
+    match status.as_u16() {
+        429 => return StateReply::Refused { throttled: true },
+        503 => return StateReply::Refused { throttled: false },
+        404 if lease_call => return StateReply::LeaseGone,
+        404 if matches!(request, StateRequest::Get { .. }) => return StateReply::Missing,
+        409 => {
+            return match decode::<TxnAnswer>(body) {
+                Some(answer) => StateReply::Conflict { failed: answer.failed },
+                None => StateReply::Unknown,
+            }
+        }
+        410 => return StateReply::Compacted,
+        400 if text().contains("no such lease") => return StateReply::LeaseGone,
+        400 => return StateReply::Invalid(text()),
+        200..=299 => {}
+        _ => return StateReply::Unknown,
+    }
+    let reply = match request {
+        StateRequest::Get { .. } => decode(body).map(StateReply::Item),
+        StateRequest::List { .. } => decode(body).map(StateReply::List),
+        StateRequest::Txn(_) => decode::<TxnAnswer>(body)
+            .map(|answer| StateReply::Committed { revision: answer.revision }),
+        StateRequest::NewLease { .. } => {
+            decode::<LeaseAnswer>(body).map(|answer| StateReply::Lease(answer.lease))
+        }
+        StateRequest::Renew { .. } | StateRequest::EndLease { .. } => Some(StateReply::Ok),
+        StateRequest::Watch { .. } => decode(body).map(StateReply::Changes),
+    };
+    reply.unwrap_or(StateReply::Unknown)
+}
--- a/crates/trackcrank/src/main.rs
+++ b/crates/trackcrank/src/main.rs
@@ -1,1 +1,13 @@
-fn main() {}
+//! trackcrank: one controller node, and the operators' command line.
+
+mod cli;
+mod clients;
+mod mesh;
+mod runtime;
+mod server;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::run()
+}
--- /dev/null
+++ b/crates/trackcrank/src/mesh.rs
@@ -0,0 +1,107 @@
+//! The mesh: length-delimited MessagePack frames between controller nodes.
+
+use bytes::Bytes;
+use coordination::Event;
+use futures_util::{SinkExt, StreamExt};
+use model::settings::Peer;
+use model::NodeName;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use wire::mesh::{Frame, MeshMessage, MAX_FRAME, MESH_VERSION};
+
+/// Frames that may wait for a peer; when it cannot be reached the newest are dropped, since
+/// everything that is said is said again.
+const BACKLOG: usize = 64;
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_codec()
+}
+
+/// Keeps a connection to a peer and returns where to put messages for it.
+pub fn connect(me: NodeName, peer: Peer) -> mpsc::Sender<MeshMessage> {
+    let (sender, mut queue) = mpsc::channel::<MeshMessage>(BACKLOG);
+    tokio::spawn(async move {
+        let patience = Duration::from_millis(1_500);
+        loop {
+            let stream = tokio::time::timeout(patience, TcpStream::connect(peer.mesh)).await;
+            let Ok(Ok(stream)) = stream else {
+                tokio::time::sleep(Duration::from_millis(300)).await;
+                while queue.try_recv().is_ok() {}
+                continue;
+            };
+            let _ = stream.set_nodelay(true);
+            let mut frames = Framed::new(stream, codec());
+            while let Some(message) = queue.recv().await {
+                let frame = Frame { version: MESH_VERSION, from: me.to_string(), message };
+                let Ok(bytes) = rmp_serde::to_vec(&frame) else { continue };
+                let sent = tokio::time::timeout(patience, frames.send(Bytes::from(bytes))).await;
+                if !matches!(sent, Ok(Ok(()))) {
+                    tracing::debug!(peer = %peer.name, "the connection to a peer has failed");
+                    break;
+                }
+            }
+            if queue.is_closed() {
+                return;
+            }
+        }
+    });
+    sender
+}
+
+/// Listens for peers.
+pub async fn listen(
+    address: SocketAddr,
+    events: mpsc::Sender<Event>,
+) -> Result<(), std::io::Error> {
+    let listener = TcpListener::bind(address).await?;
+    tokio::spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, from)) => {
+                    tokio::spawn(read(stream, from, events.clone()));
+                }
+                Err(error) => {
+                    tracing::error!(%error, "the mesh cannot accept a connection");
+                    tokio::time::sleep(Duration::from_millis(200)).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+/// Reads frames; garbage closes the connection.
+async fn read(stream: TcpStream, from: SocketAddr, events: mpsc::Sender<Event>) {
+    let mut frames = Framed::new(stream, codec());
+    loop {
+        // Peers speak several times a second; a connection that has been silent for long is dead.
+        let next = tokio::time::timeout(Duration::from_secs(60), frames.next()).await;
+        let bytes = match next {
+            Ok(Some(Ok(bytes))) => bytes,
+            Ok(Some(Err(error))) => {
+                tracing::warn!(%from, %error, "garbage on the mesh");
+                return;
+            }
+            _ => return,
+        };
+        match rmp_serde::from_slice::<Frame>(&bytes) {
+            Ok(frame) if frame.version == MESH_VERSION => {
+                let from = NodeName::from(frame.from.as_str());
+                if events.send(Event::Mesh { from, message: frame.message }).await.is_err() {
+                    return;
+                }
+            }
+            Ok(frame) => {
+                tracing::warn!(%from, version = frame.version, "a mesh frame of another version");
+                return;
+            }
+            Err(error) => {
+                tracing::warn!(%from, %error, "garbage on the mesh");
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/trackcrank/src/runtime.rs
@@ -0,0 +1,165 @@
+//! The process around the node: one loop that feeds it events and carries out its effects.
+
+use crate::clients::HttpClient;
+use crate::{mesh, server};
+use coordination::node::Ticket;
+use coordination::{Effect, Event, Node, ReportReply, UserReply};
+use model::{Moment, NodeName, Settings};
+use rand::Rng;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+use wire::mesh::MeshMessage;
+
+/// What the server hands to the loop.
+pub enum Inbound {
+    User(coordination::UserRequest, oneshot::Sender<UserReply>),
+    Report(Box<wire::workers::Report>, oneshot::Sender<ReportReply>),
+}
+
+/// What the server may ask without going through the loop.
+#[derive(Clone)]
+pub struct Shared {
+    pub inbound: mpsc::Sender<Inbound>,
+    pub healthy: Arc<AtomicBool>,
+}
+
+/// Serves until killed.
+pub fn serve(settings: Settings) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| format!("cannot start the runtime: {e}"))?;
+    runtime.block_on(run(settings))
+}
+
+async fn run(settings: Settings) -> Result<(), String> {
+    let (inbound, requests) = mpsc::channel::<Inbound>(1024);
+    let (events, results) = mpsc::channel::<Event>(1024);
+    let shared = Shared { inbound, healthy: Arc::new(AtomicBool::new(false)) };
+    mesh::listen(settings.mesh, events.clone())
+        .await
+        .map_err(|e| format!("mesh_addr {}: {e}", settings.mesh))?;
+    let listen = settings.listen;
+    let server = tokio::spawn(server::run(listen, shared.clone()));
+    let peers = settings
+        .peers
+        .iter()
+        .map(|peer| (peer.name.clone(), mesh::connect(settings.name.clone(), peer.clone())))
+        .collect();
+    let seed = rand::rng().random();
+    let process = Process {
+        client: HttpClient::new(),
+        state: settings.state,
+        cloud: settings.cloud,
+        events,
+        peers,
+        users: HashMap::new(),
+        reports: HashMap::new(),
+        next_ticket: 0,
+    };
+    tokio::select! {
+        ended = server => Err(match ended {
+            Ok(Err(problem)) => format!("serve_on {listen}: {problem}"),
+            _ => "the server has ended".into(),
+        }),
+        () = process.run(Node::new(settings, seed), requests, results, shared.healthy) => Ok(()),
+    }
+}
+
+struct Process {
+    client: HttpClient,
+    state: std::net::SocketAddr,
+    cloud: std::net::SocketAddr,
+    events: mpsc::Sender<Event>,
+    peers: HashMap<NodeName, mpsc::Sender<MeshMessage>>,
+    users: HashMap<Ticket, oneshot::Sender<UserReply>>,
+    reports: HashMap<Ticket, oneshot::Sender<ReportReply>>,
+    next_ticket: Ticket,
+}
+
+impl Process {
+    async fn run(
+        mut self,
+        mut node: Node,
+        mut requests: mpsc::Receiver<Inbound>,
+        mut results: mpsc::Receiver<Event>,
+        healthy: Arc<AtomicBool>,
+    ) {
+        let start = Instant::now();
+        let now = || Moment(start.elapsed().as_millis() as u64);
+        loop {
+            let due = start + Duration::from_millis(node.next_tick().0);
+            let event = tokio::select! {
+                biased;
+                Some(event) = results.recv() => event,
+                Some(request) = requests.recv() => self.admit(request),
+                () = tokio::time::sleep_until(due) => Event::Tick,
+            };
+            for effect in node.handle(now(), event) {
+                self.carry_out(effect);
+            }
+            healthy.store(node.healthy(), Ordering::Relaxed);
+        }
+    }
+
+    fn admit(&mut self, request: Inbound) -> Event {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        match request {
+            Inbound::User(request, answer) => {
+                self.users.insert(ticket, answer);
+                Event::User { ticket, request }
+            }
+            Inbound::Report(report, answer) => {
+                self.reports.insert(ticket, answer);
+                Event::Report { ticket, report }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        let client = self.client.clone();
+        let events = self.events.clone();
+        match effect {
+            Effect::State { call, request, timeout } => {
+                let to = self.state;
+                tokio::spawn(async move {
+                    let reply = client.state(to, &request, timeout).await;
+                    let _ = events.send(Event::State { call, reply }).await;
+                });
+            }
+            Effect::Cloud { call, request } => {
+                let to = self.cloud;
+                tokio::spawn(async move {
+                    let reply = client.cloud(to, &request).await;
+                    let _ = events.send(Event::Cloud { call, reply }).await;
+                });
+            }
+            Effect::Worker { call, address, body } => {
+                tokio::spawn(async move {
+                    let reply = client.worker(&address, &body).await;
+                    let _ = events.send(Event::Worker { call, reply }).await;
+                });
+            }
+            Effect::Mesh { to, message } => {
+                if let Some(peer) = self.peers.get(&to) {
+                    let _ = peer.try_send(message);
+                }
+            }
+            Effect::User { ticket, reply } => {
+                if let Some(answer) = self.users.remove(&ticket) {
+                    let _ = answer.send(reply);
+                }
+            }
+            Effect::Report { ticket, reply } => {
+                if let Some(answer) = self.reports.remove(&ticket) {
+                    let _ = answer.send(reply);
+                }
+            }
+        }
+    }
+}
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -34,6 +34,8 @@
     pub up: bool,
     /// Quarantined: to be returned once empty.
     pub faulty: bool,
+    /// How long it has been silent, once it has reported.
+    pub silent_ms: u64,
 }
 
 /// What a holder tells the leader about its partition.
@@ -49,7 +51,13 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum MeshMessage {
     /// Regular sign of life.
-    Alive { state_contact: bool, workers_heard: bool, ready: bool },
+    Alive {
+        boot: u64,
+        /// All changes up to here are known to the sender.
+        revision: u64,
+        state_contact: bool,
+        ready: bool,
+    },
     /// Holder to leader.
     Load(PartitionLoad),
     /// Leader to holder: give up an idle machine, to a partition or to the cloud.
@@ -57,7 +65,9 @@
     /// A new holder tells everybody, so that a predecessor stops at once.
     Taken { partition: u32, term: u64, holder: String },
     /// The home node of a partition offers to hold it again, under this lease.
-    WantHome { partition: u32, lease: u64 },
+    WantHome { partition: u32, lease: u64, boot: u64 },
+    /// Holder to everybody: done and running tasks of jobs, for display.
+    Progress { jobs: Vec<(u64, u64, u64)> },
 }
 
 /// A frame.
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -176,8 +176,10 @@
     Changes(Changes),
     /// 410: the changes asked for are no longer kept.
     Compacted,
-    /// 429 or 503: certainly not executed.
-    Refused,
+    /// 429 (throttled) or 503: certainly not executed.
+    Refused {
+        throttled: bool,
+    },
     /// 400: malformed.
     Invalid(String),
     /// No usable answer: may have been, or may yet be, executed.
