--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -726,10 +726,13 @@
                         self.mirror.machines.get(&machine.name).is_some_and(|m| m.record.leaving);
                 }
             }
+            if now.0 % 5_000 < 500 {
+                loaded.share.describe(*partition, now);
+            }
             loads.push(PartitionLoad {
                 partition: partition.0,
                 term: holding.term.0,
-                demand: loaded.share.demand(),
+                demand: loaded.share.demand(now),
                 machines: loaded.share.loads(now),
             });
             jobs.extend(loaded.share.jobs.iter().filter(|(_, j)| !j.placed.is_empty()).map(
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -23,8 +23,8 @@
 impl Default for QueueConfig {
     fn default() -> Self {
         QueueConfig {
-            initial_backoff: Span(1_000),
-            max_backoff: Span(10_000),
+            initial_backoff: Span(100),
+            max_backoff: Span(1_000),
             leftover: Span(10_000),
         }
     }
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -175,14 +175,12 @@
 
 /// The least score is taken: first the shortest image fetch, then cheap machines for work
 /// that may use them, then the fullest machine, so that others fall idle and can be returned.
-pub(crate) fn score(job: &Job, machine: &Machine) -> (u64, u8, u64, u64) {
+pub(crate) fn score(job: &Job, machine: &Machine) -> (u64, bool, u64, u64) {
     let fetch_ms = if machine.has_image(&job.spec.image) {
         0
     } else {
         (job.spec.image_gb / machine.fetch_gb_per_s.max(0.01) * 1000.0) as u64
     };
-    let empty_ordinary =
-        u8::from(job.spec.kind != JobKind::Service && !machine.spot && machine.tasks.is_empty());
     let left = machine.free().less(&job.spec.needs);
-    (fetch_ms, empty_ordinary, left.milli_gpus, left.milli_cpus)
+    (fetch_ms, !machine.spot, left.milli_gpus, left.milli_cpus)
 }
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -1,5 +1,6 @@
 //! What the share lacks and what it could spare.
 
+use crate::machine::Machine;
 use crate::share::{EntryKey, Share};
 use model::{JobId, Moment, Resources, TeamName};
 use std::collections::{BTreeMap, HashMap};
@@ -7,7 +8,8 @@
 
 impl Share {
     /// Waiting work that its team's limit would let start, by shape.
-    pub fn demand(&self) -> Vec<DemandShape> {
+    /// What fits into the room there is will be placed soon and is no demand.
+    pub fn demand(&self, now: Moment) -> Vec<DemandShape> {
         let mut waiting: BTreeMap<(u64, JobId), u64> = BTreeMap::new();
         for key in self.queue.keys() {
             let job = key.job();
@@ -18,6 +20,12 @@
             };
             *waiting.entry((entry.order, job)).or_default() += tasks;
         }
+        let mut free: Vec<(&Machine, Resources)> = self
+            .machines
+            .values()
+            .filter(|m| m.usable(now, self.policy.silence))
+            .map(|m| (m, m.free()))
+            .collect();
         let mut room: HashMap<TeamName, Resources> = HashMap::new();
         let mut shapes: Vec<DemandShape> = Vec::new();
         for ((_, id), tasks) in waiting {
@@ -28,6 +36,13 @@
             let per = Resources { memory_mb: 0, ..job.spec.needs };
             let tasks = tasks.min(left.holds(&per));
             *left -= per.times(tasks);
+            let mut here = 0;
+            for (_, free) in free.iter_mut().filter(|(m, _)| self.admits(job, m, now)) {
+                let fits = free.holds(&job.spec.needs).min(tasks - here);
+                *free -= job.spec.needs.times(fits);
+                here += fits;
+            }
+            let tasks = tasks - here;
             if tasks == 0 {
                 continue;
             }
@@ -63,6 +78,33 @@
         shapes
     }
 
+    /// A line for the log: how full the share is and what waits.
+    pub fn describe(&self, partition: model::PartitionId, now: Moment) {
+        let (mut up, mut spot, mut capacity, mut used, mut fetching) = (0, 0, 0, 0, 0);
+        for machine in self.machines.values().filter(|m| m.usable(now, self.policy.silence)) {
+            up += 1;
+            spot += u32::from(machine.spot);
+            capacity += machine.capacity.milli_cpus / 1000;
+            used += machine.used.milli_cpus / 1000;
+        }
+        for placement in self.jobs.values().flat_map(|job| job.placed.values()) {
+            fetching += u32::from(placement.seen == Some(wire::workers::TaskState::Fetching));
+        }
+        let wanted: u64 = self.demand(now).iter().map(|shape| shape.tasks).sum();
+        tracing::debug!(
+            %partition,
+            machines = self.machines.len(),
+            up,
+            spot,
+            capacity,
+            used,
+            fetching,
+            wanted,
+            pending = ?self.queue.pending().map(|(_, n)| n),
+            "share"
+        );
+    }
+
     /// The share's machines for the leader.
     pub fn loads(&self, now: Moment) -> Vec<MachineLoad> {
         self.machines
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -1,6 +1,6 @@
 //! A job within a partition, and the placements of its tasks.
 
-use model::{Attempt, JobSpec, MachineName, Moment, Session, Token};
+use model::{Attempt, JobSpec, MachineName, Moment, Session, Span, Token};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use wire::workers::TaskState;
@@ -46,6 +46,8 @@
     /// Revision of its acceptance: the order of submissions.
     pub order: u64,
     pub seen_at: Moment,
+    /// How far its size sets it back in the order.
+    pub set_back: Span,
     pub cancelled: bool,
     /// Its end is being written or has been written.
     pub finishing: bool,
@@ -96,6 +98,7 @@
             spec,
             order,
             seen_at: now,
+            set_back: Span::ZERO,
             cancelled: false,
             finishing: false,
             done: vec![0; words],
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -43,11 +43,19 @@
     pub faulty_after: u32,
     /// Whether tasks are stopped to make room.
     pub preempt: bool,
+    /// How many times the time it takes alone a job is set back in the order.
+    pub set_back: u64,
 }
 
 impl Default for Policy {
     fn default() -> Self {
-        Policy { silence: Span(4_000), window: 256, faulty_after: 2, preempt: true }
+        Policy {
+            silence: Span(4_000),
+            window: 256,
+            faulty_after: 2,
+            preempt: true,
+            set_back: 3,
+        }
     }
 }
 
@@ -143,6 +151,11 @@
             return;
         }
         let mut job = Job::new(spec, order, now);
+        if let Some(team) = self.teams.get(&job.spec.team) {
+            let at_once = team.limit.holds(&Resources { memory_mb: 0, ..job.spec.needs }).max(1);
+            let alone = job.spec.estimate.0 * u64::from(job.spec.tasks) / at_once;
+            job.set_back = Span(alone * self.policy.set_back);
+        }
         for (chunk, body) in chunks {
             job.restore(*chunk, body, now);
         }
@@ -499,9 +512,12 @@
     }
 }
 
-/// Rank of a job's entries.
+/// Rank of a job's entries. Among equals the order is that of submissions, each set back by a
+/// multiple of the time that the job takes with its team's whole limit: what is short is not
+/// kept waiting behind what will be late anyway, and what is long is not put off for ever.
 pub(crate) fn rank_of(job: &Job) -> Rank {
-    (u8::from(!job.guaranteed), std::cmp::Reverse(job.spec.priority), job.order, 0)
+    let due = job.seen_at.0 + job.set_back.0;
+    (u8::from(!job.guaranteed), std::cmp::Reverse(job.spec.priority), due, 0)
 }
 
 impl Share {
