--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,6 +22,8 @@
     pub shift_count: usize,
     /// An empty machine that has been silent for longer is returned.
     pub silent: Span,
+    /// A booting machine is counted on for so many times its boot time.
+    pub boot_trust: f64,
     /// A machine that has not reported after so many times its boot time is given up.
     pub boot_patience: u64,
 }
@@ -35,7 +37,8 @@
             shift_idle: Span(1_000),
             shift_count: 4,
             silent: Span(15_000),
-            boot_patience: 4,
+            boot_trust: 1.6,
+            boot_patience: 3,
         }
     }
 }
@@ -130,7 +133,12 @@
         let mut coming: Vec<Coming> = machines
             .iter()
             .filter(|m| m.partition == need.partition && !m.up && !m.leaving && !m.faulty)
-            .filter_map(|m| sizes.get(m.machine_type.as_str()).map(|t| coming_from(policy, m, t)))
+            .filter_map(|m| {
+                let kind = sizes.get(m.machine_type.as_str())?;
+                // A machine that is late may never come: work must not wait for it.
+                let trusted = Span::from_secs(kind.boot_s * policy.boot_trust) + Span(2_000);
+                (m.age <= trusted).then(|| coming_from(policy, m, kind))
+            })
             .collect();
         let mut rent: BTreeMap<(String, ZoneName, bool), u32> = BTreeMap::new();
         for shape in &need.demand {
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -22,11 +22,7 @@
 
 impl Default for QueueConfig {
     fn default() -> Self {
-        QueueConfig {
-            initial_backoff: Span(100),
-            max_backoff: Span(1_000),
-            leftover: Span(10_000),
-        }
+        QueueConfig { initial_backoff: Span(100), max_backoff: Span(1_000), leftover: Span(10_000) }
     }
 }
 
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -35,6 +35,7 @@
                     self.enqueue(entry.job());
                 }
                 Err(why) => {
+                    tracing::debug!(job = %entry.job(), ?why, "no place");
                     if self.policy.preempt {
                         self.make_room(entry, why, now);
                     }
--- a/crates/scheduler/src/observe.rs
+++ b/crates/scheduler/src/observe.rs
@@ -139,6 +139,7 @@
             }
         }
         let stopped = placement.stop.is_some();
+        tracing::debug!(%task, machine = %name, ?why, stopped, "exited");
         match why {
             ExitCause::Done => {
                 job.successes += 1;
@@ -225,6 +226,7 @@
                 Some(machine) => machine.tasks.iter().copied().collect(),
                 None => continue,
             };
+            tracing::info!(machine = %name, tasks = tasks.len(), "a machine's lease has lapsed");
             for task in tasks {
                 let Some(job) = self.jobs.get_mut(&task.job) else { continue };
                 let Some(p) = job.placed.get_mut(&task.index) else { continue };
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -85,6 +85,7 @@
         let needs = job.spec.needs;
         self.nominated.insert(entry, (machine, needs, now + NOMINATION));
         for victim in victims {
+            tracing::debug!(job = %entry.job(), %victim, "stopping a task to make room");
             let grace = self.grace_of(victim);
             self.stop_task(victim, grace, now);
         }
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -49,13 +49,7 @@
 
 impl Default for Policy {
     fn default() -> Self {
-        Policy {
-            silence: Span(4_000),
-            window: 256,
-            faulty_after: 2,
-            preempt: true,
-            set_back: 3,
-        }
+        Policy { silence: Span(4_000), window: 256, faulty_after: 2, preempt: true, set_back: 3 }
     }
 }
 
@@ -542,7 +536,9 @@
             stop: None,
             placed_at: now,
         };
-        self.waits.push(now.since(job.seen_at).0);
+        let waited = now.since(job.seen_at).0;
+        tracing::debug!(%task, %machine, class = job.spec.class, waited, "placed");
+        self.waits.push(waited);
         job.placed.insert(task.index, placement);
         let needs = job.spec.needs;
         if let Some(team) = self.teams.get_mut(&job.spec.team) {
--- a/crates/trackcrank/src/cli.rs
+++ b/crates/trackcrank/src/cli.rs
@@ -5,6 +5,11 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing::level_filters::LevelFilter;
+use tracing::Level;
+use tracing_subscriber::filter::filter_fn;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
+use tracing_subscriber::Layer;
 
 #[derive(Parser)]
 #[command(name = "trackcrank", version, about = "A cluster scheduler's controller node")]
@@ -34,13 +39,17 @@
         Ok("warn") => LevelFilter::WARN,
         _ => LevelFilter::INFO,
     };
-    tracing_subscriber::fmt()
+    // The libraries' own debug lines would drown ours.
+    let quiet = |name: &str| name.starts_with("hyper") || name.starts_with("poem");
+    let ours = filter_fn(move |meta| {
+        *meta.level() <= level && (*meta.level() <= Level::INFO || !quiet(meta.target()))
+    });
+    let lines = tracing_subscriber::fmt::layer()
         .with_writer(std::io::stderr)
-        .with_max_level(level)
         .with_ansi(false)
         .without_time()
-        .with_target(false)
-        .init();
+        .with_target(false);
+    tracing_subscriber::registry().with(lines.with_filter(ours)).init();
 }
 
 fn outcome(result: Result<(), String>) -> ExitCode {
