--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -257,6 +257,7 @@
             holding.term,
         );
         share.entitled_until = holding.entitled_until;
+        share.zones = self.zones_near(partition);
         for (name, record) in &self.mirror.machines {
             if record.record.partition == partition {
                 if let Some(machine) = self.machine_from(name, &record.record, holding.term) {
@@ -302,6 +303,19 @@
         self.holdings.insert(partition, holding);
     }
 
+    /// Zones in which machines can be had, that of the partition's home node first.
+    pub(super) fn zones_near(&self, partition: PartitionId) -> Vec<ZoneName> {
+        let mut zones: Vec<ZoneName> = Vec::new();
+        if let Some(types) = &self.mirror.types {
+            let named = types.record.types.iter().flat_map(|t| &t.zones);
+            zones.extend(named.map(|zone| ZoneName::from(zone.as_str())));
+        }
+        let home = self.nodes.get(partition.0 as usize).map(|(_, zone)| zone.clone());
+        zones.sort_by_key(|zone| (Some(zone) != home.as_ref(), zone.clone()));
+        zones.dedup();
+        zones
+    }
+
     fn machine_from(
         &self,
         name: &MachineName,
--- a/crates/coordination/src/node/leader.rs
+++ b/crates/coordination/src/node/leader.rs
@@ -119,6 +119,13 @@
     }
 
     pub(super) fn types_changed(&mut self) {
+        let partitions: Vec<PartitionId> = self.holdings.keys().copied().collect();
+        for partition in partitions {
+            let zones = self.zones_near(partition);
+            if let Some(share) = self.holdings.get_mut(&partition).and_then(|h| h.share_mut()) {
+                share.zones = zones;
+            }
+        }
         // Machines whose type was unknown until now can be taken into their shares.
         let names: Vec<MachineName> = self.mirror.machines.keys().cloned().collect();
         for name in names {
--- a/crates/coordination/src/node/users.rs
+++ b/crates/coordination/src/node/users.rs
@@ -184,6 +184,17 @@
         self.reply_user(poll.ticket, UserReply::Status(answer));
     }
 
+    /// Where a job stands and why it waits, for operators.
+    pub fn explain(&self, id: &str) -> String {
+        let Some(id) = JobId::parse(id) else { return "no such job".into() };
+        let held = self.holdings.values().find_map(|h| h.share().and_then(|s| s.explain(id)));
+        match held {
+            Some(text) => text,
+            None if self.mirror.jobs.contains_key(&id) => "open, held by another node".into(),
+            None => "not open".into(),
+        }
+    }
+
     /// Status of a job that is not over.
     fn open_status(&self, id: JobId) -> JobStatus {
         let own = self.holdings.values().find_map(|h| h.progress_of(id));
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -2,10 +2,13 @@
 
 use crate::job::Job;
 use crate::machine::Machine;
-use crate::share::{EntryKey, Share};
-use model::{JobId, JobKind, MachineName, Moment, Resources, TaskId, ZoneName};
+use crate::share::{rank_of, EntryKey, GangHold, Share};
+use model::{JobId, MachineName, Moment, Resources, Span, TaskId, ZoneName};
 use std::collections::BTreeMap;
 
+/// How long machines are kept for a gang.
+const GANG_HOLD: Span = Span(60_000);
+
 /// Why an entry found no place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Unplaced {
@@ -22,6 +25,9 @@
         self.refresh_guarantees();
         self.queue.flush(now);
         self.nominated.retain(|_, (_, _, until)| *until > now);
+        if self.gang_hold.as_ref().is_some_and(|h| h.until <= now || !self.waits(h.job)) {
+            self.gang_hold = None;
+        }
         for _ in 0..most {
             let Some(entry) = self.queue.pop() else { return false };
             let placed = match entry {
@@ -35,6 +41,9 @@
                     self.enqueue(entry.job());
                 }
                 Err(why) => {
+                    if let EntryKey::Gang(job) = entry {
+                        self.hold_for_gang(job, why, now);
+                    }
                     tracing::debug!(job = %entry.job(), ?why, "no place");
                     if self.policy.preempt {
                         self.make_room(entry, why, now);
@@ -59,7 +68,7 @@
         let machine = self
             .machines
             .values()
-            .filter(|m| self.admits(job, m, now))
+            .filter(|m| self.admits(job, m, now) && !self.held_from(job, m))
             .filter(|m| zone_allowed(job, &m.zone, &zones))
             .filter(|m| job.spec.needs.fits(&self.room_for(entry, m)))
             .min_by_key(|m| score(job, m))
@@ -124,6 +133,50 @@
         (places.len() as u64 == wanted).then_some(places)
     }
 
+    fn waits(&self, gang: JobId) -> bool {
+        self.queue.contains(EntryKey::Gang(gang))
+    }
+
+    /// Whether a machine is kept for a gang that goes before this job.
+    fn held_from(&self, job: &Job, machine: &Machine) -> bool {
+        self.gang_hold.as_ref().is_some_and(|hold| {
+            hold.machines.contains(&machine.name)
+                && self.jobs.get(&hold.job).is_some_and(|gang| rank_of(gang) < rank_of(job))
+        })
+    }
+
+    /// A gang that has failed twice gets machines enough kept for it, one gang at a time.
+    fn hold_for_gang(&mut self, id: JobId, why: Unplaced, now: Moment) {
+        let failures = self.queue.whereabouts(EntryKey::Gang(id)).map_or(0, |(_, n)| n);
+        if why != Unplaced::Room || failures < 2 || self.gang_hold.is_some() {
+            return;
+        }
+        let Some(job) = self.jobs.get(&id) else { return };
+        let mut machines: Vec<&Machine> =
+            self.machines.values().filter(|m| self.admits(job, m, now)).collect();
+        machines.sort_by_key(|m| std::cmp::Reverse(m.free().holds(&job.spec.needs)));
+        if job.spec.one_zone {
+            let zone = machines.first().map(|m| m.zone.clone());
+            machines.retain(|m| Some(&m.zone) == zone.as_ref());
+        }
+        let mut zones: BTreeMap<&ZoneName, u64> = BTreeMap::new();
+        let mut left = u64::from(job.spec.tasks);
+        let mut kept = std::collections::BTreeSet::new();
+        for machine in machines {
+            let here = zones.entry(&machine.zone).or_default();
+            let cap = u64::from(job.spec.zone_limit()).saturating_sub(*here);
+            let count = machine.capacity.holds(&job.spec.needs).min(left).min(cap);
+            if count > 0 {
+                *here += count;
+                left -= count;
+                kept.insert(machine.name.clone());
+            }
+        }
+        if left == 0 {
+            self.gang_hold = Some(GangHold { job: id, machines: kept, until: now + GANG_HOLD });
+        }
+    }
+
     /// Whether the team's limit leaves room for so many more tasks of the job.
     pub(crate) fn quota_room(&self, job: &Job, tasks: u64) -> bool {
         self.teams
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -1,8 +1,10 @@
 //! What the share lacks and what it could spare.
 
+use crate::cycle::zone_allowed;
+use crate::job::Job;
 use crate::machine::Machine;
 use crate::share::{EntryKey, Share};
-use model::{JobId, Moment, Resources, TeamName};
+use model::{JobId, Moment, Resources, TeamName, ZoneName};
 use std::collections::{BTreeMap, HashMap};
 use wire::mesh::{DemandShape, MachineLoad};
 
@@ -36,12 +38,7 @@
             let per = Resources { memory_mb: 0, ..job.spec.needs };
             let tasks = tasks.min(left.holds(&per));
             *left -= per.times(tasks);
-            let mut here = 0;
-            for (_, free) in free.iter_mut().filter(|(m, _)| self.admits(job, m, now)) {
-                let fits = free.holds(&job.spec.needs).min(tasks - here);
-                *free -= job.spec.needs.times(fits);
-                here += fits;
-            }
+            let (here, zone) = self.room_here(job, tasks, &mut free, now);
             let tasks = tasks - here;
             if tasks == 0 {
                 continue;
@@ -52,7 +49,7 @@
                     && s.milli_gpus == per.milli_gpus
                     && s.memory_mb == job.spec.needs.memory_mb
                     && s.types == job.spec.types
-                    && s.zone.as_deref() == job.spec.zone.as_ref().map(|z| z.as_str())
+                    && s.zone == zone
                     && s.spot == job.spec.spot
                     && (s.estimate_ms == 0) == (job.spec.estimate.0 == 0)
             });
@@ -67,7 +64,7 @@
                     milli_gpus: per.milli_gpus,
                     memory_mb: job.spec.needs.memory_mb,
                     types: job.spec.types.clone(),
-                    zone: job.spec.zone.as_ref().map(|z| z.to_string()),
+                    zone,
                     spot: job.spec.spot,
                     tasks,
                     urgent,
@@ -78,6 +75,87 @@
         shapes
     }
 
+    /// How many of a job's waiting tasks fit into what is free, which they then take, and the
+    /// zone in which room for the others is to be found if it matters.
+    fn room_here(
+        &self,
+        job: &Job,
+        tasks: u64,
+        free: &mut [(&Machine, Resources)],
+        now: Moment,
+    ) -> (u64, Option<String>) {
+        let needs = job.spec.needs;
+        let mut zones = self.zones_of(job);
+        let mut here = 0;
+        let constrained = job.spec.one_zone || job.spec.spread;
+        if job.spec.one_zone && zones.is_empty() {
+            // The zone that is nearest to holding it all is where the rest should come from.
+            let mut sums: BTreeMap<&ZoneName, u64> = BTreeMap::new();
+            for (m, room) in free.iter().filter(|(m, _)| self.admits(job, m, now)) {
+                *sums.entry(&m.zone).or_default() += room.holds(&needs);
+            }
+            let best = sums.into_iter().max_by_key(|(_, n)| *n).map(|(z, _)| z.clone());
+            if let Some(zone) = best.or_else(|| self.zones.first().cloned()) {
+                zones.insert(zone, 0);
+            }
+        }
+        for (machine, room) in free.iter_mut() {
+            if !self.admits(job, machine, now) || !zone_allowed(job, &machine.zone, &zones) {
+                continue;
+            }
+            let used = zones.get(&machine.zone).copied().unwrap_or(0);
+            let cap = if job.spec.spread {
+                u64::from(job.spec.zone_limit().saturating_sub(used))
+            } else {
+                u64::MAX
+            };
+            let fits = room.holds(&needs).min(tasks - here).min(cap);
+            *room -= needs.times(fits);
+            here += fits;
+            if constrained {
+                *zones.entry(machine.zone.clone()).or_default() += fits as u32;
+            }
+        }
+        let zone = match (&job.spec.zone, constrained) {
+            (Some(zone), _) => Some(zone.clone()),
+            (None, true) if job.spec.one_zone => zones.keys().next().cloned(),
+            (None, true) => {
+                self.zones.iter().min_by_key(|zone| zones.get(*zone).copied().unwrap_or(0)).cloned()
+            }
+            (None, false) => None,
+        };
+        (here, zone.map(|z| z.to_string()))
+    }
+
+    /// Where a job stands and why it waits.
+    pub fn explain(&self, id: JobId) -> Option<String> {
+        let job = self.jobs.get(&id)?;
+        let waiting: Vec<String> = self
+            .queue
+            .keys()
+            .filter(|key| key.job() == id)
+            .take(3)
+            .filter_map(|key| {
+                let (which, failures) = self.queue.whereabouts(key)?;
+                Some(format!("{which:?} after {failures} failures"))
+            })
+            .collect();
+        let reason = if !self.quota_room(job, 1) { "the team's limit is reached" } else { "" };
+        let stopping = job.placed.values().filter(|p| p.stop.is_some()).count();
+        Some(format!(
+            "{} done, {} placed ({} running, {stopping} stopping) of {}; \
+             cancelled: {}, ending: {}, guaranteed: {}; queued: [{}] {reason}",
+            job.done_count(),
+            job.placed.len(),
+            job.running_count(),
+            job.spec.tasks,
+            job.cancelled,
+            job.finishing,
+            job.guaranteed,
+            waiting.join(", "),
+        ))
+    }
+
     /// A line for the log: how full the share is and what waits.
     pub fn describe(&self, partition: model::PartitionId, now: Moment) {
         let (mut up, mut spot, mut capacity, mut used, mut fetching) = (0, 0, 0, 0, 0);
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -4,7 +4,7 @@
 use crate::machine::Machine;
 use model::{
     Attempt, JobId, JobKind, JobSpec, MachineName, Moment, Priority, Resources, Span, TaskId,
-    TeamName, Token,
+    TeamName, Token, ZoneName,
 };
 use queue::{QueueConfig, SchedulingQueue};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -61,6 +61,15 @@
     pub used: Resources,
 }
 
+/// Machines that take nothing of lower rank while a gang waits for room on them: otherwise
+/// smaller tasks would take each freed slice and the gang would never start.
+#[derive(Debug, Clone)]
+pub(crate) struct GangHold {
+    pub job: JobId,
+    pub machines: BTreeSet<MachineName>,
+    pub until: Moment,
+}
+
 /// What a ledger round holds, to be confirmed when it is durable.
 #[derive(Debug, Clone, Default)]
 pub struct Written {
@@ -76,6 +85,10 @@
     pub gang_peer: Span,
     /// Until when a predecessor may have answered any machine.
     pub entitled_until: Moment,
+    /// Zones in which machines can be had, the nearest first.
+    pub zones: Vec<ZoneName>,
+    /// Machines kept for a gang that has failed to fit.
+    pub(crate) gang_hold: Option<GangHold>,
     pub jobs: BTreeMap<JobId, Job>,
     pub machines: BTreeMap<MachineName, Machine>,
     pub teams: HashMap<TeamName, TeamUse>,
@@ -111,6 +124,8 @@
             lease,
             gang_peer,
             entitled_until: Moment::default(),
+            zones: Vec::new(),
+            gang_hold: None,
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             teams: teams
--- /dev/null
+++ b/crates/testkit/src/cloud.rs
@@ -0,0 +1,151 @@
+//! Stand-in of the cloud.
+
+use rand::rngs::SmallRng;
+use rand::Rng;
+use std::collections::{BTreeMap, HashMap};
+use wire::cloud::{
+    CloudReply, CloudRequest, ListedMachine, MachineList, MachineState, MachineType, MachineTypes,
+};
+
+/// A rented machine.
+#[derive(Debug, Clone)]
+pub struct Rented {
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub rented_at: u64,
+    pub up_at: Option<u64>,
+    pub gone_at: Option<u64>,
+}
+
+/// The cloud.
+#[derive(Debug)]
+pub struct Cloud {
+    pub types: Vec<MachineType>,
+    pub machines: BTreeMap<String, Rented>,
+    requests: HashMap<String, Vec<String>>,
+    capacity: BTreeMap<(String, bool), u32>,
+    next: u64,
+    lag: u64,
+}
+
+impl Cloud {
+    /// A cloud with one small type in two zones.
+    pub fn new(zones: &[&str], per_zone: u32) -> Self {
+        let mut capacity = BTreeMap::new();
+        for zone in zones {
+            capacity.insert(((*zone).to_owned(), false), per_zone);
+            capacity.insert(((*zone).to_owned(), true), 2);
+        }
+        Cloud {
+            types: vec![MachineType {
+                name: "m4".into(),
+                cpus: 4.0,
+                gpus: 0.0,
+                memory_gb: 16.0,
+                cache_gb: 40.0,
+                fetch_gb_per_s: 1.0,
+                price: 0.2,
+                spot_price: 0.06,
+                boot_s: 5.0,
+                zones: zones.iter().map(|z| (*z).to_owned()).collect(),
+            }],
+            machines: BTreeMap::new(),
+            requests: HashMap::new(),
+            capacity,
+            next: 0,
+            lag: 6_000,
+        }
+    }
+
+    fn used(&self, zone: &str, spot: bool) -> u32 {
+        let lives = |m: &&Rented| m.gone_at.is_none() && m.zone == zone && m.spot == spot;
+        self.machines.values().filter(lives).count() as u32
+    }
+
+    /// Executes a request; returns it with the machines released.
+    pub fn execute(
+        &mut self,
+        now: u64,
+        request: &CloudRequest,
+        rng: &mut SmallRng,
+    ) -> (CloudReply, Vec<String>) {
+        match request {
+            CloudRequest::Types => {
+                (CloudReply::Types(MachineTypes { types: self.types.clone() }), Vec::new())
+            }
+            CloudRequest::Rent(rent) => {
+                if let Some(names) = self.requests.get(&rent.request) {
+                    return (CloudReply::Rented(names.clone()), Vec::new());
+                }
+                let limit =
+                    self.capacity.get(&(rent.zone.clone(), rent.spot)).copied().unwrap_or(0);
+                let free = limit.saturating_sub(self.used(&rent.zone, rent.spot));
+                let count = free.min(rent.count);
+                if count == 0 {
+                    return (CloudReply::NoCapacity, Vec::new());
+                }
+                let names: Vec<String> = (0..count)
+                    .map(|_| {
+                        self.next += 1;
+                        let name = format!("host-{:06}", self.next);
+                        let never = rng.random_bool(0.03);
+                        let boot = rng.random_range(2_000..8_000);
+                        let machine = Rented {
+                            machine_type: rent.machine_type.clone(),
+                            zone: rent.zone.clone(),
+                            spot: rent.spot,
+                            rented_at: now,
+                            up_at: (!never).then_some(now + boot),
+                            gone_at: None,
+                        };
+                        self.machines.insert(name.clone(), machine);
+                        name
+                    })
+                    .collect();
+                self.requests.insert(rent.request.clone(), names.clone());
+                (CloudReply::Rented(names), Vec::new())
+            }
+            CloudRequest::Release(names) => {
+                let mut gone = Vec::new();
+                for name in names {
+                    if let Some(machine) = self.machines.get_mut(name) {
+                        if machine.gone_at.is_none() {
+                            machine.gone_at = Some(now);
+                            gone.push(name.clone());
+                        }
+                    }
+                }
+                (CloudReply::Released, gone)
+            }
+            CloudRequest::List { after, limit } => {
+                let then = now.saturating_sub(rng.random_range(self.lag / 2..self.lag * 2));
+                let mut machines: Vec<ListedMachine> = self
+                    .machines
+                    .iter()
+                    .filter(|(name, m)| {
+                        name.as_str() > after.as_str()
+                            && m.rented_at <= then
+                            && m.gone_at.is_none_or(|at| at > then)
+                    })
+                    .map(|(name, m)| ListedMachine {
+                        id: name.clone(),
+                        address: format!("{name}:9000"),
+                        machine_type: m.machine_type.clone(),
+                        zone: m.zone.clone(),
+                        spot: m.spot,
+                        state: if m.up_at.is_some_and(|at| at <= then) {
+                            MachineState::Running
+                        } else {
+                            MachineState::Booting
+                        },
+                        age_s: (then - m.rented_at) as f64 / 1000.0,
+                    })
+                    .collect();
+                let more = machines.len() > *limit as usize;
+                machines.truncate(*limit as usize);
+                (CloudReply::List(MachineList { machines, more }), Vec::new())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/rules.rs
@@ -0,0 +1,162 @@
+//! The rules of the protocols, checked from what workers do and users are told.
+
+use crate::worker::Worker;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use wire::users::{JobRequest, JobState};
+
+/// A broken rule.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Broken {
+    pub rule: &'static str,
+    pub what: String,
+    pub at: u64,
+}
+
+/// What users were told and what has run.
+#[derive(Debug, Default)]
+pub struct Rules {
+    pub broken: Vec<Broken>,
+    pub started: u64,
+    pub accepted: BTreeMap<String, u64>,
+    pub done_told: BTreeMap<String, u64>,
+    pub cancelled_told: BTreeMap<String, u64>,
+    pub cancel_asked: BTreeSet<String>,
+    pub done_tasks: BTreeSet<String>,
+}
+
+impl Rules {
+    fn broke(&mut self, rule: &'static str, what: impl Into<String>, at: u64) {
+        self.broken.push(Broken { rule, what: what.into(), at });
+    }
+
+    /// A task got its image on a machine.
+    pub fn started(
+        &mut self,
+        task: &str,
+        on: &Worker,
+        workers: &BTreeMap<String, Worker>,
+        jobs: &BTreeMap<String, JobRequest>,
+        now: u64,
+    ) {
+        self.started += 1;
+        let id = task.split('/').next().unwrap_or_default();
+        let Some(job) = jobs.get(id) else {
+            self.broke("wrong_place", format!("{task} was never submitted"), now);
+            return;
+        };
+        let present = |w: &Worker, name: &str| {
+            !w.dead && w.tasks.iter().any(|((t, _), held)| t == name && held.present())
+        };
+        for other in workers.values().filter(|w| w.name != on.name) {
+            if present(other, task) {
+                let what = format!("{task} on {} and {}", on.name, other.name);
+                self.broke("ran_twice", what, now);
+            }
+        }
+        let zone_ok = job.zone.as_ref().is_none_or(|z| *z == on.zone);
+        let type_ok = job.types.as_ref().is_none_or(|t| t.contains(&on.machine_type));
+        if !zone_ok || !type_ok || (on.spot && !job.spot) {
+            self.broke("wrong_place", format!("{task} on {}", on.name), now);
+        }
+        let mut zones: HashMap<&str, u64> = HashMap::new();
+        for worker in workers.values().filter(|w| !w.dead) {
+            for ((other, _), held) in &worker.tasks {
+                if held.present() && other.split('/').next() == Some(id) {
+                    *zones.entry(&worker.zone).or_default() += 1;
+                }
+            }
+        }
+        let limit = job.tasks.div_ceil(2);
+        if job.one_zone && zones.len() > 1 {
+            self.broke("wrong_place", format!("{task}: together in {zones:?}"), now);
+        }
+        if job.spread && zones.get(on.zone.as_str()).is_some_and(|n| *n > limit) {
+            self.broke("wrong_place", format!("{task}: spread in {zones:?}"), now);
+        }
+        self.check_cancelled(task, now, 30_000);
+    }
+
+    fn check_cancelled(&mut self, task: &str, now: u64, cancel: u64) {
+        let id = task.split('/').next().unwrap_or_default();
+        if let Some(told) = self.cancelled_told.get(id) {
+            if now > told + cancel {
+                self.broke("ran_cancelled", task, now);
+            }
+        }
+    }
+
+    /// What must hold at every moment.
+    pub fn check(
+        &mut self,
+        workers: &BTreeMap<String, Worker>,
+        jobs: &BTreeMap<String, JobRequest>,
+        limits: &BTreeMap<String, f64>,
+        cancel: u64,
+        now: u64,
+    ) {
+        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
+        for worker in workers.values().filter(|w| !w.dead) {
+            for ((task, _), held) in &worker.tasks {
+                if !held.present() {
+                    continue;
+                }
+                let Some(job) = jobs.get(task.split('/').next().unwrap_or_default()) else {
+                    continue;
+                };
+                *used.entry(&job.team).or_default() += job.cpus;
+                self.check_cancelled(task, now, cancel);
+            }
+        }
+        for (team, cpus) in used {
+            if limits.get(team).is_some_and(|limit| cpus > limit + 1e-6) {
+                self.broke("quota", format!("{team} uses {cpus}"), now);
+            }
+        }
+    }
+
+    /// A user who asked at `asked` was given a status.
+    pub fn told(
+        &mut self,
+        id: &str,
+        state: JobState,
+        jobs: &BTreeMap<String, JobRequest>,
+        asked: u64,
+        now: u64,
+    ) {
+        let before = |told: &BTreeMap<String, u64>| told.get(id).is_some_and(|at| *at < asked);
+        let Some(job) = jobs.get(id) else {
+            self.broke("invented", id, now);
+            return;
+        };
+        match state {
+            JobState::Done => {
+                let all = (0..job.tasks).all(|i| self.done_tasks.contains(&format!("{id}/{i}")));
+                if !all {
+                    self.broke("not_done", id, now);
+                }
+                if self.cancelled_told.contains_key(id) {
+                    self.broke("went_back", format!("{id}: cancelled, then done"), now);
+                }
+                self.done_told.entry(id.to_owned()).or_insert(now);
+            }
+            JobState::Cancelled => {
+                if !self.cancel_asked.contains(id) || self.done_told.contains_key(id) {
+                    self.broke("went_back", format!("{id} is called cancelled"), now);
+                }
+                self.cancelled_told.entry(id.to_owned()).or_insert(now);
+            }
+            JobState::Queued | JobState::Running => {
+                if before(&self.done_told) || before(&self.cancelled_told) {
+                    self.broke("went_back", format!("{id} is open again"), now);
+                }
+            }
+        }
+    }
+
+    /// A user was told that there is no such job.
+    pub fn told_missing(&mut self, id: &str, asked: u64, now: u64) {
+        if self.accepted.get(id).is_some_and(|at| *at < asked) {
+            self.broke("forgotten", id, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/worker.rs
@@ -0,0 +1,318 @@
+//! Stand-in of a worker.
+
+use std::collections::{BTreeMap, BTreeSet};
+use wire::users::{JobKind, JobRequest};
+use wire::workers::{Command, ExitCause, Report, ReportAnswer, TaskReport, TaskState};
+
+/// A task on the machine.
+#[derive(Debug, Clone)]
+pub struct Held {
+    pub state: TaskState,
+    pub why: Option<ExitCause>,
+    pub image_at: u64,
+    pub done_at: Option<u64>,
+}
+
+impl Held {
+    /// Whether the task counts as being on its machine.
+    pub fn present(&self) -> bool {
+        !matches!(self.state, TaskState::Fetching | TaskState::Exited)
+    }
+}
+
+/// A task and its attempt.
+pub type Key = (String, u64);
+
+/// Something that happened on the worker and that the rules look at.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Happened {
+    Started(String),
+    Done(String),
+}
+
+/// The worker of one machine.
+#[derive(Debug)]
+pub struct Worker {
+    pub name: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub session: u64,
+    seq: u64,
+    pub token: u64,
+    pub tasks: BTreeMap<Key, Held>,
+    images: BTreeSet<String>,
+    /// Sending time of the last answered report, or the begin of the session.
+    lease_from: u64,
+    pub node: usize,
+    /// The report in flight: its number, its sending time, its session.
+    pub in_flight: Option<(u64, u64, u64)>,
+    pub next_report: u64,
+    pub last_report: u64,
+    pub changed: bool,
+    pub hangs_until: u64,
+    pub dead: bool,
+    /// Tasks that were completed here; their results are kept.
+    results: BTreeSet<String>,
+    pub fails_everything: bool,
+    gang_wait: u64,
+    gangs: BTreeMap<Key, u64>,
+}
+
+impl Worker {
+    /// A worker that begins now.
+    pub fn new(name: &str, machine_type: &str, zone: &str, spot: bool, now: u64) -> Self {
+        Worker {
+            name: name.into(),
+            machine_type: machine_type.into(),
+            zone: zone.into(),
+            spot,
+            session: 1,
+            seq: 0,
+            token: 0,
+            tasks: BTreeMap::new(),
+            images: BTreeSet::new(),
+            lease_from: now,
+            node: 0,
+            in_flight: None,
+            next_report: now,
+            last_report: 0,
+            changed: false,
+            hangs_until: 0,
+            dead: false,
+            results: BTreeSet::new(),
+            fails_everything: false,
+            gang_wait: 45_000,
+            gangs: BTreeMap::new(),
+        }
+    }
+
+    /// The next message about the machine.
+    pub fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.name.clone(),
+            address: format!("{}:9000", self.name),
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|((task, attempt), held)| TaskReport {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    state: held.state,
+                    why: held.why,
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    /// Ends the session if the lease has run out.
+    pub fn check_lease(&mut self, now: u64, lease: u64) {
+        if now > self.lease_from + lease {
+            self.session += 1;
+            self.tasks.clear();
+            self.gangs.clear();
+            self.lease_from = now;
+            self.changed = true;
+        }
+    }
+
+    /// An answer to the report numbered `number`. False if it is dropped.
+    pub fn answered(
+        &mut self,
+        number: u64,
+        answer: &ReportAnswer,
+        now: u64,
+        jobs: &BTreeMap<String, JobRequest>,
+    ) -> bool {
+        let Some((current, sent, session)) = self.in_flight else { return false };
+        if current != number {
+            return false;
+        }
+        self.in_flight = None;
+        if answer.token < self.token || session != self.session {
+            return false;
+        }
+        self.raise(answer.token);
+        self.lease_from = self.lease_from.max(sent);
+        for command in &answer.commands {
+            self.execute(command, now, jobs);
+        }
+        true
+    }
+
+    fn raise(&mut self, token: u64) {
+        if token > self.token {
+            self.token = token;
+            self.changed = true;
+        }
+    }
+
+    /// Direct commands; true if executed.
+    pub fn direct(
+        &mut self,
+        token: u64,
+        session: u64,
+        commands: &[Command],
+        now: u64,
+        jobs: &BTreeMap<String, JobRequest>,
+    ) -> bool {
+        if token < self.token || session != self.session {
+            return false;
+        }
+        self.raise(token);
+        for command in commands {
+            self.execute(command, now, jobs);
+        }
+        true
+    }
+
+    fn execute(&mut self, command: &Command, now: u64, jobs: &BTreeMap<String, JobRequest>) {
+        match command {
+            Command::Start { task, attempt } => {
+                let key = (task.clone(), *attempt);
+                if self.tasks.contains_key(&key) {
+                    return;
+                }
+                self.changed = true;
+                let id = task.split('/').next().unwrap_or_default();
+                let exited = |why| Held {
+                    state: TaskState::Exited,
+                    why: Some(why),
+                    image_at: 0,
+                    done_at: None,
+                };
+                let Some(job) = jobs.get(id) else {
+                    self.tasks.insert(key, exited(ExitCause::Unknown));
+                    return;
+                };
+                let busy = self
+                    .tasks
+                    .iter()
+                    .any(|((other, _), held)| other == task && held.state != TaskState::Exited);
+                if busy {
+                    self.tasks.insert(key, exited(ExitCause::Busy));
+                    return;
+                }
+                let live = self.tasks.iter().filter(|(_, h)| h.state != TaskState::Exited);
+                let used: f64 = live
+                    .filter_map(|((other, _), _)| jobs.get(other.split('/').next()?))
+                    .map(|j| j.cpus)
+                    .sum();
+                if used + job.cpus > 4.0 {
+                    self.tasks.insert(key, exited(ExitCause::NoRoom));
+                    return;
+                }
+                let fetch = if self.images.contains(&job.image) {
+                    0
+                } else {
+                    (job.image_gb * 1000.0) as u64
+                };
+                self.tasks.insert(
+                    key,
+                    Held {
+                        state: TaskState::Fetching,
+                        why: None,
+                        image_at: now + fetch,
+                        done_at: None,
+                    },
+                );
+            }
+            Command::Stop { task, attempt, .. } => {
+                if let Some(held) = self.tasks.get_mut(&(task.clone(), *attempt)) {
+                    if held.state != TaskState::Exited {
+                        held.state = TaskState::Exited;
+                        held.why = Some(ExitCause::Stopped);
+                        self.changed = true;
+                    }
+                }
+            }
+            Command::Forget { task, attempt } => {
+                let key = (task.clone(), *attempt);
+                if self.tasks.get(&key).is_some_and(|h| h.state == TaskState::Exited) {
+                    self.tasks.remove(&key);
+                }
+            }
+        }
+    }
+
+    /// Lets tasks go on. A gang's tasks start through [`Worker::start_gang`].
+    pub fn advance(
+        &mut self,
+        now: u64,
+        jobs: &BTreeMap<String, JobRequest>,
+        run_ms: impl Fn(&str) -> u64,
+    ) -> Vec<Happened> {
+        let mut happened = Vec::new();
+        for ((task, attempt), held) in &mut self.tasks {
+            let Some(job) = jobs.get(task.split('/').next().unwrap_or_default()) else { continue };
+            if held.state == TaskState::Fetching && now >= held.image_at {
+                self.images.insert(job.image.clone());
+                happened.push(Happened::Started(task.clone()));
+                self.changed = true;
+                if self.fails_everything {
+                    held.state = TaskState::Exited;
+                    held.why = Some(ExitCause::Error);
+                    continue;
+                }
+                if self.results.contains(task) {
+                    held.state = TaskState::Exited;
+                    held.why = Some(ExitCause::Done);
+                    continue;
+                }
+                if job.kind == JobKind::Gang {
+                    held.state = TaskState::Waiting;
+                    self.gangs.insert((task.clone(), *attempt), now);
+                } else {
+                    held.state = TaskState::Running;
+                    if job.kind == JobKind::Array {
+                        held.done_at = Some(now + run_ms(task));
+                    }
+                }
+            }
+            if held.state == TaskState::Waiting {
+                let since = self.gangs.get(&(task.clone(), *attempt)).copied().unwrap_or(now);
+                if now > since + self.gang_wait {
+                    held.state = TaskState::Exited;
+                    held.why = Some(ExitCause::Alone);
+                    self.changed = true;
+                }
+            }
+            // A gang's tasks end together, see `World::step_gangs`.
+            if job.kind == JobKind::Array
+                && held.state == TaskState::Running
+                && held.done_at.is_some_and(|at| now >= at)
+            {
+                held.state = TaskState::Exited;
+                held.why = Some(ExitCause::Done);
+                self.results.insert(task.clone());
+                happened.push(Happened::Done(task.clone()));
+                self.changed = true;
+            }
+        }
+        happened
+    }
+
+    /// A gang's task starts or ends with the others.
+    pub fn set_gang(&mut self, key: &Key, state: TaskState, why: Option<ExitCause>) {
+        if let Some(held) = self.tasks.get_mut(key) {
+            held.state = state;
+            held.why = why;
+            self.changed = true;
+        }
+    }
+
+    /// Whether a report is due.
+    pub fn report_due(&self, now: u64) -> bool {
+        self.in_flight.is_none()
+            && (now >= self.next_report || (self.changed && now >= self.last_report + 500))
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/world.rs
@@ -0,0 +1,1001 @@
+//! The world: a queue of events in simulated time, a network, and real [`Node`]s.
+
+use crate::cloud::Cloud;
+use crate::rules::Rules;
+use crate::state::StateService;
+use crate::worker::{Happened, Worker};
+use coordination::node::DirectReply;
+use coordination::{Effect, Event, Node, ReportReply, UserReply, UserRequest};
+use model::{CallId, JobId, Moment, NodeName, Settings};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet};
+use wire::cloud::{CloudReply, CloudRequest};
+use wire::mesh::MeshMessage;
+use wire::state::{StateReply, StateRequest, Write};
+use wire::users::{JobKind, JobRequest, JobState, Priority};
+use wire::workers::{DirectCommands, ExitCause, Report, TaskState};
+
+/// A trouble at a time.
+#[derive(Debug, Clone)]
+pub enum Fault {
+    /// Ends a node without a word; it is back after `back` ms.
+    Crash { node: usize, back: u64 },
+    /// Cuts a node from the state service.
+    CutState { node: usize, ms: u64 },
+    /// The state service refuses one node, or all.
+    Refuse { node: Option<usize>, ms: u64 },
+    /// Cuts a node from workers.
+    CutWorkers { node: usize, ms: u64 },
+    /// Cuts a node from the other nodes.
+    CutMesh { node: usize, ms: u64 },
+    /// Cuts two zones from each other.
+    CutZones { ms: u64 },
+    /// A machine loses the network.
+    CutMachine { nth: usize, ms: u64 },
+    /// A machine hangs.
+    Hang { nth: usize, ms: u64 },
+    /// A machine ends.
+    Kill { nth: usize },
+    /// A machine fails every task.
+    Sick { nth: usize },
+    /// The cloud's interface is down.
+    CloudOutage { ms: u64 },
+}
+
+/// A safety step that is deliberately broken, to show that the checker would tell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sabotage {
+    /// Rounds are reported as written but are not.
+    RoundsNotWritten,
+    /// Conditions on the partition are ignored.
+    NoFencing,
+    /// Controllers believe in leases much shorter than the workers'.
+    ShortLease,
+    /// Controllers believe that cancelling may take minutes.
+    LongCancel,
+    /// Workers take answers that bear an old token.
+    TokensIgnored,
+    /// The ends of jobs are reported as written but are not.
+    EndsNotWritten,
+}
+
+/// What a run consists of.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    pub seed: u64,
+    pub ms: u64,
+    pub faults: Vec<(u64, Fault)>,
+    pub sabotage: Option<Sabotage>,
+    /// Users stop submitting after this time.
+    pub submit_ms: u64,
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    State { node: usize, life: u64, call: CallId, request: StateRequest },
+    Cloud { node: usize, life: u64, call: CallId, request: CloudRequest },
+    Node { node: usize, life: u64, event: Event },
+    Report { node: usize, machine: String, number: u64, report: Box<Report> },
+    ReportAnswer { machine: String, number: u64, node: usize, reply: ReportReply },
+    Direct { node: usize, life: u64, call: CallId, machine: String, body: DirectCommands },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+enum Place {
+    Node(usize),
+    State,
+    Cloud,
+    Machine(u64),
+}
+
+#[derive(Debug)]
+enum Happening {
+    Tick { node: usize, life: u64 },
+    Deliver(Box<Message>),
+    Timeout { node: usize, life: u64, call: CallId, event: Box<Event> },
+    WatchEnds { node: usize, life: u64, call: CallId },
+    Workers,
+    Submit,
+    Poll { id: String },
+    Cancel { id: String },
+    Boot { node: usize },
+    Fault(Fault),
+    Heal(Cut),
+    Flush,
+    Ask { request: UserRequest, id: String, tries: u32 },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Cut {
+    State(usize),
+    Refuse(Option<usize>),
+    Workers(usize),
+    Mesh(usize),
+    Zones,
+    Machine(String),
+    Cloud,
+}
+
+struct Running {
+    node: Node,
+    life: u64,
+    since: u64,
+    rate: f64,
+    ticking: u64,
+}
+
+struct Queued {
+    at: u64,
+    order: u64,
+    what: Happening,
+}
+
+impl PartialEq for Queued {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+impl Eq for Queued {}
+impl PartialOrd for Queued {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Queued {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// The workers' true lease and the true time for a cancellation.
+const LEASE: u64 = 10_000;
+const CANCEL: u64 = 30_000;
+const NODES: usize = 3;
+
+/// The world.
+pub struct World {
+    plan: Plan,
+    rng: SmallRng,
+    now: u64,
+    order: u64,
+    queue: BinaryHeap<Reverse<Queued>>,
+    nodes: Vec<Option<Running>>,
+    lives: u64,
+    state: StateService,
+    watches: Vec<(usize, u64, CallId, String, u64)>,
+    cloud: Cloud,
+    workers: BTreeMap<String, Worker>,
+    cuts: Vec<Cut>,
+    held: Vec<(Place, Place, Message)>,
+    pending: HashSet<(usize, u64, CallId)>,
+    tickets: HashMap<(usize, u64, u64), Asked>,
+    report_tickets: HashMap<(usize, u64, u64), (String, u64)>,
+    next_ticket: u64,
+    jobs: BTreeMap<String, JobRequest>,
+    next_job: u64,
+    limits: BTreeMap<String, f64>,
+    settled: BTreeSet<String>,
+    pub rules: Rules,
+}
+
+#[derive(Debug, Clone)]
+struct Asked {
+    request: UserRequest,
+    id: String,
+    tries: u32,
+    asked: u64,
+}
+
+fn settings(node: usize, sabotage: Option<Sabotage>) -> String {
+    let zone = |n: usize| if n == 1 { "b" } else { "a" };
+    let peers: String = (0..NODES)
+        .filter(|n| *n != node)
+        .map(|n| {
+            format!(
+                "[[peers]]\nmember = \"n{n}\"\nzone = \"{}\"\nendpoint = \"10.0.0.{n}:81\"\n",
+                zone(n)
+            )
+        })
+        .collect();
+    let teams: String = (0..6)
+        .map(|t| format!("[[settings.teams]]\nname = \"t{t}\"\ncpus = 4.0\ncpus_max = 6.0\n"))
+        .collect();
+    let lease = if sabotage == Some(Sabotage::ShortLease) { 1.0 } else { 10.0 };
+    let cancel = if sabotage == Some(Sabotage::LongCancel) { 300.0 } else { 30.0 };
+    format!(
+        "member = \"n{node}\"\nzone = \"{}\"\nserve_on = \"10.0.0.{node}:80\"\n\
+         mesh_addr = \"10.0.0.{node}:81\"\n{peers}\n\
+         [endpoints]\ncloud = \"10.1.0.1:1\"\nstate = \"10.1.0.2:1\"\n\
+         {teams}\n[settings.workers]\nreport_s = 2.0\nlease_s = {lease:.1}\n\
+         gang_wait_s = 45.0\ngang_peer_s = 8.0\ncancel_s = {cancel:.1}\n\
+         [settings.state]\nrps = 400.0\nwrite_rps = 40.0\nvalue_kb = 1.0\ntxn_ops = 6\n\
+         [settings.cloud]\nrps = 10.0\nlist_lag_s = 6.0\n",
+        zone(node)
+    )
+}
+
+impl World {
+    /// A world in which nothing has happened yet.
+    pub fn new(plan: Plan) -> Self {
+        let mut world = World {
+            rng: SmallRng::seed_from_u64(plan.seed),
+            now: 0,
+            order: 0,
+            queue: BinaryHeap::new(),
+            nodes: (0..NODES).map(|_| None).collect(),
+            lives: 0,
+            state: StateService::new(40.0),
+            watches: Vec::new(),
+            cloud: Cloud::new(&["a", "b"], 5),
+            workers: BTreeMap::new(),
+            cuts: Vec::new(),
+            held: Vec::new(),
+            pending: HashSet::new(),
+            tickets: HashMap::new(),
+            report_tickets: HashMap::new(),
+            next_ticket: 0,
+            jobs: BTreeMap::new(),
+            next_job: 0,
+            limits: (0..6).map(|t| (format!("t{t}"), 6.0)).collect(),
+            settled: BTreeSet::new(),
+            rules: Rules::default(),
+            plan,
+        };
+        for node in 0..NODES {
+            world.at(0, Happening::Boot { node });
+        }
+        world.at(0, Happening::Workers);
+        world.at(1_500, Happening::Submit);
+        for (at, fault) in world.plan.faults.clone() {
+            world.at(at, Happening::Fault(fault));
+        }
+        world
+    }
+
+    /// Runs to the end, or to the first broken rule.
+    pub fn run(&mut self) {
+        while let Some(Reverse(next)) = self.queue.pop() {
+            if next.at > self.plan.ms || !self.rules.broken.is_empty() {
+                break;
+            }
+            self.now = next.at;
+            self.happen(next.what);
+            self.rules.check(&self.workers, &self.jobs, &self.limits, CANCEL, self.now);
+        }
+    }
+
+    /// Prints where a job's tasks are, for the eyes of whoever looks into a run.
+    pub fn dump(&self, id: &str) {
+        for worker in self.workers.values() {
+            for ((task, attempt), held) in &worker.tasks {
+                if task.starts_with(id) {
+                    println!("{} dead={} {task} try {attempt} {held:?}", worker.name, worker.dead);
+                }
+            }
+        }
+        for running in self.nodes.iter().flatten() {
+            println!("{}", running.node.explain(id));
+        }
+    }
+
+    /// A job as it was submitted.
+    pub fn job(&self, id: &str) -> Option<&JobRequest> {
+        self.jobs.get(id)
+    }
+
+    /// Jobs that were accepted and are neither done nor cancelled by now.
+    pub fn unfinished(&self) -> Vec<String> {
+        self.rules
+            .accepted
+            .keys()
+            .filter(|id| {
+                !self.rules.done_told.contains_key(*id)
+                    && !self.rules.cancelled_told.contains_key(*id)
+            })
+            .cloned()
+            .collect()
+    }
+
+    fn at(&mut self, at: u64, what: Happening) {
+        self.order += 1;
+        self.queue.push(Reverse(Queued { at: at.max(self.now), order: self.order, what }));
+    }
+
+    fn machine(&self, name: &str) -> Place {
+        Place::Machine(name.rsplit('-').next().and_then(|n| n.parse().ok()).unwrap_or(0))
+    }
+
+    fn zone_of(&self, place: Place) -> Option<String> {
+        match place {
+            Place::Node(1) => Some("b".into()),
+            Place::Node(_) => Some("a".into()),
+            Place::Machine(n) => {
+                self.cloud.machines.get(&format!("host-{n:06}")).map(|m| m.zone.clone())
+            }
+            _ => None,
+        }
+    }
+
+    fn is_cut(&self, from: Place, to: Place) -> bool {
+        let between = |a: Place, b: Place| (from, to) == (a, b) || (from, to) == (b, a);
+        let node_machine = |n: usize| {
+            matches!((from, to), (Place::Node(x), Place::Machine(_))
+                | (Place::Machine(_), Place::Node(x)) if x == n)
+        };
+        self.cuts.iter().any(|cut| match cut {
+            Cut::State(n) => between(Place::Node(*n), Place::State),
+            Cut::Workers(n) => node_machine(*n),
+            Cut::Mesh(n) => matches!((from, to), (Place::Node(a), Place::Node(b))
+                if (a == *n) != (b == *n)),
+            Cut::Zones => match (self.zone_of(from), self.zone_of(to)) {
+                (Some(a), Some(b)) => a != b,
+                _ => false,
+            },
+            Cut::Machine(name) => {
+                let place = self.machine(name);
+                from == place || to == place
+            }
+            Cut::Refuse(_) | Cut::Cloud => false,
+        })
+    }
+
+    /// Sends a message; a cut holds it back until it heals.
+    fn send(&mut self, from: Place, to: Place, message: Message) {
+        if self.is_cut(from, to) {
+            self.held.push((from, to, message));
+            return;
+        }
+        let mut delay = self.rng.random_range(1..6);
+        if self.rng.random_bool(0.004) {
+            delay += self.rng.random_range(50..600);
+        }
+        self.at(self.now + delay, Happening::Deliver(Box::new(message)));
+    }
+
+    fn live(&self, node: usize, life: u64) -> bool {
+        self.nodes[node].as_ref().is_some_and(|r| r.life == life)
+    }
+
+    fn feed(&mut self, node: usize, event: Event) {
+        let now = self.now;
+        let Some(running) = self.nodes[node].as_mut() else { return };
+        let local = Moment(((now - running.since) as f64 * running.rate) as u64);
+        let effects = running.node.handle(local, event);
+        let life = running.life;
+        let next = running.node.next_tick();
+        let at = running.since + (next.0 as f64 / running.rate).ceil() as u64;
+        if running.ticking <= now || at < running.ticking {
+            running.ticking = at.max(now + 1);
+            let at = running.ticking;
+            self.at(at, Happening::Tick { node, life });
+        }
+        for effect in effects {
+            self.carry_out(node, life, effect);
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, life: u64, effect: Effect) {
+        match effect {
+            Effect::State { call, request, timeout } => {
+                self.pending.insert((node, life, call));
+                let event = Event::State { call, reply: StateReply::Unknown };
+                self.time_out(timeout.0, node, life, call, event);
+                let message = Message::State { node, life, call, request };
+                self.send(Place::Node(node), Place::State, message);
+            }
+            Effect::Cloud { call, request } => {
+                self.pending.insert((node, life, call));
+                let event = Event::Cloud { call, reply: CloudReply::Unknown };
+                self.time_out(4_000, node, life, call, event);
+                let message = Message::Cloud { node, life, call, request };
+                self.send(Place::Node(node), Place::Cloud, message);
+            }
+            Effect::Worker { call, address, body } => {
+                self.pending.insert((node, life, call));
+                let event = Event::Worker { call, reply: DirectReply::Unknown };
+                self.time_out(2_500, node, life, call, event);
+                let machine = address.trim_end_matches(":9000").to_owned();
+                let to = self.machine(&machine);
+                let message = Message::Direct { node, life, call, machine, body };
+                self.send(Place::Node(node), to, message);
+            }
+            Effect::Mesh { to, message } => {
+                let Some(other) = to.as_str().trim_start_matches('n').parse::<usize>().ok() else {
+                    return;
+                };
+                self.send_mesh(node, other, message);
+            }
+            Effect::User { ticket, reply } => {
+                if let Some(asked) = self.tickets.remove(&(node, life, ticket)) {
+                    self.user_answer(asked, reply);
+                }
+            }
+            Effect::Report { ticket, reply } => {
+                if let Some((machine, number)) = self.report_tickets.remove(&(node, life, ticket)) {
+                    let to = self.machine(&machine);
+                    let message = Message::ReportAnswer { machine, number, node, reply };
+                    self.send(Place::Node(node), to, message);
+                }
+            }
+        }
+    }
+
+    fn send_mesh(&mut self, node: usize, other: usize, message: MeshMessage) {
+        let Some(life) = self.nodes[other].as_ref().map(|r| r.life) else { return };
+        let event = Event::Mesh { from: NodeName::from(format!("n{node}").as_str()), message };
+        let message = Message::Node { node: other, life, event };
+        self.send(Place::Node(node), Place::Node(other), message);
+    }
+
+    fn time_out(&mut self, after: u64, node: usize, life: u64, call: CallId, event: Event) {
+        let what = Happening::Timeout { node, life, call, event: Box::new(event) };
+        self.at(self.now + after, what);
+    }
+
+    fn happen(&mut self, what: Happening) {
+        match what {
+            Happening::Tick { node, life } => {
+                if self.live(node, life) {
+                    self.feed(node, Event::Tick);
+                }
+            }
+            Happening::Deliver(message) => self.deliver(*message),
+            Happening::Timeout { node, life, call, event } => {
+                if self.live(node, life) && self.pending.remove(&(node, life, call)) {
+                    self.feed(node, *event);
+                }
+            }
+            Happening::WatchEnds { node, life, call } => {
+                let waiting =
+                    self.watches.iter().position(|w| (w.0, w.1, w.2) == (node, life, call));
+                if let Some(at) = waiting {
+                    if self.refuses(node) {
+                        return;
+                    }
+                    self.watches.remove(at);
+                    let reply = self.state.no_changes();
+                    self.state_answer(node, life, call, reply);
+                }
+            }
+            Happening::Workers => {
+                self.step_workers();
+                self.at(self.now + 50, Happening::Workers);
+            }
+            Happening::Submit => self.submit(),
+            Happening::Poll { id } => {
+                if !self.settled.contains(&id) {
+                    if let Some(job) = JobId::parse(&id) {
+                        self.ask(UserRequest::Get(job), id.clone(), 0);
+                    }
+                    self.at(self.now + 5_000, Happening::Poll { id });
+                }
+            }
+            Happening::Cancel { id } => {
+                self.rules.cancel_asked.insert(id.clone());
+                if let Some(job) = JobId::parse(&id) {
+                    self.ask(UserRequest::Cancel(job), id, 0);
+                }
+            }
+            Happening::Ask { request, id, tries } => self.ask(request, id, tries),
+            Happening::Boot { node } => self.boot(node),
+            Happening::Fault(fault) => self.fault(fault),
+            Happening::Heal(cut) => {
+                if let Some(at) = self.cuts.iter().position(|c| *c == cut) {
+                    self.cuts.remove(at);
+                }
+                if let Cut::Refuse(None) = cut {
+                    self.state.refresh_leases(self.now);
+                }
+                self.at(self.now + 1, Happening::Flush);
+            }
+            Happening::Flush => {
+                let held = std::mem::take(&mut self.held);
+                for (from, to, message) in held {
+                    self.send(from, to, message);
+                }
+            }
+        }
+    }
+
+    fn boot(&mut self, node: usize) {
+        self.lives += 1;
+        let text = settings(node, self.plan.sabotage);
+        let Ok(settings) = Settings::parse(&text) else { panic!("settings of the world") };
+        let rate = 1.0 + self.rng.random_range(-0.0005..0.0005);
+        let seed = self.rng.random();
+        self.nodes[node] = Some(Running {
+            node: Node::new(settings, seed),
+            life: self.lives,
+            since: self.now,
+            rate,
+            ticking: 0,
+        });
+        self.feed(node, Event::Tick);
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        let names: Vec<String> =
+            self.workers.values().filter(|w| !w.dead).map(|w| w.name.clone()).collect();
+        let pick = |nth: usize| names.get(nth % names.len().max(1)).cloned();
+        let (cut, ms) = match fault {
+            Fault::Crash { node, back } => {
+                self.nodes[node] = None;
+                self.watches.retain(|w| w.0 != node);
+                self.at(self.now + back, Happening::Boot { node });
+                return;
+            }
+            Fault::Hang { nth, ms } => {
+                let until = self.now + ms;
+                if let Some(worker) = pick(nth).and_then(|n| self.workers.get_mut(&n)) {
+                    worker.hangs_until = until;
+                }
+                // What is sent to it meanwhile waits.
+                match pick(nth) {
+                    Some(name) => (Cut::Machine(name), ms),
+                    None => return,
+                }
+            }
+            Fault::Kill { nth } => {
+                if let Some(name) = pick(nth) {
+                    self.end_machine(&name);
+                }
+                return;
+            }
+            Fault::Sick { nth } => {
+                if let Some(worker) = pick(nth).and_then(|n| self.workers.get_mut(&n)) {
+                    worker.fails_everything = true;
+                }
+                return;
+            }
+            Fault::CutState { node, ms } => (Cut::State(node), ms),
+            Fault::Refuse { node, ms } => (Cut::Refuse(node), ms),
+            Fault::CutWorkers { node, ms } => (Cut::Workers(node), ms),
+            Fault::CutMesh { node, ms } => (Cut::Mesh(node), ms),
+            Fault::CutZones { ms } => (Cut::Zones, ms),
+            Fault::CutMachine { nth, ms } => match pick(nth) {
+                Some(name) => (Cut::Machine(name), ms),
+                None => return,
+            },
+            Fault::CloudOutage { ms } => (Cut::Cloud, ms),
+        };
+        self.cuts.push(cut.clone());
+        self.at(self.now + ms, Happening::Heal(cut));
+    }
+
+    fn end_machine(&mut self, name: &str) {
+        if let Some(machine) = self.cloud.machines.get_mut(name) {
+            machine.gone_at.get_or_insert(self.now);
+        }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.dead = true;
+            worker.tasks.clear();
+        }
+    }
+
+    fn refuses(&self, node: usize) -> bool {
+        self.cuts.iter().any(|c| matches!(c, Cut::Refuse(n) if n.is_none_or(|n| n == node)))
+    }
+
+    fn outage(&self) -> bool {
+        self.cuts.contains(&Cut::Refuse(None))
+    }
+
+    fn state_answer(&mut self, node: usize, life: u64, call: CallId, reply: StateReply) {
+        let event = Event::State { call, reply };
+        let message = Message::Node { node, life, event };
+        self.send(Place::State, Place::Node(node), message);
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::State { node, life, call, request } => {
+                self.state_request(node, life, call, request);
+            }
+            Message::Cloud { node, life, call, request } => {
+                let reply = if self.cuts.contains(&Cut::Cloud) {
+                    CloudReply::Refused
+                } else {
+                    let (reply, gone) = self.cloud.execute(self.now, &request, &mut self.rng);
+                    for name in gone {
+                        self.end_machine(&name);
+                    }
+                    reply
+                };
+                // Now and then the answer is lost.
+                if !self.rng.random_bool(0.02) {
+                    let event = Event::Cloud { call, reply };
+                    let message = Message::Node { node, life, event };
+                    self.send(Place::Cloud, Place::Node(node), message);
+                }
+            }
+            Message::Node { node, life, event } => self.node_event(node, life, event),
+            Message::Report { node, machine, number, report } => {
+                let Some(life) = self.nodes[node].as_ref().map(|r| r.life) else { return };
+                self.next_ticket += 1;
+                let ticket = self.next_ticket;
+                self.report_tickets.insert((node, life, ticket), (machine, number));
+                self.feed(node, Event::Report { ticket, report });
+            }
+            Message::ReportAnswer { machine, number, node, reply } => {
+                self.report_answer(&machine, number, node, reply);
+            }
+            Message::Direct { node, life, call, machine, body } => {
+                let now = self.now;
+                let from = self.machine(&machine);
+                let Some(worker) = self.workers.get_mut(&machine) else { return };
+                if worker.dead {
+                    return;
+                }
+                worker.check_lease(now, LEASE);
+                worker.direct(body.token, body.session, &body.commands, now, &self.jobs);
+                let report = Box::new(worker.report());
+                let event = Event::Worker { call, reply: DirectReply::Answered(report) };
+                self.send(from, Place::Node(node), Message::Node { node, life, event });
+            }
+        }
+    }
+
+    fn node_event(&mut self, node: usize, life: u64, event: Event) {
+        let call = match &event {
+            Event::State { call, .. } | Event::Cloud { call, .. } | Event::Worker { call, .. } => {
+                Some(*call)
+            }
+            _ => None,
+        };
+        if !self.live(node, life) {
+            return;
+        }
+        if call.is_none_or(|call| self.pending.remove(&(node, life, call))) {
+            self.feed(node, event);
+        }
+    }
+
+    fn state_request(&mut self, node: usize, life: u64, call: CallId, mut request: StateRequest) {
+        if self.refuses(node) {
+            self.state_answer(node, life, call, StateReply::Refused { throttled: false });
+            return;
+        }
+        if let StateRequest::Watch { prefix, after, wait_ms } = &request {
+            match self.state.changes(prefix, *after) {
+                Some(reply) => self.state_answer(node, life, call, reply),
+                None => {
+                    self.watches.push((node, life, call, prefix.clone(), *after));
+                    let what = Happening::WatchEnds { node, life, call };
+                    self.at(self.now + wait_ms, what);
+                }
+            }
+            return;
+        }
+        let mut pretend = false;
+        if let StateRequest::Txn(txn) = &mut request {
+            let page = |w: &Write| matches!(w, Write::Put { put, .. } if put.starts_with("l/"));
+            let end = |w: &Write| matches!(w, Write::Put { put, .. } if put.starts_with("f/"));
+            match self.plan.sabotage {
+                Some(Sabotage::RoundsNotWritten) => pretend = txn.writes.iter().any(page),
+                Some(Sabotage::EndsNotWritten) => pretend = txn.writes.iter().any(end),
+                Some(Sabotage::NoFencing) => {
+                    txn.conditions
+                        .retain(|c| !c.key.starts_with("s/p/") && !c.key.starts_with("l/"));
+                }
+                _ => {}
+            }
+        }
+        let reply = if pretend {
+            StateReply::Committed { revision: 0 }
+        } else {
+            self.state.execute(self.now, &request)
+        };
+        // Now and then the answer is lost, although the request was executed.
+        if !self.rng.random_bool(0.003) {
+            self.state_answer(node, life, call, reply);
+        }
+        self.answer_watches();
+    }
+
+    fn answer_watches(&mut self) {
+        let watches = std::mem::take(&mut self.watches);
+        for (node, life, call, prefix, after) in watches {
+            match self.state.changes(&prefix, after) {
+                Some(reply) if !self.refuses(node) => self.state_answer(node, life, call, reply),
+                _ => self.watches.push((node, life, call, prefix, after)),
+            }
+        }
+    }
+
+    fn report_answer(&mut self, machine: &str, number: u64, node: usize, reply: ReportReply) {
+        let now = self.now;
+        let ignore_tokens = self.plan.sabotage == Some(Sabotage::TokensIgnored);
+        let Some(worker) = self.workers.get_mut(machine) else { return };
+        if worker.dead || worker.in_flight.map(|f| f.0) != Some(number) {
+            return;
+        }
+        worker.check_lease(now, LEASE);
+        match reply {
+            ReportReply::Answer(mut answer) => {
+                if ignore_tokens {
+                    answer.token = answer.token.max(worker.token);
+                }
+                worker.answered(number, &answer, now, &self.jobs);
+                worker.in_flight = None;
+            }
+            ReportReply::Redirect(Some(to)) => {
+                worker.in_flight = None;
+                let to: usize = to.as_str().trim_start_matches('n').parse().unwrap_or(0);
+                if to == node {
+                    worker.node = (node + 1) % NODES;
+                    worker.next_report = now + 1_000;
+                } else {
+                    worker.node = to;
+                    worker.next_report = now + self.rng.random_range(0..500);
+                }
+            }
+            ReportReply::Redirect(None) | ReportReply::Unavailable => {
+                worker.in_flight = None;
+                worker.node = (node + 1) % NODES;
+                worker.next_report = now + 1_000;
+            }
+        }
+    }
+
+    fn run_ms(seed: u64, task: &str) -> u64 {
+        let sum: u64 = task.bytes().map(u64::from).sum();
+        2_000 + (sum * 7919 + seed * 31) % 9_000
+    }
+
+    fn step_workers(&mut self) {
+        if !self.outage() {
+            self.state.expire(self.now);
+            self.answer_watches();
+        }
+        let now = self.now;
+        let up: Vec<(String, String, String, bool)> = self
+            .cloud
+            .machines
+            .iter()
+            .filter(|(name, m)| {
+                m.gone_at.is_none()
+                    && m.up_at.is_some_and(|at| at <= now)
+                    && !self.workers.contains_key(*name)
+            })
+            .map(|(n, m)| (n.clone(), m.machine_type.clone(), m.zone.clone(), m.spot))
+            .collect();
+        for (name, kind, zone, spot) in up {
+            let mut worker = Worker::new(&name, &kind, &zone, spot, now);
+            worker.node = self.rng.random_range(0..NODES);
+            self.workers.insert(name, worker);
+        }
+        let seed = self.plan.seed;
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            let Some(worker) = self.workers.get_mut(&name) else { continue };
+            if worker.dead {
+                continue;
+            }
+            // A machine that hangs does not outlive its lease either.
+            worker.check_lease(now, LEASE);
+            if worker.hangs_until > now {
+                continue;
+            }
+            let happened = worker.advance(now, &self.jobs, |task| Self::run_ms(seed, task));
+            for event in happened {
+                match event {
+                    Happened::Started(task) => {
+                        if let Some(on) = self.workers.get(&name) {
+                            self.rules.started(&task, on, &self.workers, &self.jobs, now);
+                        }
+                    }
+                    Happened::Done(task) => {
+                        self.rules.done_tasks.insert(task);
+                    }
+                }
+            }
+            self.step_report(&name);
+        }
+        self.step_gangs();
+    }
+
+    fn step_report(&mut self, name: &str) {
+        let now = self.now;
+        let from = self.machine(name);
+        let wait = self.rng.random_range(1_500..2_500);
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if let Some((_, sent, _)) = worker.in_flight {
+            if now >= sent + 4_000 {
+                worker.in_flight = None;
+                worker.node = (worker.node + 1) % NODES;
+                worker.next_report = now + 1_000;
+            }
+            return;
+        }
+        if !worker.report_due(now) {
+            return;
+        }
+        self.next_ticket += 1;
+        let number = self.next_ticket;
+        worker.in_flight = Some((number, now, worker.session));
+        worker.changed = false;
+        worker.last_report = now;
+        worker.next_report = now + wait;
+        let node = worker.node;
+        let report = Box::new(worker.report());
+        if self.nodes[node].is_none() {
+            // Refused at once.
+            worker.in_flight = None;
+            worker.node = (node + 1) % NODES;
+            worker.next_report = now + 1_000;
+            return;
+        }
+        let message = Message::Report { node, machine: name.to_owned(), number, report };
+        self.send(from, Place::Node(node), message);
+    }
+
+    /// Gangs start when all their tasks wait, end together, and notice lost members.
+    fn step_gangs(&mut self) {
+        let now = self.now;
+        let mut gangs: BTreeMap<(String, u64), Vec<(String, String, TaskState, Option<u64>)>> =
+            BTreeMap::new();
+        for worker in self.workers.values().filter(|w| !w.dead) {
+            for ((task, attempt), held) in &worker.tasks {
+                let Some((id, _)) = task.split_once('/') else { continue };
+                if self.jobs.get(id).is_some_and(|j| j.kind == JobKind::Gang) && held.present() {
+                    let entry = (worker.name.clone(), task.clone(), held.state, held.done_at);
+                    gangs.entry((id.to_owned(), *attempt)).or_default().push(entry);
+                }
+            }
+        }
+        for ((id, attempt), members) in gangs {
+            let Some(tasks) = self.jobs.get(&id).map(|j| j.tasks) else { continue };
+            let all = members.len() as u64 == tasks;
+            let waiting = members.iter().all(|m| m.2 == TaskState::Waiting);
+            let running = members.iter().any(|m| m.2 == TaskState::Running);
+            let hung: Vec<bool> = members
+                .iter()
+                .map(|m| self.workers.get(&m.0).is_some_and(|w| w.hangs_until > now))
+                .collect();
+            let whole = all && !hung.contains(&true);
+            let done = members.iter().any(|m| m.3.is_some_and(|at| now >= at));
+            let end = now + Self::run_ms(self.plan.seed, &id);
+            for ((machine, task, state, _), hangs) in members.into_iter().zip(hung) {
+                if hangs {
+                    continue;
+                }
+                let key = (task.clone(), attempt);
+                let Some(worker) = self.workers.get_mut(&machine) else { continue };
+                if whole && waiting {
+                    worker.set_gang(&key, TaskState::Running, None);
+                    if let Some(held) = worker.tasks.get_mut(&key) {
+                        held.done_at = Some(end);
+                    }
+                } else if running && whole && done {
+                    worker.set_gang(&key, TaskState::Exited, Some(ExitCause::Done));
+                    self.rules.done_tasks.insert(task);
+                } else if running && !whole && state == TaskState::Running {
+                    worker.set_gang(&key, TaskState::Exited, Some(ExitCause::PeersGone));
+                }
+            }
+        }
+    }
+
+    fn submit(&mut self) {
+        if self.now > self.plan.submit_ms {
+            return;
+        }
+        self.next_job += 1;
+        let id = format!("j-{:06}", self.next_job * 7);
+        let kind = match self.rng.random_range(0..10) {
+            0..=2 => JobKind::Service,
+            3..=4 => JobKind::Gang,
+            _ => JobKind::Array,
+        };
+        let tasks = match kind {
+            JobKind::Service => self.rng.random_range(1..3),
+            JobKind::Gang => self.rng.random_range(2..5),
+            JobKind::Array => self.rng.random_range(1..10),
+        };
+        let zone = self.rng.random_bool(0.15).then(|| "a".to_owned());
+        let together = zone.is_none() && self.rng.random_bool(0.2);
+        let job = JobRequest {
+            id: id.clone(),
+            class: "c".into(),
+            team: format!("t{}", self.rng.random_range(0..6)),
+            kind,
+            priority: match self.rng.random_range(0..3) {
+                0 => Priority::High,
+                1 => Priority::Low,
+                _ => Priority::Normal,
+            },
+            tasks,
+            cpus: 1.0,
+            gpus: 0.0,
+            memory_gb: 2.0,
+            image: format!("img-{}", self.rng.random_range(0..3)),
+            image_gb: 1.5,
+            types: None,
+            spread: zone.is_none() && !together && self.rng.random_bool(0.2),
+            zone,
+            one_zone: together,
+            spot: self.rng.random_bool(0.5),
+            estimate_s: if kind == JobKind::Service { 0.0 } else { 6.0 },
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        };
+        self.jobs.insert(id.clone(), job.clone());
+        if kind == JobKind::Service || self.rng.random_bool(0.1) {
+            let after = self.rng.random_range(10_000..50_000);
+            self.at(self.now + after, Happening::Cancel { id: id.clone() });
+        }
+        self.ask(UserRequest::Submit(Box::new(job.clone())), id.clone(), 0);
+        if self.rng.random_bool(0.1) {
+            // A retry may arrive at any later time.
+            let after = self.rng.random_range(500..40_000);
+            let request = UserRequest::Submit(Box::new(job));
+            self.at(self.now + after, Happening::Ask { request, id: id.clone(), tries: 50 });
+        }
+        if self.rng.random_bool(0.05) {
+            self.ask(UserRequest::Get(JobId(900_001)), "j-900001".into(), 0);
+        }
+        self.at(self.now + 4_000, Happening::Poll { id });
+        let pause = self.rng.random_range(700..2_800);
+        self.at(self.now + pause, Happening::Submit);
+    }
+
+    fn ask(&mut self, request: UserRequest, id: String, tries: u32) {
+        let alive: Vec<usize> = (0..NODES).filter(|n| self.nodes[*n].is_some()).collect();
+        if alive.is_empty() {
+            if tries < 60 {
+                let what = Happening::Ask { request, id, tries: tries + 1 };
+                self.at(self.now + 1_000, what);
+            }
+            return;
+        }
+        let node = alive[self.rng.random_range(0..alive.len())];
+        let Some(life) = self.nodes[node].as_ref().map(|r| r.life) else { return };
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        let asked = Asked { request: request.clone(), id, tries, asked: self.now };
+        self.tickets.insert((node, life, ticket), asked);
+        self.feed(node, Event::User { ticket, request });
+    }
+
+    fn user_answer(&mut self, asked: Asked, reply: UserReply) {
+        let Asked { request, id, tries, asked } = asked;
+        let now = self.now;
+        match reply {
+            UserReply::Created(_) => {
+                self.rules.accepted.entry(id).or_insert(now);
+            }
+            UserReply::Status(status) => {
+                if let UserRequest::Submit(_) = request {
+                    self.rules.accepted.entry(id.clone()).or_insert(now);
+                }
+                if matches!(status.state, JobState::Done | JobState::Cancelled) {
+                    self.settled.insert(id.clone());
+                }
+                self.rules.told(&id, status.state, &self.jobs, asked, now);
+            }
+            UserReply::NotFound => {
+                self.rules.told_missing(&id, asked, now);
+                if let UserRequest::Cancel(_) = request {
+                    // Its submission may still be under way.
+                    let what = Happening::Ask { request, id, tries: tries + 1 };
+                    if tries < 30 {
+                        self.at(now + 2_000, what);
+                    }
+                }
+            }
+            UserReply::Invalid(_) | UserReply::Rejected(_) => {
+                self.rules.told_missing(&id, asked, now);
+            }
+            UserReply::Busy { retry_after_s } => {
+                let again = !matches!(request, UserRequest::Get(_)) && tries < 60;
+                if again {
+                    let what = Happening::Ask { request, id, tries: tries + 1 };
+                    self.at(now + retry_after_s.max(1) * 1_000, what);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/tests/rules.rs
@@ -0,0 +1,136 @@
+//! Seeded runs of the whole in a simulated world, with the rules checked after every step.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use testkit::{Fault, Plan, Sabotage, World};
+
+/// Troubles drawn from a seed: singly, together, and overlapping.
+fn troubles(seed: u64, count: usize, from: u64, to: u64) -> Vec<(u64, Fault)> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
+    (0..count)
+        .map(|_| {
+            let at = rng.random_range(from..to);
+            let node = rng.random_range(0..3);
+            let ms = rng.random_range(3_000..40_000);
+            let nth = rng.random_range(0..20);
+            let fault = match rng.random_range(0..12) {
+                0 | 1 => Fault::Crash { node, back: rng.random_range(2_000..9_000) },
+                2 => Fault::CutState { node, ms },
+                3 => Fault::Refuse { node: Some(node), ms },
+                4 => Fault::Refuse { node: None, ms: ms.min(25_000) },
+                5 => Fault::CutWorkers { node, ms },
+                6 => Fault::CutMesh { node, ms },
+                7 => Fault::CutZones { ms },
+                8 => Fault::CutMachine { nth, ms },
+                9 => Fault::Hang { nth, ms },
+                10 => Fault::Kill { nth },
+                _ => Fault::CloudOutage { ms },
+            };
+            (at, fault)
+        })
+        .collect()
+}
+
+fn run(plan: Plan) -> World {
+    let mut world = World::new(plan);
+    world.run();
+    world
+}
+
+fn plan(seed: u64, faults: Vec<(u64, Fault)>) -> Plan {
+    Plan { seed, ms: 260_000, faults, sabotage: None, submit_ms: 150_000 }
+}
+
+#[test]
+fn quiet_days_finish_their_work() {
+    for seed in 1..=4 {
+        let world = run(plan(seed, Vec::new()));
+        assert_eq!(world.rules.broken, [], "seed {seed}");
+        assert!(world.rules.started > 100, "seed {seed}: {} starts", world.rules.started);
+        assert_eq!(world.unfinished(), Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+#[test]
+fn rules_hold_under_drawn_troubles() {
+    for seed in 1..=40 {
+        let faults = troubles(seed, 6, 20_000, 150_000);
+        let world = run(plan(seed, faults.clone()));
+        assert_eq!(world.rules.broken, [], "seed {seed}: {faults:?}");
+        assert!(world.rules.started > 50, "seed {seed}");
+    }
+}
+
+/// A fault of each kind, close together, with every node hit.
+#[test]
+fn all_controllers_at_once_and_one_after_the_other() {
+    for seed in 1..=6 {
+        let mut faults = Vec::new();
+        for node in 0..3 {
+            faults.push((60_000, Fault::Crash { node, back: 6_000 }));
+            faults.push((100_000 + node as u64 * 12_000, Fault::Crash { node, back: 7_000 }));
+        }
+        let world = run(plan(seed, faults));
+        assert_eq!(world.rules.broken, [], "seed {seed}");
+        assert_eq!(world.unfinished(), Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// The checker must be able to fail: with a safety step broken it finds a broken rule in at
+/// least one of a few runs.
+fn is_caught(sabotage: Sabotage, rules: &[&str], faults: impl Fn(u64) -> Vec<(u64, Fault)>) {
+    let mut seen = Vec::new();
+    for seed in 1..=12 {
+        let plan = Plan { sabotage: Some(sabotage), ..plan(seed, faults(seed)) };
+        let world = run(plan);
+        if let Some(broken) = world.rules.broken.first() {
+            assert!(rules.contains(&broken.rule), "{sabotage:?}: {broken:?}");
+            return;
+        }
+        seen.push(world.rules.started);
+    }
+    panic!("{sabotage:?} was not caught in {seen:?} starts");
+}
+
+fn crashes(seed: u64) -> Vec<(u64, Fault)> {
+    (0..8)
+        .map(|n| {
+            let node = ((seed + n) % 3) as usize;
+            (25_000 + n * 14_000, Fault::Crash { node, back: 6_000 })
+        })
+        .collect()
+}
+
+#[test]
+fn a_placement_that_is_not_durable_is_caught() {
+    is_caught(
+        Sabotage::RoundsNotWritten,
+        &["ran_twice", "quota", "wrong_place", "not_done", "ran_cancelled"],
+        crashes,
+    );
+}
+
+#[test]
+fn a_lease_believed_too_short_is_caught() {
+    is_caught(Sabotage::ShortLease, &["ran_twice", "quota", "wrong_place"], |_| {
+        (0..10)
+            .map(|n| (20_000 + n * 12_000, Fault::CutMachine { nth: n as usize, ms: 9_000 }))
+            .collect()
+    });
+}
+
+#[test]
+fn answering_workers_too_long_without_the_state_service_is_caught() {
+    is_caught(Sabotage::LongCancel, &["ran_cancelled"], |seed| {
+        let node = (seed % 3) as usize;
+        vec![
+            (40_000, Fault::CutState { node, ms: 100_000 }),
+            (40_000, Fault::CutMesh { node, ms: 100_000 }),
+        ]
+    });
+}
+
+#[test]
+fn an_end_that_is_not_written_is_caught() {
+    is_caught(Sabotage::EndsNotWritten, &["went_back", "forgotten", "not_done"], crashes);
+}
