--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -169,7 +169,7 @@
         if !share.observe(report, Source::Report, now) {
             return Vec::new();
         }
-        let mut commands = share.commands_for(name, Route::Answer);
+        let mut commands = share.commands_for(name, Route::Answer, now);
         if !launches {
             commands.retain(|c| !matches!(c, Command::Start { .. }));
         }
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -65,7 +65,7 @@
             return Span::ZERO;
         }
         let mut wait = Span::ZERO;
-        if self.peers.get(home).is_none() && self.now.0 < 3_000 {
+        if !self.peers.contains_key(home) && self.now.0 < 3_000 {
             // We have just started ourselves; perhaps all have.
             wait = Span(1_500);
         } else if self.peer_lives(home) {
--- a/crates/coordination/src/node/workers.rs
+++ b/crates/coordination/src/node/workers.rs
@@ -65,6 +65,7 @@
         if !self.in_contact(LAUNCH_CONTACT) {
             return;
         }
+        let now = self.now;
         let Some(holding) = self.holdings.get_mut(&partition) else { return };
         if holding.is_yielding() || holding.successor().is_some() {
             return;
@@ -73,7 +74,7 @@
         if let Some(share) = holding.share_mut() {
             for name in share.take_urgent() {
                 let Some((address, token, session)) = share.direct_terms(&name) else { continue };
-                let commands = share.commands_for(&name, Route::Direct);
+                let commands = share.commands_for(&name, Route::Direct, now);
                 if !commands.is_empty() {
                     calls.push((name, address, token, session, commands));
                 }
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -1,7 +1,7 @@
 //! What a machine is told.
 
 use crate::share::Share;
-use model::{Attempt, MachineName, Session, TaskId, Token};
+use model::{Attempt, MachineName, Moment, Session, TaskId, Token};
 use wire::workers::{Command, TaskState};
 
 /// By which way commands go.
@@ -16,7 +16,7 @@
 impl Share {
     /// Commands for a machine: launches of durable placements, stops, and forgets of tasks
     /// whose outcome is durable.
-    pub fn commands_for(&mut self, name: &MachineName, route: Route) -> Vec<Command> {
+    pub fn commands_for(&mut self, name: &MachineName, route: Route, now: Moment) -> Vec<Command> {
         let Some(machine) = self.machines.get(name) else { return Vec::new() };
         let mut commands = Vec::new();
         for stray in &machine.strays {
@@ -65,6 +65,11 @@
                 launches.push(Command::Start { task: id, attempt });
             }
         }
+        if let (Route::Direct, false, Some(machine)) =
+            (route, launches.is_empty(), self.machines.get_mut(name))
+        {
+            machine.direct_at = now;
+        }
         commands.extend(launches);
         commands
     }
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -39,6 +39,12 @@
     pub heard_at: Option<Moment>,
     /// When we answered it last.
     pub answered_at: Moment,
+    /// When we last sent it a direct launch. A session that nobody answers still lives for one
+    /// lease from its begin, and the launch named a session that had begun by then.
+    pub direct_at: Moment,
+    /// When its newest report came in, as opposed to a direct answer: only reports keep its
+    /// lease alive, so only they make it fit for new tasks.
+    pub reported_at: Option<Moment>,
     /// When the cloud takes it.
     pub notice: Option<Moment>,
     /// On its way to another partition or back to the cloud.
@@ -81,6 +87,8 @@
             seen_token: Token(0),
             heard_at: None,
             answered_at: Moment::default(),
+            direct_at: Moment::default(),
+            reported_at: None,
             notice: None,
             leaving: false,
             faulty: false,
@@ -120,11 +128,11 @@
             && !self.needs_token
             && self.notice.is_none()
             && self.seen_token <= self.token
-            && self.heard_at.is_some_and(|at| now.since(at) <= silence)
+            && self.reported_at.is_some_and(|at| now.since(at) <= silence)
     }
 
     /// Whether every task must be gone: nobody entitled has answered for a whole lease.
     pub fn lapsed(&self, now: Moment, entitled_until: Moment, lease: Span) -> bool {
-        now > self.answered_at.max(entitled_until) + lease.with_drift()
+        now > self.answered_at.max(self.direct_at).max(entitled_until) + lease.with_drift()
     }
 }
--- a/crates/scheduler/src/observe.rs
+++ b/crates/scheduler/src/observe.rs
@@ -27,10 +27,14 @@
             return false;
         }
         let first = machine.heard_at.is_none();
+        let returns = !machine.usable(now, self.policy.silence);
         machine.session = session;
         machine.seq = seq;
         machine.seen_token = machine.seen_token.max(Token(report.token));
         machine.heard_at = Some(now);
+        if source == Source::Report {
+            machine.reported_at = Some(now);
+        }
         machine.address = Some(report.address.clone());
         machine.notice = report.notice_s.map(|s| now + Span::from_secs(s));
         if first && machine.tasks.is_empty() {
@@ -51,7 +55,7 @@
             self.observe_placement(task, &name, listed.get(&task), has_token, source, now);
         }
         self.find_strays(&name, report);
-        if first {
+        if first || source == Source::Report && returns {
             self.queue.move_all(now);
         }
         true
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -153,8 +153,10 @@
             })
             .cloned()
             .collect();
-        (!events.is_empty())
-            .then(|| StateReply::Changes(Changes { revision: self.revision, events }))
+        if events.is_empty() {
+            return None;
+        }
+        Some(StateReply::Changes(Changes { revision: self.revision, events }))
     }
 
     /// The answer of a watch whose time has run out.
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -149,6 +149,9 @@
     }
 }
 
+/// A gang's task: its machine, its name, its state and when it completes.
+type Member = (String, String, TaskState, Option<u64>);
+
 /// The workers' true lease and the true time for a cancellation.
 const LEASE: u64 = 10_000;
 const CANCEL: u64 = 30_000;
@@ -834,8 +837,7 @@
     /// Gangs start when all their tasks wait, end together, and notice lost members.
     fn step_gangs(&mut self) {
         let now = self.now;
-        let mut gangs: BTreeMap<(String, u64), Vec<(String, String, TaskState, Option<u64>)>> =
-            BTreeMap::new();
+        let mut gangs: BTreeMap<(String, u64), Vec<Member>> = BTreeMap::new();
         for worker in self.workers.values().filter(|w| !w.dead) {
             for ((task, attempt), held) in &worker.tasks {
                 let Some((id, _)) = task.split_once('/') else { continue };
--- a/crates/testkit/tests/rules.rs
+++ b/crates/testkit/tests/rules.rs
@@ -134,3 +134,19 @@
 fn an_end_that_is_not_written_is_caught() {
     is_caught(Sabotage::EndsNotWritten, &["went_back", "forgotten", "not_done"], crashes);
 }
+
+/// Found by a longer sweep: reports could not come through while direct calls did, so tasks
+/// were placed on a machine whose lease counted as lapsed, and dropped again at once although
+/// their launch had been sent.
+#[test]
+fn direct_launches_outlive_a_lapsed_lease() {
+    let faults = vec![
+        (40_061, Fault::CutWorkers { node: 0, ms: 18_764 }),
+        (23_545, Fault::Refuse { node: None, ms: 25_000 }),
+        (39_271, Fault::CutWorkers { node: 1, ms: 32_358 }),
+    ];
+    for seed in [1097, 7, 8, 9, 10] {
+        let world = run(plan(seed, faults.clone()));
+        assert_eq!(world.rules.broken, [], "seed {seed}");
+    }
+}
