--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod node;
 pub mod records;
 
+pub use node::admin::{AdminReply, AdminRequest};
 pub use node::{Effect, Event, Node, ReportReply, Tuning, UserReply, UserRequest};
--- /dev/null
+++ b/crates/coordination/src/node/admin.rs
@@ -0,0 +1,349 @@
+//! Operators' requests: settings and views.
+
+use super::{Node, Purpose, Ticket, Tuning};
+use crate::budget::Importance;
+use crate::records::TUNING;
+use fleet::FleetPolicy;
+use model::Span;
+use queue::QueueConfig;
+use scheduler::Policy;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use wire::state::{StateReply, StateRequest, Txn, Write};
+
+/// What an operator asks.
+#[derive(Debug, Clone)]
+pub enum AdminRequest {
+    Settings,
+    ChangeSettings { version: u64, settings: Value },
+    Partitions,
+    Machines,
+    Queues,
+    Job(String),
+    Metrics,
+}
+
+/// An answer: a status and a body.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AdminReply {
+    pub status: u16,
+    pub body: Value,
+}
+
+impl AdminReply {
+    fn new(status: u16, body: Value) -> Self {
+        AdminReply { status, body }
+    }
+    fn error(status: u16, error: impl Into<String>) -> Self {
+        AdminReply { status, body: json!({ "error": error.into() }) }
+    }
+}
+
+/// Operators' settings as the administration API shows them. Every field is bounded so that
+/// none can loosen a rule: they change when work is tried and what is rented, never what is
+/// proven.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TuningRecord {
+    pub initial_backoff_s: f64,
+    pub max_backoff_s: f64,
+    pub leftover_s: f64,
+    pub silence_s: f64,
+    pub window: u32,
+    pub faulty_after: u32,
+    pub preempt: bool,
+    pub set_back: u64,
+    pub horizon_s: f64,
+    pub keep_idle_s: f64,
+    pub paid_s: f64,
+    pub shift_idle_s: f64,
+    pub shift_count: usize,
+    pub silent_s: f64,
+    pub boot_trust: f64,
+    pub boot_patience: u64,
+}
+
+impl Default for TuningRecord {
+    fn default() -> Self {
+        TuningRecord::from(&Tuning::default())
+    }
+}
+
+impl From<&Tuning> for TuningRecord {
+    fn from(t: &Tuning) -> Self {
+        TuningRecord {
+            initial_backoff_s: t.queue.initial_backoff.as_secs(),
+            max_backoff_s: t.queue.max_backoff.as_secs(),
+            leftover_s: t.queue.leftover.as_secs(),
+            silence_s: t.policy.silence.as_secs(),
+            window: t.policy.window,
+            faulty_after: t.policy.faulty_after,
+            preempt: t.policy.preempt,
+            set_back: t.policy.set_back,
+            horizon_s: t.fleet.horizon.as_secs(),
+            keep_idle_s: t.fleet.keep_idle.as_secs(),
+            paid_s: t.fleet.paid.as_secs(),
+            shift_idle_s: t.fleet.shift_idle.as_secs(),
+            shift_count: t.fleet.shift_count,
+            silent_s: t.fleet.silent.as_secs(),
+            boot_trust: t.fleet.boot_trust,
+            boot_patience: t.fleet.boot_patience,
+        }
+    }
+}
+
+impl TuningRecord {
+    /// Checks every field; the error names the one that is wrong.
+    pub fn check(&self) -> Result<Tuning, String> {
+        let within = |field: &str, value: f64, from: f64, to: f64| {
+            if (from..=to).contains(&value) {
+                Ok(())
+            } else {
+                Err(format!("field `{field}`: {value} must be from {from} to {to}"))
+            }
+        };
+        within("initial_backoff_s", self.initial_backoff_s, 0.01, 60.0)?;
+        within("max_backoff_s", self.max_backoff_s, self.initial_backoff_s, 600.0)?;
+        within("leftover_s", self.leftover_s, 0.1, 600.0)?;
+        within("silence_s", self.silence_s, 1.0, 60.0)?;
+        within("window", f64::from(self.window), 1.0, 100_000.0)?;
+        within("faulty_after", f64::from(self.faulty_after), 1.0, 1000.0)?;
+        within("set_back", self.set_back as f64, 0.0, 1000.0)?;
+        within("horizon_s", self.horizon_s, 1.0, 36_000.0)?;
+        within("keep_idle_s", self.keep_idle_s, 0.0, 36_000.0)?;
+        within("paid_s", self.paid_s, 0.0, 36_000.0)?;
+        within("shift_idle_s", self.shift_idle_s, 0.0, 3_600.0)?;
+        within("shift_count", self.shift_count as f64, 0.0, 1000.0)?;
+        within("silent_s", self.silent_s, 1.0, 36_000.0)?;
+        within("boot_trust", self.boot_trust, 0.1, 100.0)?;
+        within("boot_patience", self.boot_patience as f64, 1.0, 1000.0)?;
+        Ok(Tuning {
+            queue: QueueConfig {
+                initial_backoff: Span::from_secs(self.initial_backoff_s),
+                max_backoff: Span::from_secs(self.max_backoff_s),
+                leftover: Span::from_secs(self.leftover_s),
+            },
+            policy: Policy {
+                silence: Span::from_secs(self.silence_s),
+                window: self.window,
+                faulty_after: self.faulty_after,
+                preempt: self.preempt,
+                set_back: self.set_back,
+            },
+            fleet: FleetPolicy {
+                horizon: Span::from_secs(self.horizon_s),
+                keep_idle: Span::from_secs(self.keep_idle_s),
+                paid: Span::from_secs(self.paid_s),
+                shift_idle: Span::from_secs(self.shift_idle_s),
+                shift_count: self.shift_count,
+                silent: Span::from_secs(self.silent_s),
+                boot_trust: self.boot_trust,
+                boot_patience: self.boot_patience,
+            },
+        })
+    }
+}
+
+impl Node {
+    pub(super) fn on_admin(&mut self, ticket: Ticket, request: AdminRequest) {
+        let reply = match request {
+            AdminRequest::ChangeSettings { version, settings } => {
+                match self.change_settings(ticket, version, settings) {
+                    Ok(()) => return,
+                    Err(reply) => reply,
+                }
+            }
+            _ if !self.synced => AdminReply::error(503, "not in step with the state service yet"),
+            AdminRequest::Settings => AdminReply::new(200, self.settings_view()),
+            AdminRequest::Partitions => AdminReply::new(200, self.partitions_view()),
+            AdminRequest::Machines => AdminReply::new(200, self.machines_view()),
+            AdminRequest::Queues => AdminReply::new(200, self.queues_view()),
+            AdminRequest::Job(id) => {
+                AdminReply::new(200, json!({ "id": id, "stands": self.explain(&id) }))
+            }
+            AdminRequest::Metrics => AdminReply::new(200, self.metrics_view()),
+        };
+        self.reply_admin(ticket, reply);
+    }
+
+    fn reply_admin(&mut self, ticket: Ticket, reply: AdminReply) {
+        self.effects.push(super::Effect::Admin { ticket, reply });
+    }
+
+    fn settings_view(&self) -> Value {
+        let version = self.mirror.tuning.as_ref().map_or(0, |t| t.version.0);
+        json!({ "version": version, "settings": TuningRecord::from(&self.tuning) })
+    }
+
+    fn change_settings(
+        &mut self,
+        ticket: Ticket,
+        version: u64,
+        settings: Value,
+    ) -> Result<(), AdminReply> {
+        let record = TuningRecord::deserialize(&settings)
+            .map_err(|e| AdminReply::error(400, e.to_string()))?;
+        record.check().map_err(|e| AdminReply::error(400, e))?;
+        let value =
+            serde_json::to_value(record).map_err(|e| AdminReply::error(400, e.to_string()))?;
+        let txn = Txn::default().when(TUNING, version).write(Write::put(TUNING, value));
+        let purpose = Purpose::TuningWrite { ticket };
+        self.state(Importance::Rest, StateRequest::Txn(txn), purpose);
+        Ok(())
+    }
+
+    pub(super) fn on_tuning_written(&mut self, ticket: Ticket, reply: StateReply) {
+        let answer = match reply {
+            StateReply::Committed { revision } => {
+                AdminReply::new(200, json!({ "version": revision }))
+            }
+            StateReply::Conflict { .. } => AdminReply::error(409, "the version is stale"),
+            _ => AdminReply::error(503, "the state service gave no answer; read the settings"),
+        };
+        self.reply_admin(ticket, answer);
+    }
+
+    /// The record has changed: it takes effect at once on every node.
+    pub(super) fn tuning_changed(&mut self) {
+        let tuning = match &self.mirror.tuning {
+            None => Tuning::default(),
+            Some(current) => {
+                let record = TuningRecord::deserialize(&current.record);
+                match record.map_err(|e| e.to_string()).and_then(|r| r.check()) {
+                    Ok(tuning) => tuning,
+                    Err(error) => {
+                        tracing::error!(error, "the operators' settings cannot be used");
+                        return;
+                    }
+                }
+            }
+        };
+        tracing::info!("operators' settings take effect");
+        for holding in self.holdings.values_mut() {
+            if let Some(share) = holding.share_mut() {
+                share.policy = tuning.policy.clone();
+                share.queue.configure(tuning.queue);
+            }
+        }
+        self.tuning = tuning;
+    }
+
+    fn partitions_view(&self) -> Value {
+        let list: Vec<Value> = (0..self.partition_count())
+            .map(|number| {
+                let id = model::PartitionId(number);
+                let record = self.mirror.partitions.get(&id).map(|p| &p.record);
+                let own = self.holdings.get(&id).and_then(|h| h.share());
+                json!({
+                    "partition": number,
+                    "home": self.home_of(id),
+                    "holder": record.map(|r| r.holder.to_string()),
+                    "term": record.map(|r| r.term),
+                    "machines": own.map(|s| s.machines.len()),
+                    "jobs": own.map(|s| s.jobs.len()),
+                })
+            })
+            .collect();
+        json!({ "partitions": list })
+    }
+
+    fn machines_view(&self) -> Value {
+        let list: Vec<Value> = self
+            .mirror
+            .machines
+            .iter()
+            .map(|(name, m)| {
+                let own = self
+                    .holdings
+                    .get(&m.record.partition)
+                    .and_then(|h| h.share())
+                    .and_then(|s| s.machines.get(name));
+                json!({
+                    "machine": name,
+                    "record": m.record,
+                    "silent_ms": own.and_then(|m| m.reported_at).map(|at| self.now.since(at).0),
+                    "tasks": own.map(|m| m.tasks.iter().map(|t| t.to_string()).collect::<Vec<_>>()),
+                    "faulty": own.map(|m| m.faulty),
+                })
+            })
+            .collect();
+        json!({ "machines": list })
+    }
+
+    fn queues_view(&self) -> Value {
+        let list: Vec<Value> = self
+            .holdings
+            .iter()
+            .filter_map(|(id, h)| h.share().map(|s| (id, s)))
+            .map(|(id, share)| {
+                let pending: serde_json::Map<String, Value> = share
+                    .queue
+                    .pending()
+                    .iter()
+                    .map(|(which, n)| (format!("{which:?}").to_lowercase(), json!(n)))
+                    .collect();
+                json!({
+                    "partition": id,
+                    "pending": pending,
+                    "demand": share.demand(self.now).iter().map(|d| d.tasks).sum::<u64>(),
+                })
+            })
+            .collect();
+        json!({ "queues": list })
+    }
+
+    /// Numbers for the metrics page: `[name, help, [[labels], value]...]`.
+    fn metrics_view(&self) -> Value {
+        let mut pending = std::collections::BTreeMap::new();
+        let mut incoming = std::collections::BTreeMap::new();
+        for share in self.holdings.values().filter_map(|h| h.share()) {
+            for (which, n) in share.queue.pending() {
+                *pending.entry(format!("{which:?}").to_lowercase()).or_insert(0) += n as u64;
+            }
+            for ((which, cause), n) in share.queue.incoming() {
+                let key =
+                    (format!("{which:?}").to_lowercase(), format!("{cause:?}").to_lowercase());
+                *incoming.entry(key).or_insert(0u64) += n;
+            }
+        }
+        let incoming: Vec<Value> =
+            incoming.into_iter().map(|((q, e), n)| json!([q, e, n])).collect();
+        let c = &self.counters;
+        json!({
+            "pending": pending,
+            "incoming": incoming,
+            "refusals": c.refusals,
+            "counters": {
+                "takeovers": c.takeovers,
+                "hand_overs": c.hand_overs,
+                "state_calls": c.state_calls,
+                "state_writes": c.state_writes,
+                "state_refused": c.state_refused,
+                "cloud_calls": c.cloud_calls,
+                "cloud_refused": c.cloud_refused,
+            },
+            "gauges": {
+                "open_jobs": self.mirror.jobs.len(),
+                "machines": self.mirror.machines.len(),
+                "partitions_held": self.holdings.len(),
+            },
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn settings_are_checked_and_name_the_field() {
+        assert_eq!(TuningRecord::default().check(), Ok(Tuning::default()));
+        let bad = TuningRecord { max_backoff_s: 0.0, ..TuningRecord::default() };
+        assert!(bad.check().expect_err("too small").contains("max_backoff_s"));
+        let unknown = json!({ "lease_s": 3.0 });
+        assert!(TuningRecord::deserialize(&unknown)
+            .expect_err("none")
+            .to_string()
+            .contains("lease_s"));
+    }
+}
--- a/crates/coordination/src/node/mod.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! The node: its state, its events and its effects.
 
+pub mod admin;
 mod holder;
 mod leader;
 mod partitions;
@@ -9,6 +10,7 @@
 
 use crate::budget::{Bucket, Importance};
 use crate::mirror::Mirror;
+use admin::{AdminReply, AdminRequest};
 use fleet::FleetPolicy;
 use holder::Holding;
 use leader::Leader;
@@ -87,6 +89,7 @@
     Mesh { from: NodeName, message: MeshMessage },
     User { ticket: Ticket, request: UserRequest },
     Report { ticket: Ticket, report: Box<Report> },
+    Admin { ticket: Ticket, request: AdminRequest },
 }
 
 /// What the node wants done.
@@ -98,6 +101,7 @@
     Mesh { to: NodeName, message: MeshMessage },
     User { ticket: Ticket, reply: UserReply },
     Report { ticket: Ticket, reply: ReportReply },
+    Admin { ticket: Ticket, reply: AdminReply },
 }
 
 /// A user's request that waits for a read of the state service.
@@ -181,6 +185,9 @@
     },
     MachineDelete(MachineName),
     TypesWrite,
+    TuningWrite {
+        ticket: Ticket,
+    },
     Types,
     Rent {
         request: RentRequest,
@@ -335,6 +342,7 @@
             Event::Mesh { from, message } => self.on_mesh(from, message),
             Event::User { ticket, request } => self.on_user(ticket, request),
             Event::Report { ticket, report } => self.on_report(ticket, *report),
+            Event::Admin { ticket, request } => self.on_admin(ticket, request),
         }
         self.step();
         std::mem::take(&mut self.effects)
--- a/crates/coordination/src/node/sync.rs
+++ b/crates/coordination/src/node/sync.rs
@@ -120,6 +120,7 @@
             Purpose::MachineRecord { machines } => self.on_machines_recorded(&machines, &reply),
             Purpose::MachineDelete(machine) => self.on_machine_deleted(&machine),
             Purpose::TypesWrite => self.leader.types_pending = false,
+            Purpose::TuningWrite { ticket } => self.on_tuning_written(ticket, reply),
             // These go to the cloud or to workers.
             Purpose::Types
             | Purpose::Rent { .. }
@@ -213,6 +214,4 @@
             _ => self.renew_at = self.now + Span(200),
         }
     }
-
-    fn tuning_changed(&mut self) {}
 }
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -410,6 +410,7 @@
                 };
                 self.send_mesh(node, other, message);
             }
+            Effect::Admin { .. } => {}
             Effect::User { ticket, reply } => {
                 if let Some(asked) = self.tickets.remove(&(node, life, ticket)) {
                     self.user_answer(asked, reply);
--- a/crates/trackcrank/src/cli.rs
+++ b/crates/trackcrank/src/cli.rs
@@ -1,6 +1,8 @@
 //! The command line.
 
+use crate::clients::HttpClient;
 use clap::{Parser, Subcommand};
+use hyper::Method;
 use model::Settings;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -25,6 +27,64 @@
 enum Command {
     /// Check a settings file.
     Check { file: PathBuf },
+    /// Read and change a running controller's settings and views.
+    Admin {
+        /// Address of the controller, such as 10.0.0.1:8080.
+        #[arg(long, value_name = "ADDRESS")]
+        node: String,
+        #[command(subcommand)]
+        what: Admin,
+    },
+}
+
+#[derive(Subcommand)]
+enum Admin {
+    /// Show the operators' settings and their version.
+    Settings,
+    /// Change settings: a JSON object of the fields that are not to have their default.
+    Set {
+        /// The version that was read; a stale one is refused.
+        #[arg(long)]
+        version: u64,
+        settings: String,
+    },
+    /// Who holds which partition.
+    Partitions,
+    /// The machines and what runs on them.
+    Machines,
+    /// The scheduling queues.
+    Queues,
+    /// Where a job stands and why it waits.
+    Job { id: String },
+}
+
+fn administer(node: &str, what: Admin) -> Result<(), String> {
+    let (method, path, body) = match what {
+        Admin::Settings => (Method::GET, "settings".to_owned(), None),
+        Admin::Set { version, settings } => {
+            let settings: serde_json::Value =
+                serde_json::from_str(&settings).map_err(|e| format!("settings: {e}"))?;
+            let body = serde_json::json!({ "version": version, "settings": settings });
+            (Method::PUT, "settings".to_owned(), Some(body.to_string().into_bytes()))
+        }
+        Admin::Partitions => (Method::GET, "partitions".to_owned(), None),
+        Admin::Machines => (Method::GET, "machines".to_owned(), None),
+        Admin::Queues => (Method::GET, "queues".to_owned(), None),
+        Admin::Job { id } => (Method::GET, format!("jobs/{id}"), None),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| format!("cannot start the runtime: {e}"))?;
+    let path = format!("/admin/v1/{path}");
+    match runtime.block_on(HttpClient::new().plain(method, node, &path, body)) {
+        Some((200, body)) => {
+            println!("{body}");
+            Ok(())
+        }
+        Some((status, body)) => Err(format!("{status}: {body}")),
+        None => Err(format!("{node}: no answer")),
+    }
 }
 
 fn load(file: &Path) -> Result<Settings, String> {
@@ -73,6 +133,7 @@
         (_, Some(Command::Check { file })) => outcome(load(&file).map(|settings| {
             println!("{}: good, {} teams", settings.name, settings.teams.len());
         })),
+        (_, Some(Command::Admin { node, what })) => outcome(administer(&node, what)),
         (None, None) => outcome(Err("nothing to do: see --help".into())),
     }
 }
--- a/crates/trackcrank/src/main.rs
+++ b/crates/trackcrank/src/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod clients;
 mod mesh;
+mod metrics;
 mod runtime;
 mod server;
 
--- /dev/null
+++ b/crates/trackcrank/src/metrics.rs
@@ -0,0 +1,105 @@
+//! The metrics page, in Prometheus text.
+
+use prometheus::{Encoder, GaugeVec, Histogram, HistogramOpts, Opts, Registry, TextEncoder};
+use serde_json::Value;
+
+/// All metrics of the process.
+pub struct Metrics {
+    registry: Registry,
+    pending: GaugeVec,
+    incoming: GaugeVec,
+    refusals: GaugeVec,
+    totals: GaugeVec,
+    now: GaugeVec,
+    waits: Histogram,
+}
+
+fn family(name: &str, help: &str, labels: &[&str]) -> Result<GaugeVec, prometheus::Error> {
+    GaugeVec::new(Opts::new(name, help), labels)
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let waits = HistogramOpts::new(
+            "trackcrank_start_latency_seconds",
+            "Time from a job's first sight to the placement of a task",
+        )
+        .buckets(vec![0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 18.0, 30.0, 60.0, 120.0, 300.0]);
+        let metrics = Metrics {
+            registry: Registry::new(),
+            pending: family(
+                "trackcrank_pending_tasks",
+                "Entries in each scheduling queue",
+                &["queue"],
+            )?,
+            incoming: family(
+                "trackcrank_queue_incoming_tasks_total",
+                "Entries that came into each scheduling queue, by event",
+                &["queue", "event"],
+            )?,
+            refusals: family(
+                "trackcrank_refused_requests_total",
+                "Requests refused, by cause",
+                &["cause"],
+            )?,
+            totals: family("trackcrank_events_total", "Events since the start", &["event"])?,
+            now: family("trackcrank_count", "What there is now", &["of"])?,
+            waits: Histogram::with_opts(waits)?,
+        };
+        for gauge in
+            [&metrics.pending, &metrics.incoming, &metrics.refusals, &metrics.totals, &metrics.now]
+        {
+            metrics.registry.register(Box::new(gauge.clone()))?;
+        }
+        metrics.registry.register(Box::new(metrics.waits.clone()))?;
+        Ok(metrics)
+    }
+
+    /// A task was placed after so many milliseconds.
+    pub fn observe_wait(&self, ms: u64) {
+        self.waits.observe(ms as f64 / 1000.0);
+    }
+
+    /// The page, from the node's numbers.
+    pub fn page(&self, view: &Value) -> Result<String, prometheus::Error> {
+        let simple = [
+            ("pending", &self.pending),
+            ("refusals", &self.refusals),
+            ("counters", &self.totals),
+            ("gauges", &self.now),
+        ];
+        for (name, family) in simple {
+            for (label, value) in view.get(name).and_then(Value::as_object).into_iter().flatten() {
+                family.with_label_values(&[label]).set(value.as_f64().unwrap_or(0.0));
+            }
+        }
+        for entry in view.get("incoming").and_then(Value::as_array).into_iter().flatten() {
+            let text = |at: usize| entry.get(at).and_then(Value::as_str).unwrap_or_default();
+            let value = entry.get(2).and_then(Value::as_f64).unwrap_or(0.0);
+            self.incoming.with_label_values(&[text(0), text(1)]).set(value);
+        }
+        let mut page = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut page)?;
+        Ok(String::from_utf8_lossy(&page).into_owned())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_page_shows_queues_and_latencies() {
+        let metrics = Metrics::new().expect("metrics");
+        metrics.observe_wait(1_500);
+        let view = serde_json::json!({
+            "pending": { "active": 3 },
+            "incoming": [["backoff", "failure", 7]],
+        });
+        let page = metrics.page(&view).expect("page");
+        assert!(page.contains("trackcrank_pending_tasks{queue=\"active\"} 3"), "{page}");
+        assert!(page.contains("event=\"failure\",queue=\"backoff\"} 7"), "{page}");
+        assert!(page.contains("trackcrank_start_latency_seconds_bucket{le=\"2\"} 1"), "{page}");
+    }
+}
--- a/crates/trackcrank/src/runtime.rs
+++ b/crates/trackcrank/src/runtime.rs
@@ -1,9 +1,10 @@
 //! The process around the node: one loop that feeds it events and carries out its effects.
 
 use crate::clients::HttpClient;
+use crate::metrics::Metrics;
 use crate::{mesh, server};
 use coordination::node::Ticket;
-use coordination::{Effect, Event, Node, ReportReply, UserReply};
+use coordination::{AdminReply, AdminRequest, Effect, Event, Node, ReportReply, UserReply};
 use model::{Moment, NodeName, Settings};
 use rand::Rng;
 use std::collections::HashMap;
@@ -18,6 +19,7 @@
 pub enum Inbound {
     User(coordination::UserRequest, oneshot::Sender<UserReply>),
     Report(Box<wire::workers::Report>, oneshot::Sender<ReportReply>),
+    Admin(AdminRequest, oneshot::Sender<AdminReply>),
 }
 
 /// What the server may ask without going through the loop.
@@ -25,6 +27,7 @@
 pub struct Shared {
     pub inbound: mpsc::Sender<Inbound>,
     pub healthy: Arc<AtomicBool>,
+    pub metrics: Arc<Metrics>,
 }
 
 /// Serves until killed.
@@ -39,7 +42,8 @@
 async fn run(settings: Settings) -> Result<(), String> {
     let (inbound, requests) = mpsc::channel::<Inbound>(1024);
     let (events, results) = mpsc::channel::<Event>(1024);
-    let shared = Shared { inbound, healthy: Arc::new(AtomicBool::new(false)) };
+    let metrics = Arc::new(Metrics::new().map_err(|e| format!("metrics: {e}"))?);
+    let shared = Shared { inbound, healthy: Arc::new(AtomicBool::new(false)), metrics };
     mesh::listen(settings.mesh, events.clone())
         .await
         .map_err(|e| format!("mesh_addr {}: {e}", settings.mesh))?;
@@ -59,6 +63,7 @@
         peers,
         users: HashMap::new(),
         reports: HashMap::new(),
+        admins: HashMap::new(),
         next_ticket: 0,
     };
     tokio::select! {
@@ -66,7 +71,7 @@
             Ok(Err(problem)) => format!("serve_on {listen}: {problem}"),
             _ => "the server has ended".into(),
         }),
-        () = process.run(Node::new(settings, seed), requests, results, shared.healthy) => Ok(()),
+        () = process.run(Node::new(settings, seed), requests, results, shared) => Ok(()),
     }
 }
 
@@ -78,6 +83,7 @@
     peers: HashMap<NodeName, mpsc::Sender<MeshMessage>>,
     users: HashMap<Ticket, oneshot::Sender<UserReply>>,
     reports: HashMap<Ticket, oneshot::Sender<ReportReply>>,
+    admins: HashMap<Ticket, oneshot::Sender<AdminReply>>,
     next_ticket: Ticket,
 }
 
@@ -87,7 +93,7 @@
         mut node: Node,
         mut requests: mpsc::Receiver<Inbound>,
         mut results: mpsc::Receiver<Event>,
-        healthy: Arc<AtomicBool>,
+        shared: Shared,
     ) {
         let start = Instant::now();
         let now = || Moment(start.elapsed().as_millis() as u64);
@@ -102,7 +108,10 @@
             for effect in node.handle(now(), event) {
                 self.carry_out(effect);
             }
-            healthy.store(node.healthy(), Ordering::Relaxed);
+            shared.healthy.store(node.healthy(), Ordering::Relaxed);
+            for wait in node.counters.waits.drain(..) {
+                shared.metrics.observe_wait(wait);
+            }
         }
     }
 
@@ -114,6 +123,10 @@
                 self.users.insert(ticket, answer);
                 Event::User { ticket, request }
             }
+            Inbound::Admin(request, answer) => {
+                self.admins.insert(ticket, answer);
+                Event::Admin { ticket, request }
+            }
             Inbound::Report(report, answer) => {
                 self.reports.insert(ticket, answer);
                 Event::Report { ticket, report }
@@ -155,6 +168,11 @@
                     let _ = answer.send(reply);
                 }
             }
+            Effect::Admin { ticket, reply } => {
+                if let Some(answer) = self.admins.remove(&ticket) {
+                    let _ = answer.send(reply);
+                }
+            }
             Effect::Report { ticket, reply } => {
                 if let Some(answer) = self.reports.remove(&ticket) {
                     let _ = answer.send(reply);
--- a/crates/trackcrank/src/server.rs
+++ b/crates/trackcrank/src/server.rs
@@ -1,7 +1,7 @@
 //! The HTTP server for users, workers and health checks.
 
 use crate::runtime::{Inbound, Shared};
-use coordination::{ReportReply, UserReply, UserRequest};
+use coordination::{AdminReply, AdminRequest, ReportReply, UserReply, UserRequest};
 use model::JobId;
 use poem::http::StatusCode;
 use poem::listener::TcpListener;
@@ -25,6 +25,12 @@
         .at("/v1/jobs/:id", get(poll_job))
         .at("/v1/jobs/:id/cancel", post(cancel))
         .at("/hello", post(report))
+        .at("/metrics", get(metrics))
+        .at("/admin/v1/settings", get(show_settings).put(change_settings))
+        .at("/admin/v1/partitions", get(partitions))
+        .at("/admin/v1/machines", get(machines))
+        .at("/admin/v1/queues", get(queues))
+        .at("/admin/v1/jobs/:id", get(explain))
         .data(shared);
     Server::new(TcpListener::bind(address)).run(routes).await
 }
@@ -124,3 +130,74 @@
         Ok(ReportReply::Unavailable) | Err(_) => busy(1),
     }
 }
+
+/// Body of a change of the operators' settings.
+#[derive(serde::Deserialize)]
+struct ChangeSettings {
+    version: u64,
+    settings: serde_json::Value,
+}
+
+async fn administer(shared: &Shared, request: AdminRequest) -> AdminReply {
+    let (sender, answer) = oneshot::channel();
+    let refused =
+        || AdminReply { status: 503, body: serde_json::json!({ "error": "come back later" }) };
+    if shared.inbound.try_send(Inbound::Admin(request, sender)).is_err() {
+        return refused();
+    }
+    answer.await.unwrap_or_else(|_| refused())
+}
+
+async fn admin_response(shared: &Shared, request: AdminRequest) -> Response {
+    let reply = administer(shared, request).await;
+    let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    json(status, &reply.body)
+}
+
+#[handler]
+async fn show_settings(shared: Data<&Shared>) -> Response {
+    admin_response(&shared, AdminRequest::Settings).await
+}
+
+#[handler]
+async fn change_settings(body: Body, shared: Data<&Shared>) -> Response {
+    let bytes = match body.into_bytes_limit(MAX_BODY).await {
+        Ok(bytes) => bytes,
+        Err(error) => return problem(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    match serde_json::from_slice::<ChangeSettings>(&bytes) {
+        Ok(ChangeSettings { version, settings }) => {
+            admin_response(&shared, AdminRequest::ChangeSettings { version, settings }).await
+        }
+        Err(error) => problem(StatusCode::BAD_REQUEST, error.to_string()),
+    }
+}
+
+#[handler]
+async fn partitions(shared: Data<&Shared>) -> Response {
+    admin_response(&shared, AdminRequest::Partitions).await
+}
+
+#[handler]
+async fn machines(shared: Data<&Shared>) -> Response {
+    admin_response(&shared, AdminRequest::Machines).await
+}
+
+#[handler]
+async fn queues(shared: Data<&Shared>) -> Response {
+    admin_response(&shared, AdminRequest::Queues).await
+}
+
+#[handler]
+async fn explain(Path(id): Path<String>, shared: Data<&Shared>) -> Response {
+    admin_response(&shared, AdminRequest::Job(id)).await
+}
+
+#[handler]
+async fn metrics(shared: Data<&Shared>) -> Response {
+    let reply = administer(&shared, AdminRequest::Metrics).await;
+    match shared.metrics.page(&reply.body) {
+        Ok(page) => Response::builder().content_type("text/plain; version=0.0.4").body(page),
+        Err(error) => problem(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+    }
+}
