--- a/crates/coordination/src/node/admin.rs
+++ b/crates/coordination/src/node/admin.rs
@@ -53,6 +53,7 @@
     pub faulty_after: u32,
     pub preempt: bool,
     pub set_back: u64,
+    pub absorb_s: f64,
     pub horizon_s: f64,
     pub keep_idle_s: f64,
     pub paid_s: f64,
@@ -80,6 +81,7 @@
             faulty_after: t.policy.faulty_after,
             preempt: t.policy.preempt,
             set_back: t.policy.set_back,
+            absorb_s: t.policy.absorb.as_secs(),
             horizon_s: t.fleet.horizon.as_secs(),
             keep_idle_s: t.fleet.keep_idle.as_secs(),
             paid_s: t.fleet.paid.as_secs(),
@@ -109,6 +111,7 @@
         within("window", f64::from(self.window), 1.0, 100_000.0)?;
         within("faulty_after", f64::from(self.faulty_after), 1.0, 1000.0)?;
         within("set_back", self.set_back as f64, 0.0, 1000.0)?;
+        within("absorb_s", self.absorb_s, 0.0, 3_600.0)?;
         within("horizon_s", self.horizon_s, 1.0, 36_000.0)?;
         within("keep_idle_s", self.keep_idle_s, 0.0, 36_000.0)?;
         within("paid_s", self.paid_s, 0.0, 36_000.0)?;
@@ -129,6 +132,7 @@
                 faulty_after: self.faulty_after,
                 preempt: self.preempt,
                 set_back: self.set_back,
+                absorb: Span::from_secs(self.absorb_s),
             },
             fleet: FleetPolicy {
                 horizon: Span::from_secs(self.horizon_s),
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -4,7 +4,7 @@
 use crate::job::Job;
 use crate::machine::Machine;
 use crate::share::{EntryKey, Share};
-use model::{JobId, Moment, Resources, TeamName, ZoneName};
+use model::{JobId, JobKind, Moment, Resources, TeamName, ZoneName};
 use std::collections::{BTreeMap, HashMap};
 use wire::mesh::{DemandShape, MachineLoad};
 
@@ -28,6 +28,7 @@
             .filter(|m| m.usable(now, self.policy.silence))
             .map(|m| (m, m.free()))
             .collect();
+        let mut absorbed = self.turnover();
         let mut room: HashMap<TeamName, Resources> = HashMap::new();
         let mut shapes: Vec<DemandShape> = Vec::new();
         for ((_, id), tasks) in waiting {
@@ -39,7 +40,12 @@
             let tasks = tasks.min(left.holds(&per));
             *left -= per.times(tasks);
             let (here, zone) = self.room_here(job, tasks, &mut free, now);
-            let tasks = tasks - here;
+            let mut tasks = tasks - here;
+            if !job.guaranteed && job.spec.kind == JobKind::Array {
+                let soon = tasks.min(absorbed / per.milli_cpus.max(1));
+                absorbed -= soon * per.milli_cpus;
+                tasks -= soon;
+            }
             if tasks == 0 {
                 continue;
             }
@@ -75,6 +81,21 @@
         shapes
     }
 
+    /// Thousandths of CPUs that running array tasks free within the time of the policy. A team
+    /// at its limit takes its own freed room again.
+    fn turnover(&self) -> u64 {
+        let mut freed = 0;
+        for job in self.jobs.values() {
+            if job.spec.kind != JobKind::Array || !self.quota_room(job, 1) {
+                continue;
+            }
+            let running = job.placed.len() as u64 * job.spec.needs.milli_cpus;
+            let lasts = job.spec.estimate.0.max(1_000);
+            freed += (running * self.policy.absorb.0 / lasts).min(running);
+        }
+        freed
+    }
+
     /// How many of a job's waiting tasks fit into what is free, which they then take, and the
     /// zone in which room for the others is to be found if it matters.
     fn room_here(
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -45,6 +45,8 @@
     pub preempt: bool,
     /// How many times the time it takes alone a job is set back in the order.
     pub set_back: u64,
+    /// Array work that running tasks make room for within this time is no demand for machines.
+    pub absorb: Span,
 }
 
 impl Default for Policy {
