--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -51,7 +51,14 @@
 
 impl Default for Policy {
     fn default() -> Self {
-        Policy { silence: Span(4_000), window: 256, faulty_after: 2, preempt: true, set_back: 3 }
+        Policy {
+            silence: Span(4_000),
+            window: 256,
+            faulty_after: 2,
+            preempt: true,
+            set_back: 3,
+            absorb: Span(12_000),
+        }
     }
 }
 
