--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -34,6 +34,7 @@
 pub(crate) struct Holding {
     term: Token,
     version: Version,
+    since: Moment,
     /// Present once the ledger has been read.
     loaded: Option<Box<Loaded>>,
     /// Pages read so far.
@@ -69,6 +70,7 @@
         Holding {
             term,
             version,
+            since: now,
             loaded: None,
             pages: Vec::new(),
             early: HashMap::new(),
@@ -434,6 +436,7 @@
         self.write_round(partition);
         self.send_direct(partition);
         self.raise_tokens(partition);
+        self.give_up_silent(partition);
     }
 
     /// Writes what has changed, one round at a time.
@@ -630,6 +633,29 @@
         }
     }
 
+    /// Gives silent machines with replicas back to the cloud, whose confirmation proves that
+    /// everything on them is gone.
+    fn give_up_silent(&mut self, partition: PartitionId) {
+        let now = self.now;
+        let report = self.settings.workers.report;
+        let patience = Span(report.0 * 9 / 4 + 500);
+        let contact = self.in_contact(super::LAUNCH_CONTACT);
+        let Some(holding) = self.holdings.get_mut(&partition) else { return };
+        if !contact || now.since(holding.since) < patience * 2 {
+            return;
+        }
+        let Some(loaded) = holding.loaded.as_mut() else { return };
+        let mut silent = loaded.share.silent_with_replicas(now, patience);
+        silent.retain(|name| !loaded.changing.contains_key(name));
+        if let Some(name) = silent.pop() {
+            tracing::info!(machine = %name, "a machine with replicas is silent: giving it up");
+            if let Some(machine) = loaded.share.machines.get_mut(&name) {
+                machine.leaving = true;
+            }
+            self.change_machine(partition, &name, |record, _| record.leaving = true, false);
+        }
+    }
+
     /// Machines whose lost direct launches can only be voided by a higher token.
     fn raise_tokens(&mut self, partition: PartitionId) {
         let Some(holding) = self.holdings.get(&partition) else { return };
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -3,7 +3,7 @@
 use crate::job::Job;
 use crate::machine::Machine;
 use crate::share::{rank_of, EntryKey, GangHold, Share};
-use model::{JobId, MachineName, Moment, Resources, Span, TaskId, ZoneName};
+use model::{JobId, JobKind, MachineName, Moment, Resources, Span, TaskId, ZoneName};
 use std::collections::BTreeMap;
 
 /// How long machines are kept for a gang.
@@ -227,14 +227,17 @@
     together && spread
 }
 
-/// The least score is taken: first the shortest image fetch, then cheap machines for work
-/// that may use them, then the fullest machine, so that others fall idle and can be returned.
-pub(crate) fn score(job: &Job, machine: &Machine) -> (u64, bool, u64, u64) {
+/// The least score is taken: first the shortest image fetch, then cheap machines for work that
+/// may use them. Replicas stay long and pin their machine, so they go where most replicas are;
+/// arrays fill the gaps beside them, so that machines without replicas fall idle and can be
+/// returned. Last, the fullest machine.
+pub(crate) fn score(job: &Job, machine: &Machine) -> (u64, bool, u64, u64, u64) {
     let fetch_ms = if machine.has_image(&job.spec.image) {
         0
     } else {
         (job.spec.image_gb / machine.fetch_gb_per_s.max(0.01) * 1000.0) as u64
     };
     let left = machine.free().less(&job.spec.needs);
-    (fetch_ms, !machine.spot, left.milli_gpus, left.milli_cpus)
+    let replicas = machine.pinned.min(if job.spec.kind == JobKind::Service { 64 } else { 1 });
+    (fetch_ms, !machine.spot, 64 - replicas, left.milli_gpus, left.milli_cpus)
 }
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -1,6 +1,9 @@
 //! A machine of the share, as its newest report and our own doings show it.
 
-use model::{Attempt, MachineName, Moment, Resources, Seq, Session, Span, TaskId, Token, ZoneName};
+use model::{
+    Attempt, JobKind, JobSpec, MachineName, Moment, Resources, Seq, Session, Span, TaskId, Token,
+    ZoneName,
+};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use wire::cloud::MachineType;
@@ -29,6 +32,8 @@
     /// What placements take, proven gone or not.
     pub used: Resources,
     pub tasks: BTreeSet<TaskId>,
+    /// Replicas of services among them.
+    pub pinned: u64,
     /// Token that our answers bear.
     pub token: Token,
     pub session: Session,
@@ -62,6 +67,25 @@
 }
 
 impl Machine {
+    /// Counts a task in.
+    pub fn hold(&mut self, task: TaskId, spec: &JobSpec) {
+        if self.tasks.insert(task) {
+            self.used += spec.needs;
+            self.pinned += u64::from(spec.kind == JobKind::Service);
+        }
+    }
+
+    /// Counts a task out.
+    pub fn let_go(&mut self, task: TaskId, spec: &JobSpec, now: Moment) {
+        if self.tasks.remove(&task) {
+            self.used -= spec.needs;
+            self.pinned -= u64::from(spec.kind == JobKind::Service);
+            if self.tasks.is_empty() {
+                self.idle_since = now;
+            }
+        }
+    }
+
     /// A machine of which nothing is known but its record.
     pub fn new(
         name: MachineName,
@@ -81,6 +105,7 @@
             fetch_gb_per_s: kind.fetch_gb_per_s,
             used: Resources::default(),
             tasks: BTreeSet::new(),
+            pinned: 0,
             token,
             session: Session(0),
             seq: Seq(0),
--- a/crates/scheduler/src/observe.rs
+++ b/crates/scheduler/src/observe.rs
@@ -216,6 +216,23 @@
         }
     }
 
+    /// Machines with replicas that have fallen silent while most others report: having the
+    /// cloud end them lets the replicas start elsewhere sooner than waiting for their lease.
+    pub fn silent_with_replicas(&self, now: Moment, patience: Span) -> Vec<MachineName> {
+        let silent = |m: &&Machine| m.reported_at.is_some_and(|at| now.since(at) > patience);
+        let count = self.machines.values().filter(silent).count();
+        // Many at a time: the fault lies with us or with the network.
+        if count > 2.max(self.machines.len() / 5) {
+            return Vec::new();
+        }
+        self.machines
+            .values()
+            .filter(silent)
+            .filter(|m| m.pinned > 0 && !m.leaving)
+            .map(|m| m.name.clone())
+            .collect()
+    }
+
     /// Machines on which every task must be gone since nobody can have answered them for a
     /// whole lease.
     pub fn expire_leases(&mut self, now: Moment) {
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -183,8 +183,7 @@
                 team.used += job.spec.needs;
             }
             if let Some(machine) = self.machines.get_mut(&placement.machine) {
-                machine.tasks.insert(task);
-                machine.used += job.spec.needs;
+                machine.hold(task, &job.spec);
             }
             if job.spec.kind == JobKind::Gang {
                 job.gang_attempt = Some(placement.attempt);
@@ -307,11 +306,7 @@
             team.used -= needs;
         }
         if let Some(machine) = self.machines.get_mut(&placement.machine) {
-            machine.tasks.remove(&task);
-            machine.used -= needs;
-            if machine.tasks.is_empty() {
-                machine.idle_since = now;
-            }
+            machine.let_go(task, &job.spec, now);
         }
         self.dirty.insert((task.job, task.index / CHUNK));
         if job.spec.kind == JobKind::Gang {
@@ -402,11 +397,7 @@
                 team.used -= job.spec.needs;
             }
             if let Some(machine) = self.machines.get_mut(&placement.machine) {
-                machine.tasks.remove(&task);
-                machine.used -= job.spec.needs;
-                if machine.tasks.is_empty() {
-                    machine.idle_since = now;
-                }
+                machine.let_go(task, &job.spec, now);
             }
         }
         self.unsaved.retain(|(task, _)| task.job != id);
@@ -569,8 +560,7 @@
             team.used += needs;
         }
         if let Some(machine) = self.machines.get_mut(machine) {
-            machine.tasks.insert(task);
-            machine.used += needs;
+            machine.hold(task, &job.spec);
         }
         self.touch(task);
     }
