--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -9,7 +9,8 @@
 use std::collections::{BTreeSet, HashMap};
 use std::hash::Hash;
 
-/// Figures of the queue; operators may change them.
+/// Figures of the queue; operators may change them. The paper's backoff is 1 s to 10 s; ours is
+/// shorter since slots free up within seconds, see `docs/design.md` for the measurement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QueueConfig {
     /// Backoff after the first failure.
@@ -313,7 +314,11 @@
     use super::*;
 
     fn queue() -> SchedulingQueue<u32, u32> {
-        SchedulingQueue::new(QueueConfig::default())
+        SchedulingQueue::new(QueueConfig {
+            initial_backoff: Span(1_000),
+            max_backoff: Span(10_000),
+            leftover: Span(10_000),
+        })
     }
 
     #[test]
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -195,6 +195,15 @@
             .filter(|(_, p)| !self.machines.contains_key(&p.machine))
             .map(|(index, _)| TaskId { job: id, index: *index })
             .collect();
+        tracing::debug!(
+            job = %id,
+            class = job.spec.class,
+            team = %job.spec.team,
+            tasks = job.spec.tasks,
+            estimate_ms = job.spec.estimate.0,
+            deadline_ms = job.spec.deadline.map(|d| d.0),
+            "new job"
+        );
         self.jobs.insert(id, job);
         // A machine's record is deleted only after the cloud confirmed its release, so what
         // the ledger places on a machine without a record is gone.
@@ -387,6 +396,7 @@
     /// The job's end is durable, which settles the outcomes of all its tasks.
     pub fn remove_job(&mut self, id: JobId, now: Moment) {
         let Some(job) = self.jobs.remove(&id) else { return };
+        tracing::debug!(job = %id, took_ms = now.since(job.seen_at).0, "job over");
         for index in 0..job.cursor {
             self.queue.remove(EntryKey::Task(TaskId { job: id, index }));
         }
