--- a/crates/trackcrank/src/mesh.rs
+++ b/crates/trackcrank/src/mesh.rs
@@ -81,6 +81,10 @@
         let next = tokio::time::timeout(Duration::from_secs(60), frames.next()).await;
         let bytes = match next {
             Ok(Some(Ok(bytes))) => bytes,
+            Ok(Some(Err(error))) if error.kind() != std::io::ErrorKind::InvalidData => {
+                tracing::debug!(%from, %error, "a peer's connection has ended");
+                return;
+            }
             Ok(Some(Err(error))) => {
                 tracing::warn!(%from, %error, "garbage on the mesh");
                 return;
