--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -191,8 +191,7 @@
 }
 
 impl Node {
-    /// Whether a team belongs to a partition: teams are dealt out in proportion to the zones'
-    /// shares, so that a cut between zones leaves each holder with the machines next to it.
+    /// The partition of a team: teams are dealt out in the order of the settings.
     pub(super) fn partition_of_team(&self, team: &model::TeamName) -> Option<PartitionId> {
         let index = self.settings.teams.iter().position(|t| t.name == *team)?;
         Some(PartitionId(index as u32 % self.partition_count().max(1)))
--- a/crates/coordination/src/node/mod.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -16,7 +16,7 @@
 use leader::Leader;
 use model::{
     CallId, JobId, JobState, LeaseId, MachineName, Moment, NodeName, PartitionId, RejectReason,
-    Settings, Span, TaskId, ZoneName,
+    Settings, Span, TaskId, Token, ZoneName,
 };
 use queue::QueueConfig;
 use rand::rngs::SmallRng;
@@ -254,6 +254,8 @@
     requests: Bucket,
     writes: Bucket,
     holdings: BTreeMap<PartitionId, Holding>,
+    /// Terms under which partitions were handed over: they are not taken up again.
+    given_away: HashMap<PartitionId, Token>,
     acquiring: HashMap<PartitionId, Moment>,
     vacant_since: HashMap<PartitionId, Moment>,
     peers: HashMap<NodeName, PeerView>,
@@ -314,6 +316,7 @@
             requests: Bucket::new(share(limits.requests_per_s), limits.requests_per_s / count),
             writes: Bucket::new(share(limits.writes_per_s), limits.writes_per_s * 0.6),
             holdings: BTreeMap::new(),
+            given_away: HashMap::new(),
             acquiring: HashMap::new(),
             vacant_since: HashMap::new(),
             peers: HashMap::new(),
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -176,6 +176,10 @@
             return;
         }
         let term = Token(record.term);
+        // The mirror may still show what has just been handed over.
+        if self.given_away.get(&partition) == Some(&term) {
+            return;
+        }
         if self.holdings.get(&partition).is_some_and(|h| h.term() == term) {
             if let Some(holding) = self.holdings.get_mut(&partition) {
                 holding.set_version(held.version);
@@ -269,7 +273,9 @@
             StateReply::Committed { .. } => {
                 tracing::info!(%partition, %to, "handed a partition over");
                 self.counters.hand_overs += 1;
-                self.holdings.remove(&partition);
+                if let Some(holding) = self.holdings.remove(&partition) {
+                    self.given_away.insert(partition, holding.term());
+                }
             }
             // It may yet be applied.
             StateReply::Unknown => {
