--- a/crates/coordination/src/node/leader.rs
+++ b/crates/coordination/src/node/leader.rs
@@ -24,6 +24,18 @@
     writing: bool,
 }
 
+/// The record of a machine rented by this request.
+fn record_of(request: &RentRequest, partition: PartitionId) -> MachineRecord {
+    MachineRecord {
+        machine_type: request.machine_type.clone(),
+        zone: request.zone.clone(),
+        spot: request.spot,
+        partition,
+        token: 0,
+        leaving: false,
+    }
+}
+
 /// What the leader knows and has under way.
 #[derive(Debug)]
 pub(crate) struct Leader {
@@ -347,14 +359,7 @@
                 for name in names {
                     let name = MachineName::from(name.as_str());
                     self.leader.first_seen.insert(name.clone(), self.now);
-                    let record = MachineRecord {
-                        machine_type: request.machine_type.clone(),
-                        zone: request.zone.clone(),
-                        spot: request.spot,
-                        partition,
-                        token: 0,
-                        leaving: false,
-                    };
+                    let record = record_of(&request, partition);
                     self.leader.unrecorded.insert(name, Unrecorded { record, writing: false });
                 }
             }
@@ -439,14 +444,7 @@
         let asked = self.leader.renting.values().map(|(request, p)| (request, *p)).chain(retries);
         for (request, partition) in asked {
             for n in 0..request.count {
-                let record = MachineRecord {
-                    machine_type: request.machine_type.clone(),
-                    zone: request.zone.clone(),
-                    spot: request.spot,
-                    partition,
-                    token: 0,
-                    leaving: false,
-                };
+                let record = record_of(request, partition);
                 pending.push((format!("{}#{n}", request.request), record));
             }
         }
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -3,7 +3,7 @@
 use super::holder::Holding;
 use super::{Node, PeerView, Purpose};
 use crate::budget::Importance;
-use crate::records::{partition_key, CounterRecord, PartitionRecord, COUNTER};
+use crate::records::{partition_key, PartitionRecord, COUNTER};
 use model::{NodeName, PartitionId, Span, Token};
 use wire::mesh::MeshMessage;
 use wire::state::{StateReply, StateRequest, Txn, Write};
@@ -88,42 +88,41 @@
         wait + LINE * before
     }
 
-    fn counter_after(
+    /// Writes a partition's record under the next term and under its new holder's lease,
+    /// together with the counter.
+    fn partition_txn(
         &self,
         partition: PartitionId,
-        to: (NodeName, u64),
-        suspects: &[(NodeName, u64)],
-    ) -> CounterRecord {
+        version: u64,
+        record: &PartitionRecord,
+        lease: u64,
+    ) -> Txn {
         let mut counter =
             self.mirror.counter.as_ref().map(|c| c.record.clone()).unwrap_or_default();
-        counter.next = self.mirror.next_token() + 1;
-        counter.takers.insert(partition.0, to);
-        counter.suspects.insert(partition.0, suspects.to_vec());
-        counter
+        counter.next = record.term + 1;
+        counter.takers.insert(partition.0, (record.holder.clone(), record.boot));
+        counter.suspects.insert(partition.0, record.suspects.clone());
+        let key = partition_key(partition);
+        let value = serde_json::to_value(record).unwrap_or_default();
+        let count = serde_json::to_value(counter).unwrap_or_default();
+        Txn::default()
+            .when(&key, version)
+            .when(COUNTER, self.mirror.counter_version())
+            .write(Write::put_leased(&key, value, lease))
+            .write(Write::put(COUNTER, count))
     }
 
     fn acquire(&mut self, partition: PartitionId) {
         let Some((lease, _)) = self.lease else { return };
-        let suspects = self.suspects_of(partition);
-        let counter = self.counter_after(partition, (self.me().clone(), self.boot), &suspects);
         let record = PartitionRecord {
             holder: self.me().clone(),
             boot: self.boot,
             term: self.mirror.next_token(),
             // Those who may still answer, to be waited out by whoever comes after them.
-            suspects,
+            suspects: self.suspects_of(partition),
             handed: false,
         };
-        let (Ok(value), Ok(count)) = (serde_json::to_value(record), serde_json::to_value(counter))
-        else {
-            return;
-        };
-        let key = partition_key(partition);
-        let txn = Txn::default()
-            .when(&key, 0)
-            .when(COUNTER, self.mirror.counter_version())
-            .write(Write::put_leased(&key, value, lease.0))
-            .write(Write::put(COUNTER, count));
+        let txn = self.partition_txn(partition, 0, &record, lease.0);
         self.acquiring.insert(partition, self.now);
         self.state(Importance::Lease, StateRequest::Txn(txn), Purpose::Acquire(partition));
     }
@@ -241,7 +240,6 @@
         // waits until we show that we do.
         let mut suspects = holding.suspects().to_vec();
         suspects.push((self.settings.name.clone(), self.boot));
-        let counter = self.counter_after(partition, (to.clone(), boot), &suspects);
         let record = PartitionRecord {
             holder: to.clone(),
             boot,
@@ -249,16 +247,7 @@
             suspects,
             handed: true,
         };
-        let (Ok(value), Ok(count)) = (serde_json::to_value(record), serde_json::to_value(counter))
-        else {
-            return;
-        };
-        let key = partition_key(partition);
-        let txn = Txn::default()
-            .when(&key, version.0)
-            .when(COUNTER, self.mirror.counter_version())
-            .write(Write::put_leased(&key, value, lease))
-            .write(Write::put(COUNTER, count));
+        let txn = self.partition_txn(partition, version.0, &record, lease);
         let purpose = Purpose::HandOver { partition, to: to.clone() };
         self.state(Importance::Lease, StateRequest::Txn(txn), purpose);
     }
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -90,6 +90,29 @@
     }
 }
 
+impl Placement {
+    /// A placement that has just been chosen and is known to nobody else.
+    pub fn new(machine: MachineName, attempt: Attempt, now: Moment) -> Self {
+        Placement {
+            machine,
+            attempt,
+            recorded: false,
+            inherited: false,
+            launched: None,
+            in_answer: false,
+            unanswered: None,
+            seen: None,
+            stop: None,
+            placed_at: now,
+        }
+    }
+
+    /// A placement that a predecessor has recorded and may have launched.
+    pub fn inherited(machine: MachineName, attempt: Attempt, now: Moment) -> Self {
+        Placement { recorded: true, inherited: true, ..Placement::new(machine, attempt, now) }
+    }
+}
+
 impl Job {
     /// A job of which nothing has run.
     pub fn new(spec: JobSpec, order: u64, now: Moment) -> Self {
@@ -173,21 +196,8 @@
             if *at >= CHUNK || index >= self.spec.tasks || self.is_done(index) {
                 continue;
             }
-            self.placed.insert(
-                index,
-                Placement {
-                    machine: MachineName::from(machine.as_str()),
-                    attempt: Attempt(*attempt),
-                    recorded: true,
-                    inherited: true,
-                    launched: None,
-                    in_answer: false,
-                    unanswered: None,
-                    seen: None,
-                    stop: None,
-                    placed_at: now,
-                },
-            );
+            let machine = MachineName::from(machine.as_str());
+            self.placed.insert(index, Placement::inherited(machine, Attempt(*attempt), now));
         }
     }
 }
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -57,7 +57,7 @@
             faulty_after: 2,
             preempt: true,
             set_back: 3,
-            absorb: Span(12_000),
+            absorb: Span(8_000),
         }
     }
 }
@@ -549,18 +549,7 @@
         now: Moment,
     ) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        let placement = Placement {
-            machine: machine.clone(),
-            attempt,
-            recorded: false,
-            inherited: false,
-            launched: None,
-            in_answer: false,
-            unanswered: None,
-            seen: None,
-            stop: None,
-            placed_at: now,
-        };
+        let placement = Placement::new(machine.clone(), attempt, now);
         let waited = now.since(job.seen_at).0;
         tracing::debug!(%task, %machine, class = job.spec.class, waited, "placed");
         self.waits.push(waited);
