--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -426,6 +426,7 @@
         }
         let Some(loaded) = holding.loaded.as_mut() else { return };
         loaded.share.expire_leases(now);
+        loaded.share.drain_noticed(now);
         loaded.changing.retain(|_, at| now.since(*at) < Span(5_000));
         if contact {
             loaded.more_cycles = loaded.share.run_cycles(now, CYCLES);
--- a/crates/scheduler/src/observe.rs
+++ b/crates/scheduler/src/observe.rs
@@ -7,6 +7,9 @@
 use std::collections::HashMap;
 use wire::workers::{ExitCause, Report, TaskReport, TaskState};
 
+/// How long before a machine is taken its tasks are stopped, besides the time to save.
+const LAST_MOMENT: Span = Span(2_500);
+
 /// How a worker's message reached us.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
@@ -216,6 +219,34 @@
         }
     }
 
+    /// Tasks on machines that the cloud is about to take are stopped just before: those that save
+    /// get the time to, and for all of them the exit is proof at once, where a machine that is
+    /// gone would have to be waited out for a whole lease.
+    pub fn drain_noticed(&mut self, now: Moment) {
+        let mut stops = Vec::new();
+        for machine in self.machines.values() {
+            let Some(taken) = machine.notice else { continue };
+            let left = Span(taken.0.saturating_sub(now.0));
+            for task in &machine.tasks {
+                let Some(job) = self.jobs.get(&task.job) else { continue };
+                let saves = job.spec.checkpoint > Span::ZERO;
+                let needed = if saves { job.spec.save + LAST_MOMENT } else { LAST_MOMENT };
+                let stops_already = job.placed.get(&task.index).is_some_and(|p| p.stop.is_some());
+                if left <= needed && !stops_already {
+                    stops.push((*task, job.spec.kind));
+                }
+            }
+        }
+        for (task, kind) in stops {
+            if kind == JobKind::Gang {
+                self.stop_gang(task.job, now);
+            } else {
+                let grace = self.grace_of(task);
+                self.stop_task(task, grace, now);
+            }
+        }
+    }
+
     /// Machines with replicas that have fallen silent while most others report: having the
     /// cloud end them lets the replicas start elsewhere sooner than waiting for their lease.
     pub fn silent_with_replicas(&self, now: Moment, patience: Span) -> Vec<MachineName> {
--- /dev/null
+++ b/crates/scheduler/tests/share.rs
@@ -0,0 +1,175 @@
+//! A share on its own: launches, proofs, quota, preemption, notices.
+
+use model::{JobSpec, MachineName, Moment, Resources, Span, TeamName, Token, ZoneName};
+use queue::QueueConfig;
+use scheduler::{Machine, Policy, Route, Share, Source};
+use wire::cloud::MachineType;
+use wire::users::{JobKind, JobRequest, Priority};
+use wire::workers::{Command, ExitCause, Report, TaskReport, TaskState};
+
+fn share() -> Share {
+    let amounts = Resources::offered(4.0, 0.0, 0.0);
+    let teams = ["t", "u"].map(|t| (TeamName::from(t), amounts, amounts));
+    let policy = Policy::default();
+    let queue = QueueConfig::default();
+    let mut share = Share::new(teams, Span(10_000), Span(8_000), policy, queue, Token(5));
+    let kind = MachineType {
+        name: "m4".into(),
+        cpus: 4.0,
+        gpus: 0.0,
+        memory_gb: 16.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 0.5,
+        boot_s: 10.0,
+        zones: vec!["a".into()],
+    };
+    let zone = ZoneName::from("a");
+    let machine = Machine::new(MachineName::from("host-000001"), &kind, zone, false, Token(5));
+    share.add_machine(machine, Moment(0));
+    share
+}
+
+fn job(id: u64, team: &str, kind: JobKind, priority: Priority, tasks: u64) -> JobSpec {
+    let request = JobRequest {
+        id: format!("j-{id:06}"),
+        class: "c".into(),
+        team: team.into(),
+        kind,
+        priority,
+        tasks,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    };
+    JobSpec::try_from(&request).expect("a good job")
+}
+
+fn report(seq: u64, notice_s: Option<f64>, tasks: Vec<TaskReport>) -> Report {
+    Report {
+        machine: "host-000001".into(),
+        address: "10.1.0.1:9000".into(),
+        machine_type: "m4".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        seq,
+        token: 5,
+        notice_s,
+        tasks,
+    }
+}
+
+fn entry(task: &str, attempt: u64, state: TaskState, why: Option<ExitCause>) -> TaskReport {
+    TaskReport { task: task.into(), attempt, state, why, saved: None }
+}
+
+/// Places what waits, makes it durable and returns the launches of the next answer.
+fn launch(share: &mut Share, now: Moment) -> Vec<(String, u64)> {
+    share.run_cycles(now, 100);
+    let name = MachineName::from("host-000001");
+    let launches = |share: &mut Share| -> Vec<(String, u64)> {
+        share
+            .commands_for(&name, Route::Answer, now)
+            .into_iter()
+            .filter_map(|c| match c {
+                Command::Start { task, attempt } => Some((task, attempt)),
+                _ => None,
+            })
+            .collect()
+    };
+    let early = launches(share);
+    assert_eq!(early, [], "nothing is launched before it is durable");
+    let keys: Vec<_> = share.take_dirty().into_iter().map(|(key, _)| key).collect();
+    let written = share.written_by(&keys);
+    share.confirm(&written);
+    launches(share)
+}
+
+#[test]
+fn launches_follow_durability_and_the_limit() {
+    let mut share = share();
+    share.observe(&report(1, None, Vec::new()), Source::Report, Moment(100));
+    share.add_job(job(1, "t", JobKind::Array, Priority::Normal, 9), 1, &[], Moment(100));
+    assert_eq!(launch(&mut share, Moment(100)).len(), 4, "the machine and the limit hold four");
+}
+
+#[test]
+fn a_lost_launch_is_repeated_but_a_direct_answer_proves_nothing_about_it() {
+    let mut share = share();
+    share.observe(&report(1, None, Vec::new()), Source::Report, Moment(100));
+    share.add_job(job(1, "t", JobKind::Service, Priority::High, 1), 1, &[], Moment(100));
+    let first = launch(&mut share, Moment(100));
+    share.cancel_job(model::JobId(1), Moment(200));
+    // The answer with the launch may still be under way when a direct answer comes.
+    share.observe(&report(2, None, Vec::new()), Source::Direct, Moment(210));
+    assert_eq!(share.jobs[&model::JobId(1)].placed.len(), 1);
+    share.observe(&report(3, None, Vec::new()), Source::Report, Moment(900));
+    assert_eq!(share.jobs[&model::JobId(1)].placed.len(), 0);
+    assert_eq!(share.take_finished(), [model::JobId(1)]);
+    assert_eq!(first.len(), 1);
+}
+
+#[test]
+fn forget_waits_until_the_outcome_is_durable() {
+    let mut share = share();
+    share.observe(&report(1, None, Vec::new()), Source::Report, Moment(100));
+    share.add_job(job(1, "t", JobKind::Array, Priority::Normal, 2), 1, &[], Moment(100));
+    let (task, attempt) = launch(&mut share, Moment(100)).remove(0);
+    let done = entry(&task, attempt, TaskState::Exited, Some(ExitCause::Done));
+    let name = MachineName::from("host-000001");
+    let forgets = |share: &mut Share| {
+        let commands = share.commands_for(&name, Route::Answer, Moment(1_000));
+        commands.iter().filter(|c| matches!(c, Command::Forget { .. })).count()
+    };
+    share.observe(&report(2, None, vec![done]), Source::Report, Moment(1_000));
+    assert_eq!(forgets(&mut share), 0);
+    let keys: Vec<_> = share.take_dirty().into_iter().map(|(key, _)| key).collect();
+    let written = share.written_by(&keys);
+    share.confirm(&written);
+    assert_eq!(forgets(&mut share), 1);
+}
+
+#[test]
+fn higher_priority_stops_lower_work_and_equals_do_not() {
+    let mut share = share();
+    share.observe(&report(1, None, Vec::new()), Source::Report, Moment(100));
+    share.add_job(job(1, "t", JobKind::Array, Priority::Normal, 9), 1, &[], Moment(100));
+    assert_eq!(launch(&mut share, Moment(100)).len(), 4);
+    let stopping = |share: &Share| {
+        share.jobs[&model::JobId(1)].placed.values().filter(|p| p.stop.is_some()).count()
+    };
+    share.add_job(job(2, "u", JobKind::Array, Priority::Normal, 9), 2, &[], Moment(200));
+    share.run_cycles(Moment(200), 100);
+    assert_eq!(stopping(&share), 0);
+    share.add_job(job(3, "u", JobKind::Service, Priority::High, 1), 3, &[], Moment(300));
+    share.run_cycles(Moment(300), 100);
+    assert_eq!(stopping(&share), 1);
+}
+
+#[test]
+fn tasks_leave_a_machine_just_before_it_is_taken() {
+    let mut share = share();
+    share.observe(&report(1, None, Vec::new()), Source::Report, Moment(100));
+    share.add_job(job(1, "t", JobKind::Service, Priority::High, 1), 1, &[], Moment(100));
+    let (task, attempt) = launch(&mut share, Moment(100)).remove(0);
+    let runs = entry(&task, attempt, TaskState::Running, None);
+    share.observe(&report(2, Some(8.0), vec![runs]), Source::Report, Moment(1_000));
+    let stops = |share: &Share| share.jobs[&model::JobId(1)].placed[&0].stop.is_some();
+    share.drain_noticed(Moment(2_000));
+    assert!(!stops(&share), "it may run on for a while");
+    share.drain_noticed(Moment(6_600));
+    assert!(stops(&share));
+}
