Give up machines with replicas that are unseen since a takeover

Cause: on anaya troubles a machine hung while partitions were handed over; the new holder had never heard it and waited out the lease from its own start.

--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -641,11 +641,13 @@
         let patience = Span(report.0 * 9 / 4 + 500);
         let contact = self.in_contact(super::LAUNCH_CONTACT);
         let Some(holding) = self.holdings.get_mut(&partition) else { return };
-        if !contact || now.since(holding.since) < patience * 2 {
+        // Workers need a moment to find a new holder.
+        let since = holding.since;
+        if !contact || now.since(since) < patience + Span(1_500) {
             return;
         }
         let Some(loaded) = holding.loaded.as_mut() else { return };
-        let mut silent = loaded.share.silent_with_replicas(now, patience);
+        let mut silent = loaded.share.silent_with_replicas(since, now, patience);
         silent.retain(|name| !loaded.changing.contains_key(name));
         if let Some(name) = silent.pop() {
             tracing::info!(machine = %name, "a machine with replicas is silent: giving it up");
--- a/crates/scheduler/src/observe.rs
+++ b/crates/scheduler/src/observe.rs
@@ -249,8 +249,18 @@
 
     /// Machines with replicas that have fallen silent while most others report: having the
     /// cloud end them lets the replicas start elsewhere sooner than waiting for their lease.
-    pub fn silent_with_replicas(&self, now: Moment, patience: Span) -> Vec<MachineName> {
-        let silent = |m: &&Machine| m.reported_at.is_some_and(|at| now.since(at) > patience);
+    /// One that has not been heard since the share is held counts from then.
+    pub fn silent_with_replicas(
+        &self,
+        held_since: Moment,
+        now: Moment,
+        patience: Span,
+    ) -> Vec<MachineName> {
+        // A machine that boots has nothing on it and is not missed yet.
+        let silent = |m: &&Machine| match m.reported_at {
+            Some(at) => now.since(at) > patience,
+            None => !m.tasks.is_empty() && now.since(held_since) > patience,
+        };
         let count = self.machines.values().filter(silent).count();
         // Many at a time: the fault lies with us or with the network.
         if count > 2.max(self.machines.len() / 5) {
