Clear out dead state and repeated pieces found on rereading

No change of behaviour. Removed: fields nobody read (gang_attempt, error_jobs, Stop.since, Poll.arrived, PartitionRecord.handed, the lease's time, the share's gang_peer), an unused type and a second copy of a rental. One piece each for: taking a job out of the queue, the watch and list requests, cloud calls.

--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -252,7 +252,6 @@
         let mut share = Share::new(
             teams,
             workers.lease,
-            workers.gang_peer,
             self.tuning.policy.clone(),
             self.tuning.queue,
             holding.term,
--- a/crates/coordination/src/node/leader.rs
+++ b/crates/coordination/src/node/leader.rs
@@ -1,6 +1,6 @@
 //! The leader: whoever holds the first partition makes the calls to the cloud.
 
-use super::{Effect, Node, Purpose};
+use super::{Node, Purpose};
 use crate::budget::{Bucket, Importance};
 use crate::records::{machine_key, partition_key, MachineRecord, TYPES};
 use fleet::{FleetAction, FleetMachine, Offer, PartitionNeed};
@@ -56,7 +56,7 @@
     listing: bool,
     plan_at: Moment,
     requests: u64,
-    retries: Vec<(Moment, CloudRequest, RentRequest, PartitionId)>,
+    retries: Vec<(Moment, RentRequest, PartitionId)>,
 }
 
 impl Leader {
@@ -167,11 +167,8 @@
             self.cloud(request, Purpose::CloudList { gathered: Vec::new() });
         }
         let now = self.now;
-        let (due, later) =
-            std::mem::take(&mut self.leader.retries).into_iter().partition(|r| r.0 <= now);
-        self.leader.retries = later;
-        let due: Vec<(Moment, CloudRequest, RentRequest, PartitionId)> = due;
-        for (_, _, request, partition) in due {
+        let due: Vec<_> = self.leader.retries.extract_if(.., |r| r.0 <= now).collect();
+        for (_, request, partition) in due {
             self.rent(request, partition);
         }
         if self.now.since(self.leader.plan_at) >= Span(500) {
@@ -282,10 +279,9 @@
     }
 
     fn rent(&mut self, request: RentRequest, partition: PartitionId) {
-        let call = self.call(Purpose::Rent { request: request.clone(), partition });
-        self.leader.renting.insert(call, (request.clone(), partition));
-        self.counters.cloud_calls += 1;
-        self.effects.push(Effect::Cloud { call, request: CloudRequest::Rent(request) });
+        let purpose = Purpose::Rent { request: request.clone(), partition };
+        let call = self.cloud(CloudRequest::Rent(request.clone()), purpose);
+        self.leader.renting.insert(call, (request, partition));
     }
 
     pub(super) fn on_cloud(&mut self, call: CallId, reply: CloudReply) {
@@ -369,8 +365,7 @@
             // Its answer is lost: the same name asks for the same machines.
             CloudReply::Unknown => {
                 let at = self.now + Span(500);
-                let again = CloudRequest::Rent(request.clone());
-                self.leader.retries.push((at, again, request, partition));
+                self.leader.retries.push((at, request, partition));
             }
             _ => {
                 self.leader.refused.insert(offer, self.now + Span(1_500));
@@ -440,7 +435,7 @@
             .map(|(name, entry)| (name.to_string(), entry.record.clone()))
             .collect();
         // Machines that are being asked for count as coming.
-        let retries = self.leader.retries.iter().map(|r| (&r.2, r.3));
+        let retries = self.leader.retries.iter().map(|r| (&r.1, r.2));
         let asked = self.leader.renting.values().map(|(request, p)| (request, *p)).chain(retries);
         for (request, partition) in asked {
             for n in 0..request.count {
--- a/crates/coordination/src/node/mod.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -22,7 +22,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use scheduler::Policy;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use wire::cloud::{CloudReply, CloudRequest, RentRequest};
 use wire::mesh::MeshMessage;
 use wire::state::{StateReply, StateRequest, Txn};
@@ -110,7 +110,6 @@
     ticket: Ticket,
     kind: PollKind,
     id: JobId,
-    arrived: Moment,
 }
 
 #[derive(Debug, Clone)]
@@ -239,11 +238,11 @@
     mirror: Mirror,
     synced: bool,
     listing: Option<sync::Listing>,
-    watch_since: Option<Moment>,
+    watching: bool,
     /// Sending time of the last confirmed read of changes.
     contact_at: Option<Moment>,
     sent_at: HashMap<CallId, Moment>,
-    lease: Option<(LeaseId, Moment)>,
+    lease: Option<LeaseId>,
     lease_pending: bool,
     renew_at: Moment,
     calls: HashMap<CallId, Purpose>,
@@ -256,7 +255,7 @@
     holdings: BTreeMap<PartitionId, Holding>,
     /// Terms under which partitions were handed over: they are not taken up again.
     given_away: HashMap<PartitionId, Token>,
-    acquiring: HashMap<PartitionId, Moment>,
+    acquiring: HashSet<PartitionId>,
     vacant_since: HashMap<PartitionId, Moment>,
     peers: HashMap<NodeName, PeerView>,
     home_asked_at: Option<Moment>,
@@ -303,7 +302,7 @@
             mirror: Mirror::default(),
             synced: false,
             listing: None,
-            watch_since: None,
+            watching: false,
             contact_at: None,
             sent_at: HashMap::new(),
             lease: None,
@@ -317,7 +316,7 @@
             writes: Bucket::new(share(limits.writes_per_s), limits.writes_per_s * 0.6),
             holdings: BTreeMap::new(),
             given_away: HashMap::new(),
-            acquiring: HashMap::new(),
+            acquiring: HashSet::new(),
             vacant_since: HashMap::new(),
             peers: HashMap::new(),
             home_asked_at: None,
@@ -414,10 +413,11 @@
         self.outbox.entry(importance).or_default().push_back((call, request));
     }
 
-    fn cloud(&mut self, request: CloudRequest, purpose: Purpose) {
+    fn cloud(&mut self, request: CloudRequest, purpose: Purpose) -> CallId {
         let call = self.call(purpose);
         self.counters.cloud_calls += 1;
         self.effects.push(Effect::Cloud { call, request });
+        call
     }
 
     fn mesh(&mut self, to: &NodeName, message: MeshMessage) {
@@ -446,10 +446,7 @@
     /// Sends what the budgets allow, the most important first.
     fn pump(&mut self) {
         let now = self.now;
-        let (due, later) = std::mem::take(&mut self.retries).into_iter().partition(|r| r.0 <= now);
-        self.retries = later;
-        let due: Vec<(Moment, CallId, Importance, StateRequest)> = due;
-        for (_, call, importance, request) in due {
+        for (_, call, importance, request) in self.retries.extract_if(.., |r| r.0 <= now) {
             self.outbox.entry(importance).or_default().push_front((call, request));
         }
         for importance in
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -47,9 +47,7 @@
             }
             let now = self.now;
             let vacant = *self.vacant_since.entry(partition).or_insert(now);
-            if self.acquiring.contains_key(&partition)
-                || now < vacant + self.wait_in_line(partition)
-            {
+            if self.acquiring.contains(&partition) || now < vacant + self.wait_in_line(partition) {
                 continue;
             }
             self.acquire(partition);
@@ -113,17 +111,16 @@
     }
 
     fn acquire(&mut self, partition: PartitionId) {
-        let Some((lease, _)) = self.lease else { return };
+        let Some(lease) = self.lease else { return };
         let record = PartitionRecord {
             holder: self.me().clone(),
             boot: self.boot,
             term: self.mirror.next_token(),
             // Those who may still answer, to be waited out by whoever comes after them.
             suspects: self.suspects_of(partition),
-            handed: false,
         };
         let txn = self.partition_txn(partition, 0, &record, lease.0);
-        self.acquiring.insert(partition, self.now);
+        self.acquiring.insert(partition);
         self.state(Importance::Lease, StateRequest::Txn(txn), Purpose::Acquire(partition));
     }
 
@@ -210,9 +207,9 @@
             return;
         };
         let partition = PartitionId(number as u32);
-        let Some((lease, _)) = self.lease else { return };
+        let Some(lease) = self.lease else { return };
         let Some(held) = self.mirror.partitions.get(&partition) else { return };
-        if held.record.holder == *self.me() || self.acquiring.contains_key(&partition) {
+        if held.record.holder == *self.me() || self.acquiring.contains(&partition) {
             return;
         }
         let holder = held.record.holder.clone();
@@ -240,13 +237,8 @@
         // waits until we show that we do.
         let mut suspects = holding.suspects().to_vec();
         suspects.push((self.settings.name.clone(), self.boot));
-        let record = PartitionRecord {
-            holder: to.clone(),
-            boot,
-            term: self.mirror.next_token(),
-            suspects,
-            handed: true,
-        };
+        let record =
+            PartitionRecord { holder: to.clone(), boot, term: self.mirror.next_token(), suspects };
         let txn = self.partition_txn(partition, version.0, &record, lease);
         let purpose = Purpose::HandOver { partition, to: to.clone() };
         self.state(Importance::Lease, StateRequest::Txn(txn), purpose);
--- a/crates/coordination/src/node/sync.rs
+++ b/crates/coordination/src/node/sync.rs
@@ -14,26 +14,35 @@
     revision: Option<u64>,
 }
 
+/// One page of the full read.
+fn list_request(after: String) -> StateRequest {
+    StateRequest::List { prefix: WATCHED.into(), after, limit: 500 }
+}
+
 impl Node {
     pub(super) fn step_sync(&mut self) {
         if !self.synced && self.listing.is_none() {
             self.listing = Some(Listing::default());
             self.list_from(String::new());
         }
-        if self.synced && self.watch_since.is_none() {
-            self.watch_since = Some(self.now);
-            let request = StateRequest::Watch {
-                prefix: WATCHED.into(),
-                after: self.mirror.revision.0,
-                wait_ms: WATCH_WAIT.0,
-            };
+        if self.synced && !self.watching {
+            self.watching = true;
+            let request = self.watch_request(WATCH_WAIT);
             self.state(Importance::Lease, request, Purpose::Watch);
         }
     }
 
+    /// A read of what has changed since the mirror's revision.
+    pub(super) fn watch_request(&self, wait: Span) -> StateRequest {
+        StateRequest::Watch {
+            prefix: WATCHED.into(),
+            after: self.mirror.revision.0,
+            wait_ms: wait.0,
+        }
+    }
+
     fn list_from(&mut self, after: String) {
-        let request = StateRequest::List { prefix: WATCHED.into(), after, limit: 500 };
-        self.state(Importance::Lease, request, Purpose::List);
+        self.state(Importance::Lease, list_request(after), Purpose::List);
     }
 
     pub(super) fn step_lease(&mut self) {
@@ -61,7 +70,7 @@
         }
         self.lease_pending = true;
         match self.lease {
-            Some((lease, _)) => {
+            Some(lease) => {
                 let request = StateRequest::Renew { lease: lease.0 };
                 self.state(Importance::Lease, request, Purpose::Renew(lease));
             }
@@ -90,7 +99,7 @@
                 self.lease_pending = false;
                 self.renew_at = self.now + Span(200);
                 if let StateReply::Lease(lease) = reply {
-                    self.lease = Some((LeaseId(lease), sent));
+                    self.lease = Some(LeaseId(lease));
                     self.renew_at = self.now + RENEW;
                 }
             }
@@ -145,15 +154,14 @@
                         let revision = listing.revision.unwrap_or(0);
                         let changed = self.mirror.replace(&listing.items, revision);
                         self.synced = true;
-                        self.watch_since = None;
+                        self.watching = false;
                         self.on_changed(changed);
                     }
                 }
             }
             _ => {
                 self.listing = Some(Listing::default());
-                let request =
-                    StateRequest::List { prefix: WATCHED.into(), after: String::new(), limit: 500 };
+                let request = list_request(String::new());
                 self.again(Span(200), Importance::Lease, request, Purpose::List);
             }
         }
@@ -162,19 +170,15 @@
     fn on_watch(&mut self, reply: StateReply, sent: Moment) {
         match reply {
             StateReply::Changes(changes) => {
-                self.watch_since = None;
+                self.watching = false;
                 self.take_changes(&changes, sent);
             }
             StateReply::Compacted => {
-                self.watch_since = None;
+                self.watching = false;
                 self.synced = false;
             }
             _ => {
-                let request = StateRequest::Watch {
-                    prefix: WATCHED.into(),
-                    after: self.mirror.revision.0,
-                    wait_ms: WATCH_WAIT.0,
-                };
+                let request = self.watch_request(WATCH_WAIT);
                 self.again(Span(200), Importance::Lease, request, Purpose::Watch);
             }
         }
@@ -203,7 +207,7 @@
         self.lease_pending = false;
         match reply {
             StateReply::Ok => {
-                self.lease = Some((lease, sent));
+                self.lease = Some(lease);
                 self.renew_at = sent + RENEW;
             }
             StateReply::LeaseGone => {
--- a/crates/coordination/src/node/users.rs
+++ b/crates/coordination/src/node/users.rs
@@ -3,7 +3,7 @@
 
 use super::{Node, Poll, PollKind, Purpose, Ticket, UserReply, UserRequest};
 use crate::budget::Importance;
-use crate::records::{final_key, job_key, FinalRecord, JobRecord, WATCHED};
+use crate::records::{final_key, job_key, FinalRecord, JobRecord};
 use model::{JobId, JobSpec, JobState, Moment, Span};
 use serde::Deserialize;
 use wire::state::{StateReply, StateRequest, Txn, Write};
@@ -41,7 +41,7 @@
             self.busy(ticket, 1);
             return;
         }
-        self.polls.push(Poll { ticket, kind, id, arrived: self.now });
+        self.polls.push(Poll { ticket, kind, id });
     }
 
     fn on_submit(&mut self, ticket: Ticket, job: JobRequest) {
@@ -120,11 +120,7 @@
         }
         self.fresh_pending = true;
         let polls = std::mem::take(&mut self.polls);
-        let request = StateRequest::Watch {
-            prefix: WATCHED.into(),
-            after: self.mirror.revision.0,
-            wait_ms: 0,
-        };
+        let request = self.watch_request(Span::ZERO);
         self.state(Importance::Accept, request, Purpose::Fresh(polls));
     }
 
@@ -213,7 +209,6 @@
             // Its record has changed: look again, since it may be done by now.
             StateReply::Conflict { .. } | StateReply::Refused { throttled: true } if *tries < 5 => {
                 *tries += 1;
-                poll.arrived = self.now;
                 self.polls.push(poll);
             }
             _ => self.busy(poll.ticket, 1),
--- a/crates/coordination/src/records.rs
+++ b/crates/coordination/src/records.rs
@@ -70,9 +70,6 @@
     /// Earlier holders that may still answer workers for a while.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<(NodeName, u64)>,
-    /// Handed over by a predecessor that has stopped answering.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub handed: bool,
 }
 
 /// A rented machine and whose share it is in.
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -1,6 +1,6 @@
 //! Jobs: checking what users submit.
 
-use crate::{JobId, JobKind, MachineName, Priority, Resources, Settings, Span, TeamName, ZoneName};
+use crate::{JobId, JobKind, Priority, Resources, Settings, Span, TeamName, ZoneName};
 use thiserror::Error;
 use wire::cloud::MachineType;
 use wire::users::JobRequest;
@@ -156,12 +156,3 @@
         Ok(())
     }
 }
-
-/// Name of a machine with what is known of it before it reports.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct MachinePlace {
-    pub name: MachineName,
-    pub machine_type: String,
-    pub zone: ZoneName,
-    pub spot: bool,
-}
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -92,7 +92,6 @@
         let places = self.fit_gang(job, now).ok_or(Unplaced::Room)?;
         let attempt = self.new_attempt();
         if let Some(job) = self.jobs.get_mut(&id) {
-            job.gang_attempt = Some(attempt);
             job.gang_started = false;
         }
         for (index, machine) in places.into_iter().enumerate() {
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -13,7 +13,6 @@
 pub struct Stop {
     /// Grace handed to the worker, in ms.
     pub grace_ms: u64,
-    pub since: Moment,
 }
 
 /// A task's one place. It counts against machine and team until it is proven gone.
@@ -63,8 +62,6 @@
     pub successes: u32,
     /// Within the team's guarantee at present.
     pub guaranteed: bool,
-    /// Attempt of a gang, while it is placed.
-    pub gang_attempt: Option<Attempt>,
     /// The gang's tasks have been seen running.
     pub gang_started: bool,
 }
@@ -132,7 +129,6 @@
             failed_on: Vec::new(),
             successes: 0,
             guaranteed: false,
-            gang_attempt: None,
             gang_started: false,
         }
     }
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -57,7 +57,6 @@
     /// Fails what it starts.
     pub faulty: bool,
     pub errors: u32,
-    pub error_jobs: Vec<model::JobId>,
     pub strays: Vec<Stray>,
     /// Images it holds, least recently used first.
     pub images: Vec<(Arc<str>, f64)>,
@@ -118,7 +117,6 @@
             leaving: false,
             faulty: false,
             errors: 0,
-            error_jobs: Vec::new(),
             strays: Vec::new(),
             images: Vec::new(),
             idle_since: Moment::default(),
--- a/crates/scheduler/src/observe.rs
+++ b/crates/scheduler/src/observe.rs
@@ -160,7 +160,6 @@
                 }
                 if let Some(machine) = self.machines.get_mut(&name) {
                     machine.errors = 0;
-                    machine.error_jobs.clear();
                 }
             }
             ExitCause::Error if !stopped => self.task_error(task, &name),
@@ -191,9 +190,6 @@
             return;
         }
         machine.errors += 1;
-        if !machine.error_jobs.contains(&task.job) {
-            machine.error_jobs.push(task.job);
-        }
         if machine.errors >= self.policy.faulty_after {
             machine.faulty = true;
         }
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -91,7 +91,6 @@
 pub struct Share {
     pub policy: Policy,
     pub lease: Span,
-    pub gang_peer: Span,
     /// Until when a predecessor may have answered any machine.
     pub entitled_until: Moment,
     /// Zones in which machines can be had, the nearest first.
@@ -123,7 +122,6 @@
     pub fn new(
         teams: impl IntoIterator<Item = (TeamName, Resources, Resources)>,
         lease: Span,
-        gang_peer: Span,
         policy: Policy,
         queue: QueueConfig,
         term: Token,
@@ -131,7 +129,6 @@
         Share {
             policy,
             lease,
-            gang_peer,
             entitled_until: Moment::default(),
             zones: Vec::new(),
             gang_hold: None,
@@ -185,9 +182,6 @@
             if let Some(machine) = self.machines.get_mut(&placement.machine) {
                 machine.hold(task, &job.spec);
             }
-            if job.spec.kind == JobKind::Gang {
-                job.gang_attempt = Some(placement.attempt);
-            }
         }
         let orphans: Vec<TaskId> = job
             .placed
@@ -246,11 +240,7 @@
         job.cancelled = true;
         let entries: Vec<u32> = job.placed.keys().copied().collect();
         let queued = job.cursor;
-        for index in 0..queued {
-            self.queue.remove(EntryKey::Task(TaskId { job: id, index }));
-        }
-        self.queue.remove(EntryKey::Gang(id));
-        self.nominated.retain(|entry, _| entry.job() != id);
+        self.unqueue(id, queued);
         for index in entries {
             self.stop_task(TaskId { job: id, index }, 0, now);
         }
@@ -270,7 +260,7 @@
         match &mut placement.stop {
             // A second stop may only shorten the grace.
             Some(stop) => stop.grace_ms = stop.grace_ms.min(grace_ms),
-            None => placement.stop = Some(Stop { grace_ms, since: now }),
+            None => placement.stop = Some(Stop { grace_ms }),
         }
         self.urgent.insert(machine);
     }
@@ -338,7 +328,6 @@
     fn gang_lost_member(&mut self, id: JobId, now: Moment) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if job.placed.is_empty() {
-            job.gang_attempt = None;
             job.gang_started = false;
             let failures = job.failures.values().copied().max().unwrap_or(0);
             if job.cancelled || job.all_done() {
@@ -397,10 +386,7 @@
     pub fn remove_job(&mut self, id: JobId, now: Moment) {
         let Some(job) = self.jobs.remove(&id) else { return };
         tracing::debug!(job = %id, took_ms = now.since(job.seen_at).0, "job over");
-        for index in 0..job.cursor {
-            self.queue.remove(EntryKey::Task(TaskId { job: id, index }));
-        }
-        self.queue.remove(EntryKey::Gang(id));
+        self.unqueue(id, job.cursor);
         for (index, placement) in &job.placed {
             let task = TaskId { job: id, index: *index };
             if let Some(team) = self.teams.get_mut(&job.spec.team) {
@@ -414,10 +400,18 @@
         for chunk in 0..job.spec.tasks.div_ceil(CHUNK) {
             self.dirty.remove(&(id, chunk));
         }
-        self.nominated.retain(|entry, _| entry.job() != id);
         self.guarantees_stale = true;
     }
 
+    /// Takes a job's entries, of which `handed_out` tasks have been queued, out of the queue.
+    fn unqueue(&mut self, id: JobId, handed_out: u32) {
+        for index in 0..handed_out {
+            self.queue.remove(EntryKey::Task(TaskId { job: id, index }));
+        }
+        self.queue.remove(EntryKey::Gang(id));
+        self.nominated.retain(|entry, _| entry.job() != id);
+    }
+
     pub(crate) fn touch(&mut self, task: TaskId) {
         self.dirty.insert((task.job, task.index / CHUNK));
     }
--- a/crates/scheduler/tests/share.rs
+++ b/crates/scheduler/tests/share.rs
@@ -12,7 +12,7 @@
     let teams = ["t", "u"].map(|t| (TeamName::from(t), amounts, amounts));
     let policy = Policy::default();
     let queue = QueueConfig::default();
-    let mut share = Share::new(teams, Span(10_000), Span(8_000), policy, queue, Token(5));
+    let mut share = Share::new(teams, Span(10_000), policy, queue, Token(5));
     let kind = MachineType {
         name: "m4".into(),
         cpus: 4.0,
