--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ledger;
 pub mod mirror;
 pub mod node;
+mod pipe;
 pub mod records;
 
 pub use node::admin::{AdminReply, AdminRequest};
--- a/crates/coordination/src/mirror.rs
+++ b/crates/coordination/src/mirror.rs
@@ -1,10 +1,10 @@
 //! This node's copy of the watched part of the state service.
 
 use crate::records::*;
-use model::{JobId, JobSpec, MachineName, NodeName, PartitionId, Revision, Version};
+use model::{JobId, JobSpec, JobState, MachineName, NodeName, PartitionId, Revision, Version};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use wire::cloud::MachineTypes;
 use wire::state::{Changes, Item};
@@ -12,11 +12,17 @@
 /// An open job as recorded.
 #[derive(Debug, Clone)]
 pub struct OpenJob {
-    pub record: Arc<JobRecord>,
+    pub packed: Arc<PackedJob>,
+    /// Bytes it takes on its page.
+    pub size: usize,
     pub spec: Arc<JobSpec>,
-    pub version: Version,
-    /// Revision of the acceptance, as far as this node can know it.
-    pub order: u64,
+}
+
+impl OpenJob {
+    /// Revision of its acceptance.
+    pub fn order(&self) -> u64 {
+        self.packed.0
+    }
 }
 
 /// A record with its version.
@@ -26,10 +32,20 @@
     pub version: Version,
 }
 
+/// A machine's record and the page that holds it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct KnownMachine {
+    pub record: MachineRecord,
+    pub page: u32,
+}
+
 /// What changed when events were applied.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Changed {
+    /// A job was accepted or cancelled.
     Job(JobId),
+    /// A job is over.
+    Ended(JobId, JobState),
     Partition(PartitionId),
     Machine(MachineName),
     Boot(NodeName),
@@ -40,9 +56,16 @@
 /// The copy.
 #[derive(Debug, Default)]
 pub struct Mirror {
+    /// Jobs that are accepted and not over.
     pub jobs: BTreeMap<JobId, OpenJob>,
+    /// Pages of accepted jobs by key: what they show, over or not.
+    pub intake: BTreeMap<String, Versioned<Vec<JobId>>>,
+    pub cancels: BTreeMap<NodeName, Versioned<BTreeSet<JobId>>>,
+    pub ends: BTreeMap<(PartitionId, u32), Versioned<EndsPage>>,
+    ended: HashMap<JobId, JobState>,
     pub partitions: BTreeMap<PartitionId, Versioned<PartitionRecord>>,
-    pub machines: BTreeMap<MachineName, Versioned<MachineRecord>>,
+    pub machines: BTreeMap<MachineName, KnownMachine>,
+    pub machine_pages: BTreeMap<u32, Versioned<BTreeSet<MachineName>>>,
     pub boots: BTreeMap<NodeName, Versioned<BootRecord>>,
     pub counter: Option<Versioned<CounterRecord>>,
     pub types: Option<Versioned<MachineTypes>>,
@@ -61,6 +84,12 @@
     }
 }
 
+/// `s/KIND/NAME` as its two parts.
+fn parts(key: &str) -> Option<(&str, &str)> {
+    let rest = key.strip_prefix(WATCHED)?;
+    Some(rest.split_once('/').unwrap_or((rest, "")))
+}
+
 impl Mirror {
     /// Version of the counter, 0 if there is none.
     pub fn counter_version(&self) -> u64 {
@@ -72,31 +101,31 @@
         self.counter.as_ref().map_or(1, |c| c.record.next)
     }
 
+    /// Whether a user has cancelled the job.
+    pub fn is_cancelled(&self, id: JobId) -> bool {
+        self.cancels.values().any(|c| c.record.contains(&id))
+    }
+
+    /// All jobs on any page of accepted jobs, over or not.
+    pub fn listed(&self) -> HashSet<JobId> {
+        self.intake.values().flat_map(|page| page.record.iter().copied()).collect()
+    }
+
     fn put(&mut self, key: &str, value: &Value, version: u64, changed: &mut Vec<Changed>) {
         let version = Version(version);
-        let Some((kind, name)) = key.strip_prefix(WATCHED).map(|rest| match rest.split_once('/') {
-            Some((kind, name)) => (kind, name),
-            None => (rest, ""),
-        }) else {
-            return;
-        };
+        let Some((kind, name)) = parts(key) else { return };
         match kind {
-            "j" => {
-                let (Some(id), Some(record)) =
-                    (JobId::parse(name), decode::<JobRecord>(key, value))
-                else {
-                    return;
-                };
-                let Ok(spec) = JobSpec::try_from(&record.job) else {
-                    tracing::error!(key, "a recorded job does not pass the checks");
-                    return;
-                };
-                let order = self.jobs.get(&id).map_or(version.0, |job| job.order);
-                let job =
-                    OpenJob { record: Arc::new(record), spec: Arc::new(spec), version, order };
-                self.jobs.insert(id, job);
-                changed.push(Changed::Job(id));
+            "j" => self.put_intake(key, value, version, changed),
+            "x" => {
+                let Some(record) = decode::<CancelsRecord>(key, value) else { return };
+                let record: BTreeSet<JobId> = record.jobs.into_iter().map(JobId).collect();
+                let name = NodeName::from(name);
+                let before = self.cancels.get(&name).map(|c| &c.record);
+                let new = record.iter().filter(|id| before.is_none_or(|old| !old.contains(id)));
+                changed.extend(new.map(|id| Changed::Job(*id)));
+                self.cancels.insert(name, Versioned { record, version });
             }
+            "e" => self.put_ends(key, name, value, version, changed),
             "p" => {
                 let (Ok(number), Some(record)) = (name.parse(), decode(key, value)) else {
                     return;
@@ -105,10 +134,9 @@
                 changed.push(Changed::Partition(PartitionId(number)));
             }
             "m" => {
-                let Some(record) = decode(key, value) else { return };
-                let name = MachineName::from(name);
-                self.machines.insert(name.clone(), Versioned { record, version });
-                changed.push(Changed::Machine(name));
+                if let (Ok(page), Some(record)) = (name.parse(), decode(key, value)) {
+                    self.put_machines(page, record, version, changed);
+                }
             }
             "b" => {
                 let Some(record) = decode(key, value) else { return };
@@ -129,31 +157,106 @@
         }
     }
 
+    fn put_intake(
+        &mut self,
+        key: &str,
+        value: &Value,
+        version: Version,
+        changed: &mut Vec<Changed>,
+    ) {
+        let Some(page) = decode::<IntakePage>(key, value) else { return };
+        let mut ids = Vec::new();
+        for entry in &page.jobs {
+            let Some(id) = entry.get(1).and_then(Value::as_str).and_then(JobId::parse) else {
+                tracing::error!(key, "an entry without a job id");
+                continue;
+            };
+            ids.push(id);
+            // Two nodes may have accepted the same job, and one that is over stays on its page
+            // until that is written again.
+            if self.jobs.contains_key(&id) || self.ended.contains_key(&id) {
+                continue;
+            }
+            let Some(packed) = decode::<PackedJob>(key, entry) else { continue };
+            let Ok(spec) = JobSpec::try_from(&packed.request()) else {
+                tracing::error!(key, "a recorded job does not pass the checks");
+                continue;
+            };
+            let size = packed_size(&packed);
+            let job = OpenJob { packed: Arc::new(packed), size, spec: Arc::new(spec) };
+            self.jobs.insert(id, job);
+            changed.push(Changed::Job(id));
+        }
+        self.intake.insert(key.to_owned(), Versioned { record: ids, version });
+    }
+
+    fn put_ends(
+        &mut self,
+        key: &str,
+        name: &str,
+        value: &Value,
+        version: Version,
+        changed: &mut Vec<Changed>,
+    ) {
+        let place = name.split_once('/').and_then(|(partition, page)| {
+            Some((PartitionId(partition.parse().ok()?), page.parse().ok()?))
+        });
+        let (Some(place), Some(record)) = (place, decode::<EndsPage>(key, value)) else { return };
+        for (id, state) in record.jobs() {
+            if self.ended.insert(id, state).is_none() {
+                self.jobs.remove(&id);
+                changed.push(Changed::Ended(id, state));
+            }
+        }
+        // What a page no longer names is on no page of accepted jobs any more either.
+        let old = self.ends.insert(place, Versioned { record, version });
+        let kept: HashSet<JobId> =
+            self.ends.values().flat_map(|page| page.record.jobs().map(|(id, _)| id)).collect();
+        for (id, _) in old.iter().flat_map(|page| page.record.jobs()) {
+            if !kept.contains(&id) {
+                self.ended.remove(&id);
+            }
+        }
+    }
+
+    fn put_machines(
+        &mut self,
+        page: u32,
+        record: MachinesPage,
+        version: Version,
+        changed: &mut Vec<Changed>,
+    ) {
+        let mut names = BTreeSet::new();
+        for packed in record.machines {
+            let name = MachineName::from(packed.0.as_str());
+            let known = KnownMachine { record: packed.record(), page };
+            if self.machines.get(&name) != Some(&known) {
+                self.machines.insert(name.clone(), known);
+                changed.push(Changed::Machine(name.clone()));
+            }
+            names.insert(name);
+        }
+        let page = self.machine_pages.insert(page, Versioned { record: names.clone(), version });
+        for name in page.iter().flat_map(|p| &p.record).filter(|name| !names.contains(*name)) {
+            self.machines.remove(name);
+            changed.push(Changed::Machine(name.clone()));
+        }
+    }
+
     fn delete(&mut self, key: &str, changed: &mut Vec<Changed>) {
-        let Some(rest) = key.strip_prefix(WATCHED) else { return };
-        let (kind, name) = rest.split_once('/').unwrap_or((rest, ""));
+        let Some((kind, name)) = parts(key) else { return };
         match kind {
-            "j" => {
-                if let Some(id) = JobId::parse(name) {
-                    self.jobs.remove(&id);
-                    changed.push(Changed::Job(id));
-                }
-            }
             "p" => {
                 if let Ok(number) = name.parse() {
                     self.partitions.remove(&PartitionId(number));
                     changed.push(Changed::Partition(PartitionId(number)));
                 }
             }
-            "m" => {
-                let name = MachineName::from(name);
-                self.machines.remove(&name);
-                changed.push(Changed::Machine(name));
-            }
             "c" => {
                 self.tuning = None;
                 changed.push(Changed::Tuning);
             }
+            // Pages are written again, never deleted.
             _ => {}
         }
     }
@@ -177,28 +280,26 @@
         changed
     }
 
-    /// Replaces the copy by a full read, begun at `revision`.
+    /// Replaces the copy by a full read, begun at `revision`. Keys come in order, so the ends
+    /// of jobs are known before the pages that show them.
     pub fn replace(&mut self, items: &[Item], revision: u64) -> Vec<Changed> {
-        let orders: BTreeMap<JobId, u64> =
-            self.jobs.iter().map(|(id, job)| (*id, job.order)).collect();
-        let mut changed: HashSet<String> = HashSet::new();
-        changed.extend(self.partitions.keys().map(|id| partition_key(*id)));
-        changed.extend(self.machines.keys().map(machine_key));
-        changed.extend(self.jobs.keys().map(|id| job_key(*id)));
-        *self = Mirror::default();
+        let old = std::mem::take(self);
         let mut list = Vec::new();
         for item in items {
-            changed.remove(&item.key);
             self.put(&item.key, &item.value, item.version, &mut list);
         }
-        for (id, job) in &mut self.jobs {
-            if let Some(order) = orders.get(id) {
-                job.order = *order;
-            }
-        }
-        for gone in changed {
-            self.delete(&gone, &mut list);
-        }
+        let gone = |kept: bool, change: Changed| (!kept).then_some(change);
+        list.extend(
+            old.partitions
+                .keys()
+                .filter_map(|id| gone(self.partitions.contains_key(id), Changed::Partition(*id))),
+        );
+        list.extend(old.machines.keys().filter_map(|name| {
+            gone(self.machines.contains_key(name), Changed::Machine(name.clone()))
+        }));
+        list.extend(
+            old.jobs.keys().filter_map(|id| gone(self.jobs.contains_key(id), Changed::Job(*id))),
+        );
         self.revision = Revision(revision);
         list
     }
--- a/crates/coordination/src/node/admin.rs
+++ b/crates/coordination/src/node/admin.rs
@@ -264,7 +264,7 @@
                     .and_then(|s| s.machines.get(name));
                 json!({
                     "machine": name,
-                    "record": m.record,
+                    "record": crate::records::PackedMachine::new(name, &m.record),
                     "silent_ms": own.and_then(|m| m.reported_at).map(|at| self.now.since(at).0),
                     "tasks": own.map(|m| m.tasks.iter().map(|t| t.to_string()).collect::<Vec<_>>()),
                     "faulty": own.map(|m| m.faulty),
--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -1,18 +1,16 @@
 //! Holding a partition: loading its ledger, scheduling, writing rounds, ending jobs.
 
+use super::ends::Ending;
+use super::machines::MachineChange;
 use super::{Node, Purpose};
 use crate::budget::Importance;
 use crate::ledger::{Ledger, Round};
-use crate::records::{
-    final_key, job_key, machine_key, partition_key, FinalRecord, MachineRecord, COUNTER,
-};
-use model::{
-    JobId, JobState, MachineName, Moment, NodeName, PartitionId, Span, Token, Version, ZoneName,
-};
+use crate::records::MachineRecord;
+use model::{JobId, MachineName, Moment, NodeName, PartitionId, Span, Token, Version, ZoneName};
 use scheduler::{Machine, Route, Share, Source, Written};
 use std::collections::HashMap;
 use wire::mesh::{MeshMessage, PartitionLoad};
-use wire::state::{Item, StateReply, StateRequest, Txn, Write};
+use wire::state::{Item, StateReply, StateRequest};
 use wire::workers::{Command, Report};
 
 /// Pause between rounds that carry placements.
@@ -54,8 +52,7 @@
     ledger: Ledger,
     share: Share,
     writing: Option<Writing>,
-    /// Machines whose record is being changed.
-    changing: HashMap<MachineName, Moment>,
+    ending: Ending,
     more_cycles: bool,
 }
 
@@ -114,6 +111,16 @@
     pub(super) fn share_mut(&mut self) -> Option<&mut Share> {
         self.loaded.as_mut().map(|l| &mut l.share)
     }
+    pub(super) fn share_and_ending(&mut self) -> Option<(&mut Share, &mut Ending)> {
+        self.loaded.as_mut().map(|l| (&mut l.share, &mut l.ending))
+    }
+    /// A job is over, and that is durable.
+    pub(super) fn forget_job(&mut self, id: JobId, now: Moment) {
+        if let Some(loaded) = &mut self.loaded {
+            loaded.share.remove_job(id, now);
+            loaded.ledger.forget_job(id);
+        }
+    }
     pub(super) fn share(&self) -> Option<&Share> {
         self.loaded.as_ref().map(|l| &l.share)
     }
@@ -209,7 +216,7 @@
         self.state(Importance::Lease, request, Purpose::LedgerList { partition, term });
     }
 
-    fn current(&mut self, partition: PartitionId, term: u64) -> Option<&mut Holding> {
+    pub(super) fn current(&mut self, partition: PartitionId, term: u64) -> Option<&mut Holding> {
         self.holdings.get_mut(&partition).filter(|h| h.term.0 == term)
     }
 
@@ -271,12 +278,10 @@
             }
         }
         for (id, open) in &self.mirror.jobs {
-            if self.partition_of_team(&open.spec.team) == Some(partition)
-                && !self.finals.contains_key(id)
-            {
+            if self.partition_of_team(&open.spec.team) == Some(partition) {
                 let chunks = ledger.chunks_of(*id);
-                share.add_job((*open.spec).clone(), open.order, &chunks, self.now);
-                if open.record.cancelled {
+                share.add_job((*open.spec).clone(), open.order(), &chunks, self.now);
+                if self.mirror.is_cancelled(*id) {
                     share.cancel_job(*id, self.now);
                 }
             }
@@ -297,7 +302,7 @@
             ledger,
             share,
             writing: None,
-            changing: HashMap::new(),
+            ending: Ending::default(),
             more_cycles: true,
         }));
         self.holdings.insert(partition, holding);
@@ -333,7 +338,7 @@
         let token = term.max(Token(record.token));
         let zone = ZoneName::from(record.zone.as_str());
         let mut machine = Machine::new(name.clone(), kind, zone, record.spot, token);
-        machine.leaving = record.leaving;
+        machine.leaving = record.leaving || self.machine_changes.take_away(name);
         machine.idle_since = self.now;
         Some(machine)
     }
@@ -345,15 +350,15 @@
             return;
         };
         let Some(partition) = self.partition_of_team(&open.spec.team) else { return };
-        let done_with = self.finals.contains_key(&id);
+        let cancelled = self.mirror.is_cancelled(id);
         let now = self.now;
         let Some(share) = self.holdings.get_mut(&partition).and_then(|h| h.share_mut()) else {
             return;
         };
-        if !share.jobs.contains_key(&id) && !done_with {
-            share.add_job((*open.spec).clone(), open.order, &[], now);
+        if !share.jobs.contains_key(&id) {
+            share.add_job((*open.spec).clone(), open.order(), &[], now);
         }
-        if open.record.cancelled {
+        if cancelled {
             share.cancel_job(id, now);
         }
     }
@@ -368,13 +373,13 @@
         let mut add = None;
         for (partition, holding) in &mut self.holdings {
             let Some(loaded) = holding.loaded.as_mut() else { continue };
-            loaded.changing.remove(name);
             match &record {
                 Some(record) if record.partition == *partition => {
                     match loaded.share.machines.get_mut(name) {
                         Some(machine) => {
                             machine.token = holding.term.max(Token(record.token));
-                            machine.leaving = record.leaving;
+                            machine.leaving =
+                                record.leaving || self.machine_changes.take_away(name);
                         }
                         None => add = Some((*partition, record.clone(), holding.term)),
                     }
@@ -426,12 +431,11 @@
         let Some(loaded) = holding.loaded.as_mut() else { return };
         loaded.share.expire_leases(now);
         loaded.share.drain_noticed(now);
-        loaded.changing.retain(|_, at| now.since(*at) < Span(5_000));
         if contact {
             loaded.more_cycles = loaded.share.run_cycles(now, CYCLES);
         }
         self.counters.waits.append(&mut loaded.share.waits);
-        self.finish_jobs(partition);
+        self.step_ends(partition);
         self.write_round(partition);
         self.send_direct(partition);
         self.raise_tokens(partition);
@@ -541,97 +545,6 @@
         self.load_ledger(partition);
     }
 
-    /// Writes the ends of jobs: done or cancelled, whichever the job's record allows.
-    fn finish_jobs(&mut self, partition: PartitionId) {
-        let per_txn = (self.settings.state_limits.txn_ops / 2).max(1);
-        let Some(holding) = self.holdings.get_mut(&partition) else { return };
-        let (version, term) = (holding.version, holding.term.0);
-        let Some(loaded) = holding.loaded.as_mut() else { return };
-        let finished = loaded.share.take_finished();
-        for batch in finished.chunks(per_txn) {
-            let mut txn = Txn::default().when(partition_key(partition), version.0);
-            let mut jobs = Vec::new();
-            for id in batch {
-                let Some(open) = self.mirror.jobs.get(id) else { continue };
-                let state =
-                    if open.record.cancelled { JobState::Cancelled } else { JobState::Done };
-                let value = serde_json::to_value(FinalRecord { state }).unwrap_or_default();
-                txn = txn
-                    .when(job_key(*id), open.version.0)
-                    .write(Write::delete(job_key(*id)))
-                    .write(Write::put(final_key(*id), value));
-                jobs.push((*id, state));
-            }
-            if jobs.is_empty() {
-                continue;
-            }
-            let purpose = Purpose::FinalWrite { partition, term, jobs };
-            self.state(Importance::Accept, StateRequest::Txn(txn), purpose);
-        }
-    }
-
-    pub(super) fn on_final_written(
-        &mut self,
-        partition: PartitionId,
-        term: u64,
-        jobs: Vec<(JobId, JobState)>,
-        reply: StateReply,
-    ) {
-        if let StateReply::Committed { .. } = reply {
-            for (id, state) in jobs {
-                self.ended(partition, id, state);
-            }
-            return;
-        }
-        if self.current(partition, term).is_none() {
-            return;
-        }
-        // Each job is looked up: it may have been written, cancelled, or left as it was.
-        let after = if matches!(reply, StateReply::Conflict { .. }) { Span(0) } else { Span(150) };
-        for (job, _) in jobs {
-            let request = StateRequest::Get { key: final_key(job) };
-            let purpose = Purpose::FinalProof { partition, term, job };
-            self.again(after, Importance::Accept, request, purpose);
-        }
-    }
-
-    pub(super) fn on_final_proof(
-        &mut self,
-        partition: PartitionId,
-        term: u64,
-        job: JobId,
-        reply: StateReply,
-    ) {
-        use serde::Deserialize;
-        match reply {
-            StateReply::Item(item) => {
-                if let Ok(record) = FinalRecord::deserialize(&item.value) {
-                    self.ended(partition, job, record.state);
-                }
-            }
-            StateReply::Missing => {
-                if let Some(share) = self.current(partition, term).and_then(|h| h.share_mut()) {
-                    share.finish_failed(job);
-                }
-            }
-            _ => {
-                let request = StateRequest::Get { key: final_key(job) };
-                let purpose = Purpose::FinalProof { partition, term, job };
-                self.again(Span(200), Importance::Accept, request, purpose);
-            }
-        }
-    }
-
-    fn ended(&mut self, partition: PartitionId, id: JobId, state: JobState) {
-        let now = self.now;
-        self.keep_final(id, state);
-        self.mirror.jobs.remove(&id);
-        if let Some(loaded) = self.holdings.get_mut(&partition).and_then(|h| h.loaded.as_mut()) {
-            loaded.share.remove_job(id, now);
-            loaded.ledger.forget_job(id);
-        }
-    }
-
     /// Gives silent machines with replicas back to the cloud, whose confirmation proves that
     /// everything on them is gone.
     fn give_up_silent(&mut self, partition: PartitionId) {
@@ -647,77 +560,23 @@
         }
         let Some(loaded) = holding.loaded.as_mut() else { return };
         let mut silent = loaded.share.silent_with_replicas(since, now, patience);
-        silent.retain(|name| !loaded.changing.contains_key(name));
-        if let Some(name) = silent.pop() {
+        silent.retain(|name| !self.machine_changes.concern(name));
+        for name in silent {
             tracing::info!(machine = %name, "a machine with replicas is silent: giving it up");
             if let Some(machine) = loaded.share.machines.get_mut(&name) {
                 machine.leaving = true;
             }
-            self.change_machine(partition, &name, |record, _| record.leaving = true, false);
+            self.machine_changes.want(&name, MachineChange::Leave);
         }
     }
 
     /// Machines whose lost direct launches can only be voided by a higher token.
     fn raise_tokens(&mut self, partition: PartitionId) {
-        let Some(holding) = self.holdings.get(&partition) else { return };
-        let Some(loaded) = &holding.loaded else { return };
-        let wanting: Option<MachineName> = loaded
-            .share
-            .machines
-            .values()
-            .find(|m| {
-                m.needs_token && !loaded.changing.contains_key(&m.name) && m.seen_token >= m.token
-            })
-            .map(|m| m.name.clone());
-        if let Some(name) = wanting {
-            self.change_machine(partition, &name, |record, token| record.token = token, true);
-        }
-    }
-
-    /// Changes the record of a machine of our share, with a new token if asked for.
-    pub(super) fn change_machine(
-        &mut self,
-        partition: PartitionId,
-        name: &MachineName,
-        change: impl FnOnce(&mut MachineRecord, u64),
-        new_token: bool,
-    ) {
-        let Some(current) = self.mirror.machines.get(name).cloned() else { return };
-        let mut counter =
-            self.mirror.counter.as_ref().map(|c| c.record.clone()).unwrap_or_default();
-        let token = self.mirror.next_token();
-        counter.next = token + 1;
-        let counter_version = self.mirror.counter_version();
-        let now = self.now;
-        let Some(holding) = self.holdings.get_mut(&partition) else { return };
-        let version = holding.version;
-        let Some(loaded) = holding.loaded.as_mut() else { return };
-        loaded.changing.insert(name.clone(), now);
-        let mut record = current.record;
-        change(&mut record, token);
-        let key = machine_key(name);
-        let mut txn = Txn::default()
-            .when(partition_key(partition), version.0)
-            .when(&key, current.version.0)
-            .write(Write::put(&key, serde_json::to_value(record).unwrap_or_default()));
-        if new_token {
-            txn = txn
-                .when(COUNTER, counter_version)
-                .write(Write::put(COUNTER, serde_json::to_value(counter).unwrap_or_default()));
-        }
-        let purpose = Purpose::MachineWrite { partition, machine: name.clone() };
-        self.state(Importance::Placement, StateRequest::Txn(txn), purpose);
-    }
-
-    pub(super) fn on_machine_written(&mut self, partition: PartitionId, name: &MachineName) {
-        let now = self.now;
-        let Some(loaded) = self.holdings.get_mut(&partition).and_then(|h| h.loaded.as_mut()) else {
-            return;
-        };
-        // The watch brings the change if there was one; after a moment the machine's flags
-        // follow its record again.
-        if let Some(at) = loaded.changing.get_mut(name) {
-            *at = Moment(now.0.saturating_sub(4_500));
+        let Some(share) = self.holdings.get(&partition).and_then(|h| h.share()) else { return };
+        for machine in share.machines.values() {
+            if machine.needs_token && machine.seen_token >= machine.token {
+                self.machine_changes.want(&machine.name, MachineChange::Raise);
+            }
         }
     }
 
@@ -732,22 +591,16 @@
             return;
         };
         let Some(machine) = loaded.share.machines.get_mut(&name) else { return };
-        if !machine.tasks.is_empty() || machine.leaving || loaded.changing.contains_key(&name) {
+        if !machine.tasks.is_empty() || machine.leaving || self.machine_changes.concern(&name) {
             return;
         }
         // Nothing is placed here from now on, whether or not the write succeeds at once.
         machine.leaving = true;
         match to {
-            None => self.change_machine(partition, &name, |record, _| record.leaving = true, false),
-            Some(other) if other < self.partition_count() => self.change_machine(
-                partition,
-                &name,
-                |record, token| {
-                    record.partition = PartitionId(other);
-                    record.token = token;
-                },
-                true,
-            ),
+            None => self.machine_changes.want(&name, MachineChange::Leave),
+            Some(other) if other < self.partition_count() => {
+                self.machine_changes.want(&name, MachineChange::Shift(PartitionId(other)));
+            }
             Some(_) => {}
         }
     }
@@ -762,7 +615,7 @@
             let Some(loaded) = holding.loaded.as_mut() else { continue };
             // A change of a record that came to nothing leaves the machine as recorded.
             for machine in loaded.share.machines.values_mut() {
-                if machine.leaving && !loaded.changing.contains_key(&machine.name) {
+                if machine.leaving && !self.machine_changes.concern(&machine.name) {
                     machine.leaving =
                         self.mirror.machines.get(&machine.name).is_some_and(|m| m.record.leaving);
                 }
--- a/crates/coordination/src/node/leader.rs
+++ b/crates/coordination/src/node/leader.rs
@@ -1,8 +1,9 @@
 //! The leader: whoever holds the first partition makes the calls to the cloud.
 
+use super::machines::MachineChange;
 use super::{Node, Purpose};
 use crate::budget::{Bucket, Importance};
-use crate::records::{machine_key, partition_key, MachineRecord, TYPES};
+use crate::records::{MachineRecord, TYPES};
 use fleet::{FleetAction, FleetMachine, Offer, PartitionNeed};
 use model::{CallId, MachineName, Moment, NodeName, PartitionId, Span, ZoneName};
 use std::collections::{BTreeMap, HashMap};
@@ -10,20 +11,13 @@
     CloudReply, CloudRequest, ListedMachine, MachineState, MachineType, MachineTypes, RentRequest,
 };
 use wire::mesh::{MeshMessage, PartitionLoad};
-use wire::state::{StateReply, StateRequest, Txn, Write};
+use wire::state::{StateRequest, Txn, Write};
 
 /// The partition whose holder is the leader.
 pub(crate) const LEAD: PartitionId = PartitionId(0);
 /// How long an offer that was refused is left alone.
 const REFUSED: Span = Span(6_000);
 
-/// A machine that has to get a record.
-#[derive(Debug, Clone)]
-struct Unrecorded {
-    record: MachineRecord,
-    writing: bool,
-}
-
 /// The record of a machine rented by this request.
 fn record_of(request: &RentRequest, partition: PartitionId) -> MachineRecord {
     MachineRecord {
@@ -43,7 +37,7 @@
     loads: HashMap<PartitionId, (PartitionLoad, Moment)>,
     listed: HashMap<MachineName, (ListedMachine, Moment)>,
     first_seen: HashMap<MachineName, Moment>,
-    unrecorded: BTreeMap<MachineName, Unrecorded>,
+    unrecorded: BTreeMap<MachineName, MachineRecord>,
     refused: HashMap<Offer, Moment>,
     renting: HashMap<CallId, (RentRequest, PartitionId)>,
     releasing: HashMap<MachineName, Moment>,
@@ -106,7 +100,7 @@
             token: 0,
             leaving: false,
         };
-        self.unrecorded.insert(name.clone(), Unrecorded { record, writing: false });
+        self.unrecorded.insert(name.clone(), record);
     }
 
     pub(super) fn machine_gone(&mut self, name: &MachineName) {
@@ -186,51 +180,12 @@
         }
     }
 
-    /// Writes records of machines that have none, several at a time.
+    /// Wants records for machines that have none.
     fn record_machines(&mut self) {
-        let Some(version) = self.holdings.get(&LEAD).map(|h| h.version()) else { return };
-        let most = self.settings.state_limits.txn_ops;
-        let mut txn = Txn::default().when(partition_key(LEAD), version.0);
-        let mut machines = Vec::new();
-        let known: Vec<MachineName> = self
-            .leader
-            .unrecorded
-            .keys()
-            .filter(|name| self.mirror.machines.contains_key(*name))
-            .cloned()
-            .collect();
-        for name in known {
-            self.leader.unrecorded.remove(&name);
-        }
-        for (name, entry) in &mut self.leader.unrecorded {
-            if entry.writing || machines.len() >= most {
-                continue;
-            }
-            entry.writing = true;
-            let key = machine_key(name);
-            let value = serde_json::to_value(&entry.record).unwrap_or_default();
-            txn = txn.when(&key, 0).write(Write::put(&key, value));
-            machines.push(name.clone());
-        }
-        if !machines.is_empty() {
-            let purpose = Purpose::MachineRecord { machines };
-            self.state(Importance::Placement, StateRequest::Txn(txn), purpose);
-        }
-    }
-
-    pub(super) fn on_machines_recorded(&mut self, machines: &[MachineName], reply: &StateReply) {
-        for name in machines {
-            match reply {
-                StateReply::Committed { .. } => {
-                    self.leader.first_seen.entry(name.clone()).or_insert(self.now);
-                    // Kept until the mirror shows the record, so that the plan counts it.
-                }
-                _ => {
-                    if let Some(entry) = self.leader.unrecorded.get_mut(name) {
-                        entry.writing = false;
-                    }
-                }
-            }
+        let known = &self.mirror.machines;
+        self.leader.unrecorded.retain(|name, _| !known.contains_key(name));
+        for (name, record) in &self.leader.unrecorded {
+            self.machine_changes.want(name, MachineChange::Create(record.clone()));
         }
     }
 
@@ -243,6 +198,7 @@
             .iter()
             .filter(|(name, m)| {
                 m.record.leaving
+                    && !self.machine_changes.concern(name)
                     && self
                         .leader
                         .releasing
@@ -263,19 +219,8 @@
     }
 
     fn delete_record(&mut self, name: MachineName) {
-        let Some(current) = self.mirror.machines.get(&name) else { return };
-        let key = machine_key(&name);
-        let txn = Txn::default().when(&key, current.version.0).write(Write::delete(&key));
         self.leader.deleting.insert(name.clone(), self.now);
-        self.state(Importance::Placement, StateRequest::Txn(txn), Purpose::MachineDelete(name));
-    }
-
-    pub(super) fn on_machine_deleted(&mut self, name: &MachineName) {
-        if self.mirror.machines.contains_key(name) {
-            // If the write failed, the release is repeated, which does no harm.
-            let at = Moment(self.now.0.saturating_sub(3_500));
-            self.leader.releasing.insert(name.clone(), at);
-        }
+        self.machine_changes.want(&name, MachineChange::Delete);
     }
 
     fn rent(&mut self, request: RentRequest, partition: PartitionId) {
@@ -356,7 +301,7 @@
                     let name = MachineName::from(name.as_str());
                     self.leader.first_seen.insert(name.clone(), self.now);
                     let record = record_of(&request, partition);
-                    self.leader.unrecorded.insert(name, Unrecorded { record, writing: false });
+                    self.leader.unrecorded.insert(name, record);
                 }
             }
             CloudReply::NoCapacity => {
@@ -432,7 +377,7 @@
             .unrecorded
             .iter()
             .filter(|(name, _)| !self.mirror.machines.contains_key(*name))
-            .map(|(name, entry)| (name.to_string(), entry.record.clone()))
+            .map(|(name, record)| (name.to_string(), record.clone()))
             .collect();
         // Machines that are being asked for count as coming.
         let retries = self.leader.retries.iter().map(|r| (&r.1, r.2));
--- /dev/null
+++ b/crates/coordination/src/node/machines.rs
@@ -0,0 +1,213 @@
+//! Changes of machines' records: what is wanted is gathered and written together, many
+//! machines to a put.
+
+use super::leader::LEAD;
+use super::{Node, Purpose};
+use crate::budget::Importance;
+use crate::pipe::{Outcome, Pipe};
+use crate::records::{
+    machines_key, packed_size, page_room, partition_key, MachineRecord, MachinesPage,
+    PackedMachine, COUNTER,
+};
+use model::{MachineName, PartitionId, Span};
+use std::collections::{BTreeMap, BTreeSet};
+use wire::state::{StateReply, StateRequest, Txn, Write};
+
+/// Least time between two writes, so that several changes go together.
+const GAP: Span = Span(100);
+
+/// A change that is wanted of a machine's record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum MachineChange {
+    /// The leader: a machine that has been rented or found.
+    Create(MachineRecord),
+    /// Its holder gives it up.
+    Leave,
+    /// Its holder hands it, idle, to another partition.
+    Shift(PartitionId),
+    /// Its holder needs a higher token.
+    Raise,
+    /// The leader: the cloud has confirmed that it is gone.
+    Delete,
+}
+
+/// Changes of machines' records on their way.
+#[derive(Debug, Default)]
+pub(crate) struct MachineChanges {
+    wanted: BTreeMap<MachineName, MachineChange>,
+    pipe: Pipe<()>,
+}
+
+impl MachineChanges {
+    /// Whether the machine's record is about to change, or may be.
+    pub fn concern(&self, name: &MachineName) -> bool {
+        self.wanted.contains_key(name)
+    }
+
+    /// Wants a change. One that is under way for the machine goes first, unless the machine is
+    /// gone.
+    pub fn want(&mut self, name: &MachineName, change: MachineChange) {
+        if change == MachineChange::Delete {
+            self.wanted.insert(name.clone(), change);
+        } else {
+            self.wanted.entry(name.clone()).or_insert(change);
+        }
+    }
+
+    /// Whether the machine is about to leave its share.
+    pub fn take_away(&self, name: &MachineName) -> bool {
+        matches!(self.wanted.get(name), Some(MachineChange::Leave | MachineChange::Shift(_)))
+    }
+}
+
+impl Node {
+    /// Whether the change still makes sense as the mirror and our shares stand. What does not is
+    /// dropped; whoever wanted it looks again.
+    fn still_wanted(&self, name: &MachineName, change: &MachineChange) -> bool {
+        let known = self.mirror.machines.get(name).map(|m| &m.record);
+        let share = known
+            .and_then(|record| self.holdings.get(&record.partition))
+            .filter(|holding| !holding.is_yielding())
+            .and_then(|holding| holding.share());
+        let machine = share.and_then(|share| share.machines.get(name));
+        match change {
+            MachineChange::Create(_) => known.is_none() && self.holdings.contains_key(&LEAD),
+            MachineChange::Delete => known.is_some(),
+            MachineChange::Leave => machine.is_some() && known.is_some_and(|r| !r.leaving),
+            // Only what is idle and takes nothing new may change hands.
+            MachineChange::Shift(to) => {
+                machine.is_some_and(|m| m.tasks.is_empty() && m.leaving)
+                    && known.is_some_and(|r| r.partition != *to && !r.leaving)
+            }
+            MachineChange::Raise => {
+                machine.is_some_and(|m| m.needs_token && m.seen_token >= m.token)
+            }
+        }
+    }
+
+    pub(super) fn step_machines(&mut self) {
+        let (now, revision) = (self.now, self.mirror.revision);
+        if self.machine_changes.wanted.is_empty()
+            || !self.synced
+            || !self.machine_changes.pipe.ready(now, revision)
+        {
+            return;
+        }
+        let wanted = std::mem::take(&mut self.machine_changes.wanted);
+        let wanted: BTreeMap<MachineName, MachineChange> =
+            wanted.into_iter().filter(|(name, change)| self.still_wanted(name, change)).collect();
+        let txn = self.machines_txn(&wanted);
+        // They stay wanted, and so known to be under way, until the mirror shows them done.
+        self.machine_changes.wanted = wanted;
+        if txn.writes.is_empty() {
+            return;
+        }
+        self.machine_changes.pipe.send((), txn.clone(), now, GAP);
+        self.state(Importance::Placement, StateRequest::Txn(txn), Purpose::Machines);
+    }
+
+    /// Writes as many of the changes as a transaction takes.
+    fn machines_txn(&self, wanted: &BTreeMap<MachineName, MachineChange>) -> Txn {
+        let most_pages = (self.settings.state_limits.txn_ops - 1).clamp(1, 4);
+        let room = page_room(self.settings.state_limits.value_bytes);
+        let token = self.mirror.next_token();
+        let mut pages: BTreeMap<u32, BTreeMap<&MachineName, MachineRecord>> = BTreeMap::new();
+        let mut rights: BTreeSet<PartitionId> = BTreeSet::new();
+        let grows = wanted.values().any(|change| matches!(change, MachineChange::Create(_)));
+        let mut filled = if grows { self.filled_pages() } else { BTreeMap::new() };
+        let mut new_token = false;
+        for (name, change) in wanted {
+            let known = self.mirror.machines.get(name);
+            let (page, mut record) = match (known, change) {
+                (Some(known), _) => (known.page, known.record.clone()),
+                (None, MachineChange::Create(record)) => {
+                    let size = packed_size(&PackedMachine::new(name, record));
+                    let fits = |filled: &usize| filled + size <= room;
+                    let found = filled.iter().find(|(_, filled)| fits(filled)).map(|(p, _)| *p);
+                    let fresh = || filled.keys().next_back().map_or(0, |last| last + 1);
+                    let page = found.unwrap_or_else(fresh);
+                    if pages.contains_key(&page) || pages.len() < most_pages {
+                        *filled.entry(page).or_default() += size;
+                    }
+                    (page, record.clone())
+                }
+                (None, _) => continue,
+            };
+            if !pages.contains_key(&page) && pages.len() >= most_pages {
+                continue;
+            }
+            let records = pages.entry(page).or_insert_with(|| self.page_records(page));
+            match change {
+                MachineChange::Create(_) => {
+                    rights.insert(LEAD);
+                }
+                // The cloud's word needs no right.
+                MachineChange::Delete => {
+                    records.remove(name);
+                    continue;
+                }
+                MachineChange::Leave => {
+                    rights.insert(record.partition);
+                    record.leaving = true;
+                }
+                MachineChange::Shift(to) => {
+                    rights.insert(record.partition);
+                    (record.partition, record.token, new_token) = (*to, token, true);
+                }
+                MachineChange::Raise => {
+                    rights.insert(record.partition);
+                    (record.token, new_token) = (token, true);
+                }
+            }
+            records.insert(name, record);
+        }
+        let mut txn = Txn::default();
+        for partition in rights {
+            let version = self.holdings.get(&partition).map_or(0, |h| h.version().0);
+            txn = txn.when(partition_key(partition), version);
+        }
+        for (page, records) in pages {
+            let machines =
+                records.iter().map(|(name, record)| PackedMachine::new(name, record)).collect();
+            let version = self.mirror.machine_pages.get(&page).map_or(0, |p| p.version.0);
+            let value = serde_json::to_value(MachinesPage { machines }).unwrap_or_default();
+            let key = machines_key(page);
+            txn = txn.when(&key, version).write(Write::put(&key, value));
+        }
+        if new_token {
+            let mut counter =
+                self.mirror.counter.as_ref().map(|c| c.record.clone()).unwrap_or_default();
+            counter.next = token + 1;
+            let value = serde_json::to_value(counter).unwrap_or_default();
+            txn =
+                txn.when(COUNTER, self.mirror.counter_version()).write(Write::put(COUNTER, value));
+        }
+        txn
+    }
+
+    fn page_records(&self, page: u32) -> BTreeMap<&MachineName, MachineRecord> {
+        let names = self.mirror.machine_pages.get(&page).into_iter().flat_map(|p| &p.record);
+        names
+            .filter_map(|name| Some((name, self.mirror.machines.get(name)?.record.clone())))
+            .collect()
+    }
+
+    /// How full each page is.
+    fn filled_pages(&self) -> BTreeMap<u32, usize> {
+        let mut filled: BTreeMap<u32, usize> =
+            self.mirror.machine_pages.keys().map(|page| (*page, 0)).collect();
+        for (name, known) in &self.mirror.machines {
+            let size = packed_size(&PackedMachine::new(name, &known.record));
+            *filled.entry(known.page).or_default() += size;
+        }
+        filled
+    }
+
+    pub(super) fn on_machines(&mut self, reply: StateReply) {
+        // What is still wanted is made up anew when the mirror has caught up.
+        if let Outcome::Again(txn) = self.machine_changes.pipe.answered(reply, self.now) {
+            let request = StateRequest::Txn(txn);
+            self.again(Span(200), Importance::Placement, request, Purpose::Machines);
+        }
+    }
+}
--- a/crates/coordination/src/node/mod.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -1,8 +1,11 @@
 //! The node: its state, its events and its effects.
 
 pub mod admin;
+mod ends;
 mod holder;
+mod intake;
 mod leader;
+mod machines;
 mod partitions;
 mod sync;
 mod users;
@@ -13,7 +16,9 @@
 use admin::{AdminReply, AdminRequest};
 use fleet::FleetPolicy;
 use holder::Holding;
+use intake::Intake;
 use leader::Leader;
+use machines::MachineChanges;
 use model::{
     CallId, JobId, JobState, LeaseId, MachineName, Moment, NodeName, PartitionId, RejectReason,
     Settings, Span, TaskId, Token, ZoneName,
@@ -25,7 +30,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use wire::cloud::{CloudReply, CloudRequest, RentRequest};
 use wire::mesh::MeshMessage;
-use wire::state::{StateReply, StateRequest, Txn};
+use wire::state::{StateReply, StateRequest};
 use wire::users::{JobRequest, JobStatus};
 use wire::workers::{DirectCommands, Report, ReportAnswer};
 
@@ -151,38 +156,19 @@
         term: u64,
         number: u64,
     },
-    Accept {
-        ticket: Ticket,
-        id: JobId,
-        tries: u32,
-        txn: Box<Txn>,
-    },
-    CancelWrite {
-        poll: Poll,
-    },
+    /// Accepted jobs.
+    Intake,
+    /// Cancellations.
+    Cancels,
     FinalRead {
         poll: Poll,
     },
-    FinalWrite {
-        partition: PartitionId,
-        term: u64,
-        jobs: Vec<(JobId, JobState)>,
-    },
-    FinalProof {
+    Ends {
         partition: PartitionId,
         term: u64,
-        job: JobId,
-    },
-    /// A change of a machine's record by its holder.
-    MachineWrite {
-        partition: PartitionId,
-        machine: MachineName,
     },
-    /// A record of a rented or found machine.
-    MachineRecord {
-        machines: Vec<MachineName>,
-    },
-    MachineDelete(MachineName),
+    /// Changes of machines' records.
+    Machines,
     TypesWrite,
     TuningWrite {
         ticket: Ticket,
@@ -264,6 +250,8 @@
     progress: HashMap<JobId, (u64, u64)>,
     finals: HashMap<JobId, JobState>,
     polls: Vec<Poll>,
+    intake: Intake,
+    machine_changes: MachineChanges,
     fresh_pending: bool,
     leader: Leader,
     effects: Vec<Effect>,
@@ -325,6 +313,8 @@
             progress: HashMap::new(),
             finals: HashMap::new(),
             polls: Vec::new(),
+            intake: Intake::default(),
+            machine_changes: MachineChanges::default(),
             fresh_pending: false,
             leader: Leader::new(settings.cloud_rps),
             effects: Vec::new(),
@@ -358,6 +348,8 @@
         self.step_holdings();
         self.step_leader();
         self.step_mesh();
+        self.step_machines();
+        self.step_intake();
         self.step_polls();
         self.pump();
     }
@@ -488,11 +480,6 @@
         }
     }
 
-    /// How many users' writes wait for budget.
-    fn accepts_waiting(&self) -> usize {
-        self.outbox.get(&Importance::Accept).map_or(0, VecDeque::len)
-    }
-
     fn reply_user(&mut self, ticket: Ticket, reply: UserReply) {
         if let UserReply::Busy { .. } = reply {
             *self.counters.refusals.entry("busy").or_default() += 1;
--- a/crates/coordination/src/node/sync.rs
+++ b/crates/coordination/src/node/sync.rs
@@ -112,22 +112,11 @@
             Purpose::LedgerProof { partition, term, number } => {
                 self.on_proof(partition, term, number, reply);
             }
-            Purpose::Accept { ticket, id, tries, txn } => {
-                self.on_accepted(ticket, id, tries, txn, reply);
-            }
-            Purpose::CancelWrite { poll } => self.on_cancel_written(poll, reply),
+            Purpose::Intake => self.on_intake(reply),
+            Purpose::Cancels => self.on_cancels(reply),
             Purpose::FinalRead { poll } => self.on_final_read(poll, reply),
-            Purpose::FinalWrite { partition, term, jobs } => {
-                self.on_final_written(partition, term, jobs, reply);
-            }
-            Purpose::FinalProof { partition, term, job } => {
-                self.on_final_proof(partition, term, job, reply);
-            }
-            Purpose::MachineWrite { partition, machine } => {
-                self.on_machine_written(partition, &machine);
-            }
-            Purpose::MachineRecord { machines } => self.on_machines_recorded(&machines, &reply),
-            Purpose::MachineDelete(machine) => self.on_machine_deleted(&machine),
+            Purpose::Ends { partition, term } => self.on_ends(partition, term, reply),
+            Purpose::Machines => self.on_machines(reply),
             Purpose::TypesWrite => self.leader.types_pending = false,
             Purpose::TuningWrite { ticket } => self.on_tuning_written(ticket, reply),
             // These go to the cloud or to workers.
@@ -194,6 +183,7 @@
         for change in changed {
             match change {
                 Changed::Job(id) => self.job_changed(id),
+                Changed::Ended(id, state) => self.job_ended(id, state),
                 Changed::Partition(id) => self.partition_changed(id),
                 Changed::Machine(name) => self.machine_changed(&name),
                 Changed::Types => self.types_changed(),
--- a/crates/coordination/src/node/users.rs
+++ b/crates/coordination/src/node/users.rs
@@ -3,18 +3,13 @@
 
 use super::{Node, Poll, PollKind, Purpose, Ticket, UserReply, UserRequest};
 use crate::budget::Importance;
-use crate::records::{final_key, job_key, FinalRecord, JobRecord};
+use crate::records::{final_key, FinalRecord};
 use model::{JobId, JobSpec, JobState, Moment, Span};
 use serde::Deserialize;
-use wire::state::{StateReply, StateRequest, Txn, Write};
+use wire::state::{StateReply, StateRequest};
 use wire::users::{JobRequest, JobStatus};
 
-/// Submissions that may wait for budget before others are turned away.
-const ACCEPT_QUEUE: usize = 24;
-/// How often a throttled submission is tried again before its user is sent away.
-const ACCEPT_TRIES: u32 = 8;
-
-fn status(id: JobId, state: JobState) -> JobStatus {
+pub(super) fn status(id: JobId, state: JobState) -> JobStatus {
     JobStatus { id: id.to_string(), state, done: None, running: None }
 }
 
@@ -27,7 +22,7 @@
         }
     }
 
-    fn busy(&mut self, ticket: Ticket, retry_after_s: u64) {
+    pub(super) fn busy(&mut self, ticket: Ticket, retry_after_s: u64) {
         self.reply_user(ticket, UserReply::Busy { retry_after_s });
     }
 
@@ -70,47 +65,11 @@
             self.ask(ticket, id, PollKind::Known { reject: Some(reason) });
             return;
         }
-        if self.accepts_waiting() >= ACCEPT_QUEUE || !self.in_contact(Span(6_000)) {
+        if !self.in_contact(Span(6_000)) {
             self.busy(ticket, 1);
             return;
         }
-        let value = serde_json::to_value(JobRecord { job, cancelled: false }).unwrap_or_default();
-        let txn = Txn::default()
-            .when(job_key(id), 0)
-            .when(final_key(id), 0)
-            .write(Write::put(job_key(id), value));
-        let purpose = Purpose::Accept { ticket, id, tries: 0, txn: Box::new(txn.clone()) };
-        self.state(Importance::Accept, StateRequest::Txn(txn), purpose);
-    }
-
-    pub(super) fn on_accepted(
-        &mut self,
-        ticket: Ticket,
-        id: JobId,
-        tries: u32,
-        txn: Box<Txn>,
-        reply: StateReply,
-    ) {
-        match reply {
-            StateReply::Committed { .. } => {
-                let answer = status(id, JobState::Queued);
-                self.reply_user(ticket, UserReply::Created(answer));
-            }
-            StateReply::Conflict { .. } => {
-                self.ask(ticket, id, PollKind::Known { reject: None });
-            }
-            StateReply::Refused { throttled: true } if tries < ACCEPT_TRIES => {
-                let request = StateRequest::Txn((*txn).clone());
-                let purpose = Purpose::Accept { ticket, id, tries: tries + 1, txn };
-                self.again(Span(60), Importance::Accept, request, purpose);
-            }
-            StateReply::Invalid(problem) => {
-                tracing::error!(%id, problem, "the state service calls a submission malformed");
-                self.busy(ticket, 2);
-            }
-            // Whether it was written is open; the user's retry will find out.
-            _ => self.busy(ticket, 1),
-        }
+        self.accept(ticket, id, job);
     }
 
     /// One read of changes answers all questions that came before it was sent.
@@ -141,7 +100,7 @@
         }
     }
 
-    fn turn_away(&mut self, polls: Vec<Poll>) {
+    pub(super) fn turn_away(&mut self, polls: Vec<Poll>) {
         for poll in polls {
             self.busy(poll.ticket, 1);
         }
@@ -155,25 +114,18 @@
             self.reply_user(poll.ticket, UserReply::Status(answer));
             return;
         }
-        let Some(job) = self.mirror.jobs.get(&id) else {
+        if !self.mirror.jobs.contains_key(&id) {
             let request = StateRequest::Get { key: final_key(id) };
             self.state(Importance::Accept, request, Purpose::FinalRead { poll });
             return;
-        };
-        if job.record.cancelled {
+        }
+        if self.mirror.is_cancelled(id) {
             let answer = status(id, JobState::Cancelled);
             self.reply_user(poll.ticket, UserReply::Status(answer));
             return;
         }
         if let PollKind::Cancel { .. } = poll.kind {
-            let mut record = (*job.record).clone();
-            record.cancelled = true;
-            let value = serde_json::to_value(record).unwrap_or_default();
-            let txn = Txn::default()
-                .when(job_key(id), job.version.0)
-                .write(Write::put(job_key(id), value));
-            let purpose = Purpose::CancelWrite { poll };
-            self.state(Importance::Accept, StateRequest::Txn(txn), purpose);
+            self.cancel(poll);
             return;
         }
         let answer = self.open_status(id);
@@ -199,22 +151,6 @@
         JobStatus { id: id.to_string(), state, done: Some(done), running: Some(running) }
     }
 
-    pub(super) fn on_cancel_written(&mut self, mut poll: Poll, reply: StateReply) {
-        let PollKind::Cancel { tries } = &mut poll.kind else { return };
-        match reply {
-            StateReply::Committed { .. } => {
-                let answer = status(poll.id, JobState::Cancelled);
-                self.reply_user(poll.ticket, UserReply::Status(answer));
-            }
-            // Its record has changed: look again, since it may be done by now.
-            StateReply::Conflict { .. } | StateReply::Refused { throttled: true } if *tries < 5 => {
-                *tries += 1;
-                self.polls.push(poll);
-            }
-            _ => self.busy(poll.ticket, 1),
-        }
-    }
-
     pub(super) fn on_final_read(&mut self, poll: Poll, reply: StateReply) {
         match reply {
             StateReply::Item(item) => match FinalRecord::deserialize(&item.value) {
--- a/crates/coordination/src/records.rs
+++ b/crates/coordination/src/records.rs
@@ -1,12 +1,14 @@
 //! What is kept in the state service, and under which keys.
 //!
 //! Everything under `s/` is watched by every node; `f/` holds the final states of jobs and
-//! `l/` the ledger pages of partitions, both read on demand.
+//! `l/` the ledger pages of partitions, both read on demand. The state service counts puts one
+//! by one, so what comes in numbers (accepted jobs, cancellations, ends, machines) is packed,
+//! many to a value.
 
-use model::{JobId, MachineName, NodeName, PartitionId};
+use model::{JobId, NodeName, PartitionId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use wire::users::{JobRequest, JobState};
+use wire::users::{JobKind, JobRequest, JobState, Priority};
 
 /// Prefix of everything that is watched.
 pub const WATCHED: &str = "s/";
@@ -17,9 +19,40 @@
 /// Operators' settings.
 pub const TUNING: &str = "s/c";
 
-/// Key of an open job.
-pub fn job_key(id: JobId) -> String {
-    format!("s/j/{id}")
+/// Largest value that is packed: every change of a page is sent to all nodes whole, so a page
+/// is no larger than pays, whatever the state service would take.
+const PAGE_BYTES: usize = 4 * 1024;
+/// What a page takes besides its entries.
+const PAGE_FRAME: usize = 64;
+
+/// Room for entries on a page of packed records.
+pub fn page_room(value_bytes: usize) -> usize {
+    value_bytes.min(PAGE_BYTES).saturating_sub(PAGE_FRAME)
+}
+
+/// Bytes that a packed entry takes on its page, the separator included.
+pub fn packed_size<T: Serialize>(entry: &T) -> usize {
+    serde_json::to_vec(entry).map_or(usize::MAX / 2, |bytes| bytes.len() + 1)
+}
+
+/// Key of a page of accepted jobs. Only the node named writes it.
+pub fn intake_key(node: &NodeName, page: u32) -> String {
+    format!("s/j/{node}/{page:04}")
+}
+
+/// Key of a node's cancellations. Only that node writes it.
+pub fn cancels_key(node: &NodeName) -> String {
+    format!("s/x/{node}")
+}
+
+/// Key of a page of ended jobs that some page of accepted jobs still shows.
+pub fn ends_key(partition: PartitionId, page: u32) -> String {
+    format!("s/e/{partition}/{page:04}")
+}
+
+/// Key of a page of machines.
+pub fn machines_key(page: u32) -> String {
+    format!("s/m/{page:04}")
 }
 
 /// Key of a job's final state.
@@ -32,11 +65,6 @@
     format!("s/p/{id}")
 }
 
-/// Key of a machine.
-pub fn machine_key(name: &MachineName) -> String {
-    format!("s/m/{name}")
-}
-
 /// Key of a node's incarnation.
 pub fn boot_key(name: &NodeName) -> String {
     format!("s/b/{name}")
@@ -47,12 +75,119 @@
     format!("l/{id}/")
 }
 
-/// An accepted job that is not over.
+/// An accepted job on its page, without field names since many share a value. First comes the
+/// revision at which it was accepted: jobs are counted against guarantees in that order.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct JobRecord {
-    pub job: JobRequest,
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub cancelled: bool,
+pub struct PackedJob(
+    pub u64,
+    String,
+    String,
+    String,
+    JobKind,
+    Priority,
+    u64,
+    [f64; 3],
+    String,
+    f64,
+    [bool; 3],
+    [f64; 3],
+    Option<f64>,
+    Option<String>,
+    Option<Vec<String>>,
+);
+
+impl PackedJob {
+    /// Packs a submission.
+    pub fn new(order: u64, job: JobRequest) -> Self {
+        PackedJob(
+            order,
+            job.id,
+            job.class,
+            job.team,
+            job.kind,
+            job.priority,
+            job.tasks,
+            [job.cpus, job.gpus, job.memory_gb],
+            job.image,
+            job.image_gb,
+            [job.one_zone, job.spread, job.spot],
+            [job.estimate_s, job.checkpoint_s, job.save_s],
+            job.deadline_s,
+            job.zone,
+            job.types,
+        )
+    }
+
+    /// Its id as the user wrote it.
+    pub fn id(&self) -> &str {
+        &self.1
+    }
+
+    /// The submission as it came.
+    pub fn request(&self) -> JobRequest {
+        let [cpus, gpus, memory_gb] = self.7;
+        let [one_zone, spread, spot] = self.10;
+        let [estimate_s, checkpoint_s, save_s] = self.11;
+        JobRequest {
+            id: self.1.clone(),
+            class: self.2.clone(),
+            team: self.3.clone(),
+            kind: self.4,
+            priority: self.5,
+            tasks: self.6,
+            cpus,
+            gpus,
+            memory_gb,
+            image: self.8.clone(),
+            image_gb: self.9,
+            types: self.14.clone(),
+            zone: self.13.clone(),
+            one_zone,
+            spread,
+            spot,
+            estimate_s,
+            checkpoint_s,
+            save_s,
+            deadline_s: self.12,
+        }
+    }
+}
+
+/// A page of accepted jobs. Entries stay raw until it is clear which of them are new.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct IntakePage {
+    pub jobs: Vec<serde_json::Value>,
+}
+
+/// A node's cancellations of jobs that are not over.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CancelsRecord {
+    pub jobs: Vec<u64>,
+}
+
+/// Jobs that are over while a page of accepted jobs still shows them.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndsPage {
+    #[serde(rename = "d", default)]
+    pub done: Vec<u64>,
+    #[serde(rename = "c", default)]
+    pub cancelled: Vec<u64>,
+}
+
+impl EndsPage {
+    /// Its jobs with their final states.
+    pub fn jobs(&self) -> impl Iterator<Item = (JobId, JobState)> + '_ {
+        let done = self.done.iter().map(|id| (JobId(*id), JobState::Done));
+        done.chain(self.cancelled.iter().map(|id| (JobId(*id), JobState::Cancelled)))
+    }
+
+    /// Adds a job.
+    pub fn push(&mut self, id: JobId, state: JobState) {
+        match state {
+            JobState::Cancelled => self.cancelled.push(id.0),
+            _ => self.done.push(id.0),
+        }
+    }
 }
 
 /// A job that is over.
@@ -73,19 +208,48 @@
 }
 
 /// A rented machine and whose share it is in.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MachineRecord {
-    #[serde(rename = "type")]
     pub machine_type: String,
     pub zone: String,
     pub spot: bool,
     pub partition: PartitionId,
     pub token: u64,
     /// Given up by its holder: to be released by the leader.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub leaving: bool,
 }
 
+/// A machine on its page: name, type, zone, spot, partition, token, leaving.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PackedMachine(pub String, String, String, bool, PartitionId, u64, bool);
+
+impl PackedMachine {
+    /// Packs a record.
+    pub fn new(name: &model::MachineName, record: &MachineRecord) -> Self {
+        PackedMachine(
+            name.to_string(),
+            record.machine_type.clone(),
+            record.zone.clone(),
+            record.spot,
+            record.partition,
+            record.token,
+            record.leaving,
+        )
+    }
+
+    /// The record.
+    pub fn record(self) -> MachineRecord {
+        let PackedMachine(_, machine_type, zone, spot, partition, token, leaving) = self;
+        MachineRecord { machine_type, zone, spot, partition, token, leaving }
+    }
+}
+
+/// A page of machines.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachinesPage {
+    pub machines: Vec<PackedMachine>,
+}
+
 /// The counter, and who took each partition last.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct CounterRecord {
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -68,6 +68,13 @@
         }
     }
 
+    /// Loses what is stored under a prefix without anybody noticing: a broken store.
+    pub fn lose(&mut self, prefix: &str) {
+        for (_, stored) in self.keys.iter_mut().filter(|(key, _)| key.starts_with(prefix)) {
+            stored.value = serde_json::json!({});
+        }
+    }
+
     /// After an outage every lease has its full time again.
     pub fn refresh_leases(&mut self, now: u64) {
         for (until, ttl) in self.leases.values_mut() {
@@ -104,7 +111,7 @@
             .map(|c| c.key.clone())
             .collect();
         if !failed.is_empty() {
-            return StateReply::Conflict { failed };
+            return StateReply::Conflict { failed, revision: self.revision };
         }
         if !txn.writes.is_empty() {
             self.revision += 1;
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -57,7 +57,7 @@
     LongCancel,
     /// Workers take answers that bear an old token.
     TokensIgnored,
-    /// The ends of jobs are reported as written but are not.
+    /// The ends of jobs are told to whoever watches but are not kept.
     EndsNotWritten,
 }
 
@@ -675,10 +675,8 @@
         let mut pretend = false;
         if let StateRequest::Txn(txn) = &mut request {
             let page = |w: &Write| matches!(w, Write::Put { put, .. } if put.starts_with("l/"));
-            let end = |w: &Write| matches!(w, Write::Put { put, .. } if put.starts_with("f/"));
             match self.plan.sabotage {
                 Some(Sabotage::RoundsNotWritten) => pretend = txn.writes.iter().any(page),
-                Some(Sabotage::EndsNotWritten) => pretend = txn.writes.iter().any(end),
                 Some(Sabotage::NoFencing) => {
                     txn.conditions
                         .retain(|c| !c.key.starts_with("s/p/") && !c.key.starts_with("l/"));
@@ -691,6 +689,10 @@
         } else {
             self.state.execute(self.now, &request)
         };
+        if self.plan.sabotage == Some(Sabotage::EndsNotWritten) {
+            self.state.lose("f/");
+            self.state.lose("s/e/");
+        }
         // Now and then the answer is lost, although the request was executed.
         if !self.rng.random_bool(0.003) {
             self.state_answer(node, life, call, reply);
--- a/crates/testkit/tests/rules.rs
+++ b/crates/testkit/tests/rules.rs
@@ -132,7 +132,11 @@
 
 #[test]
 fn an_end_that_is_not_written_is_caught() {
-    is_caught(Sabotage::EndsNotWritten, &["went_back", "forgotten", "not_done"], crashes);
+    is_caught(
+        Sabotage::EndsNotWritten,
+        &["went_back", "forgotten", "not_done", "ran_cancelled"],
+        crashes,
+    );
 }
 
 /// Found by a longer sweep: reports could not come through while direct calls did, so tasks
--- a/crates/trackcrank/src/clients.rs
+++ b/crates/trackcrank/src/clients.rs
@@ -184,7 +184,7 @@
         404 if matches!(request, StateRequest::Get { .. }) => return StateReply::Missing,
         409 => {
             return match decode::<TxnAnswer>(body) {
-                Some(answer) => StateReply::Conflict { failed: answer.failed },
+                Some(TxnAnswer { failed, revision }) => StateReply::Conflict { failed, revision },
                 None => StateReply::Unknown,
             }
         }
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -165,8 +165,10 @@
     Committed {
         revision: u64,
     },
+    /// 409: the conditions named did not hold at this revision.
     Conflict {
         failed: Vec<String>,
+        revision: u64,
     },
     Lease(u64),
     /// A lease call succeeded.
