--- a/crates/coordination/src/node/ends.rs
+++ b/crates/coordination/src/node/ends.rs
@@ -1,17 +1,19 @@
 //! Writing the ends of jobs: done or cancelled, whichever came first.
 //!
-//! Each end is a record of its own, since it is kept for ever and found by the job's id, and
-//! an entry on a watched page that tells all nodes, until no page of accepted jobs shows the
-//! job any more. The write is conditional on every node's cancellations, so that done and
-//! cancelled exclude each other.
+//! An end is an entry on a watched page, many to a put. That write is conditional on every
+//! node's cancellations, so that done and cancelled exclude each other. When there is budget to
+//! spare, the final state is filed under the job's id, where it stays for ever. An entry
+//! leaves its page when it is filed and no page of accepted jobs shows the job any more; the
+//! job cannot come back then, since acceptances are conditional on there being no final state.
 
 use super::{Node, Purpose};
 use crate::budget::Importance;
+use crate::mirror::Mirror;
 use crate::pipe::{Outcome, Pipe};
 use crate::records::{
     cancels_key, ends_key, final_key, page_room, partition_key, EndsPage, FinalRecord,
 };
-use model::{JobId, JobState, PartitionId, Span};
+use model::{JobId, JobState, NodeName, PartitionId, Span, ZoneName};
 use std::collections::BTreeSet;
 use wire::state::{StateReply, StateRequest, Txn, Write};
 
@@ -28,58 +30,41 @@
 impl Node {
     pub(super) fn step_ends(&mut self, partition: PartitionId) {
         let (now, revision) = (self.now, self.mirror.revision);
+        let budget = self.may_write(Importance::Accept, 1.0);
         let most = self.settings.state_limits.txn_ops - 1;
+        let room = self.page_entries();
+        let spare = self.may_write(Importance::Rest, most as f64 + 1.0);
         let Some(holding) = self.holdings.get_mut(&partition) else { return };
         let (version, term) = (holding.version(), holding.term().0);
         let Some((share, ending)) = holding.share_and_ending() else { return };
         ending.jobs.extend(share.take_finished());
-        if ending.jobs.is_empty() || !ending.pipe.ready(now, revision) {
+        if !budget || !ending.pipe.ready(now, revision) {
             return;
         }
         ending.jobs.retain(|id| self.mirror.jobs.contains_key(id));
-        let batch: Vec<JobId> = ending.jobs.iter().copied().take(most).collect();
-        if batch.is_empty() {
-            return;
-        }
-        // Jobs leave the page when no page of accepted jobs shows them: none can come back,
-        // since an acceptance is conditional on there being no final state.
-        let listed = self.mirror.listed();
-        let room = page_room(self.settings.state_limits.value_bytes) / 21;
-        let mut chosen = (0, 0, EndsPage::default());
-        for number in 0.. {
-            let old = self.mirror.ends.get(&(partition, number));
-            let mut page = old.map(|p| p.record.clone()).unwrap_or_default();
-            page.done.retain(|id| listed.contains(&JobId(*id)));
-            page.cancelled.retain(|id| listed.contains(&JobId(*id)));
-            if old.is_none() || page.done.len() + page.cancelled.len() + batch.len() <= room {
-                chosen = (number, old.map_or(0, |p| p.version.0), page);
-                break;
+        let txn = if !ending.jobs.is_empty() {
+            write_ends(&self.mirror, &self.nodes, partition, &ending.jobs, room)
+        } else if spare {
+            match file_ends(&self.mirror, partition, most) {
+                Some(txn) => txn,
+                None => return,
             }
-        }
-        let (number, page_version, mut page) = chosen;
-        let key = ends_key(partition, number);
-        let mut txn =
-            Txn::default().when(partition_key(partition), version.0).when(&key, page_version);
-        for (node, _) in &self.nodes {
-            let version = self.mirror.cancels.get(node).map_or(0, |c| c.version.0);
-            txn = txn.when(cancels_key(node), version);
-        }
-        for id in &batch {
-            let state = match self.mirror.is_cancelled(*id) {
-                true => JobState::Cancelled,
-                false => JobState::Done,
-            };
-            page.push(*id, state);
-            let value = serde_json::to_value(FinalRecord { state }).unwrap_or_default();
-            txn = txn.write(Write::put(final_key(*id), value));
-        }
-        let value = serde_json::to_value(page).unwrap_or_default();
-        txn = txn.write(Write::put(&key, value));
+        } else {
+            return;
+        };
+        let txn = txn.when(partition_key(partition), version.0);
+        let Some(holding) = self.holdings.get_mut(&partition) else { return };
+        let Some((_, ending)) = holding.share_and_ending() else { return };
         ending.pipe.send((), txn.clone(), now, GAP);
         let purpose = Purpose::Ends { partition, term };
         self.state(Importance::Accept, StateRequest::Txn(txn), purpose);
     }
 
+    /// How many ids a page takes: each has 20 digits at most.
+    pub(super) fn page_entries(&self) -> usize {
+        page_room(self.settings.state_limits.value_bytes) / 21
+    }
+
     pub(super) fn on_ends(&mut self, partition: PartitionId, term: u64, reply: StateReply) {
         let now = self.now;
         let Some(holding) = self.current(partition, term) else { return };
@@ -100,3 +85,58 @@
         }
     }
 }
+
+/// The ends of these jobs, as many as their page takes.
+fn write_ends(
+    mirror: &Mirror,
+    nodes: &[(NodeName, ZoneName)],
+    partition: PartitionId,
+    jobs: &BTreeSet<JobId>,
+    room: usize,
+) -> Txn {
+    let listed = mirror.listed();
+    let mut number = 0;
+    let (page_version, mut page) = loop {
+        let Some(old) = mirror.ends.get(&(partition, number)) else {
+            break (0, EndsPage::default());
+        };
+        let mut page = old.record.clone();
+        page.drop_unlisted(&listed);
+        if page.len() < room {
+            break (old.version.0, page);
+        }
+        number += 1;
+    };
+    let free = room.saturating_sub(page.len());
+    for id in jobs.iter().take(free) {
+        let cancelled = mirror.is_cancelled(*id);
+        page.push(*id, if cancelled { JobState::Cancelled } else { JobState::Done });
+    }
+    let key = ends_key(partition, number);
+    let mut txn = Txn::default().when(&key, page_version);
+    for (node, _) in nodes {
+        txn = txn.when(cancels_key(node), mirror.cancels.get(node).map_or(0, |c| c.version.0));
+    }
+    txn.write(Write::put(&key, serde_json::to_value(page).unwrap_or_default()))
+}
+
+/// Files as many final states as a transaction takes.
+fn file_ends(mirror: &Mirror, partition: PartitionId, most: usize) -> Option<Txn> {
+    let pages = mirror.ends.range((partition, 0)..=(partition, u32::MAX));
+    let ((_, number), old) =
+        pages.max_by_key(|(_, page)| page.record.done.len() + page.record.cancelled.len())?;
+    let mut page = old.record.clone();
+    page.drop_unlisted(&mirror.listed());
+    let filed = page.file(most);
+    // A few are not worth a put of the page.
+    if filed.len() < most {
+        return None;
+    }
+    let key = ends_key(partition, *number);
+    let mut txn = Txn::default().when(&key, old.version.0);
+    for (id, state) in filed {
+        let value = serde_json::to_value(FinalRecord { state }).unwrap_or_default();
+        txn = txn.write(Write::put(final_key(id), value));
+    }
+    Some(txn.write(Write::put(&key, serde_json::to_value(page).unwrap_or_default())))
+}
--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -445,6 +445,10 @@
     /// Writes what has changed, one round at a time.
     fn write_round(&mut self, partition: PartitionId) {
         let now = self.now;
+        // What is made up only when it can go out carries more and is fresher.
+        if !self.may_write(Importance::Placement, 1.0) {
+            return;
+        }
         let Some(holding) = self.holdings.get_mut(&partition) else { return };
         let (version, term, since) = (holding.version, holding.term.0, now.since(holding.round_at));
         let Some(loaded) = holding.loaded.as_mut() else { return };
--- a/crates/coordination/src/node/intake.rs
+++ b/crates/coordination/src/node/intake.rs
@@ -72,7 +72,7 @@
             self.intake.waiting.pop_front();
             self.busy(ticket, 1);
         }
-        if !self.synced {
+        if !self.synced || !self.may_write(Importance::Accept, 1.0) {
             return;
         }
         if !self.intake.waiting.is_empty() && self.intake.accepting.ready(now, self.mirror.revision)
@@ -220,7 +220,7 @@
         let open = old.into_iter().flat_map(|c| &c.record);
         let mut jobs: Vec<u64> =
             open.filter(|id| self.mirror.jobs.contains_key(id)).map(|id| id.0).collect();
-        let room = page_room(self.settings.state_limits.value_bytes) / 21;
+        let room = self.page_entries();
         let mut batch = Vec::new();
         for poll in std::mem::take(&mut self.intake.cancels) {
             if jobs.len() >= room {
--- a/crates/coordination/src/node/machines.rs
+++ b/crates/coordination/src/node/machines.rs
@@ -90,6 +90,7 @@
         if self.machine_changes.wanted.is_empty()
             || !self.synced
             || !self.machine_changes.pipe.ready(now, revision)
+            || !self.may_write(Importance::Placement, 1.0)
         {
             return;
         }
--- a/crates/coordination/src/node/mod.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -279,7 +279,6 @@
         let count = nodes.len().max(1) as f64;
         // Others are often idle, so each node may use more than its even part for a while;
         // a 429 tells when that was too much.
-        let share = |rate: f64| (rate / count) * 1.5;
         Node {
             tuning: Tuning::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -300,8 +299,8 @@
             next_call: 0,
             outbox: BTreeMap::new(),
             retries: Vec::new(),
-            requests: Bucket::new(share(limits.requests_per_s), limits.requests_per_s / count),
-            writes: Bucket::new(share(limits.writes_per_s), limits.writes_per_s * 0.6),
+            requests: Bucket::shared(limits.requests_per_s / count, limits.requests_per_s / count),
+            writes: Bucket::shared(limits.writes_per_s / count, limits.writes_per_s * 0.6),
             holdings: BTreeMap::new(),
             given_away: HashMap::new(),
             acquiring: HashSet::new(),
@@ -435,48 +434,52 @@
         self.retries.push((self.now + after + jitter, call, importance, request));
     }
 
-    /// Sends what the budgets allow, the most important first.
+    /// Whether a write of so many puts would go out at once. Writes that pack what waits are made
+    /// up only then.
+    fn may_write(&mut self, importance: Importance, puts: f64) -> bool {
+        let waits = self.outbox.range(..=importance).any(|(_, queue)| {
+            queue.iter().any(|(_, request)| matches!(request, StateRequest::Txn(_)))
+        });
+        !waits && self.writes.level(self.now) >= puts + importance.reserves().1
+    }
+
+    /// Sends what the budgets allow, the most important first. Reads do not wait behind writes.
     fn pump(&mut self) {
         let now = self.now;
         for (_, call, importance, request) in self.retries.extract_if(.., |r| r.0 <= now) {
             self.outbox.entry(importance).or_default().push_front((call, request));
         }
-        for importance in
-            [Importance::Lease, Importance::Accept, Importance::Placement, Importance::Rest]
-        {
-            let (request_reserve, write_reserve) = match importance {
-                Importance::Lease => (-20.0, -5.0),
-                Importance::Accept => (2.0, 0.0),
-                Importance::Placement => (4.0, 1.0),
-                Importance::Rest => (6.0, 3.0),
-            };
-            while let Some((_, request)) =
-                self.outbox.get(&importance).and_then(|queue| queue.front())
-            {
-                let puts = match request {
+        let mut going = Vec::new();
+        for (importance, queue) in &mut self.outbox {
+            let (request_reserve, write_reserve) = importance.reserves();
+            let mut kept = VecDeque::new();
+            let mut blocked = false;
+            for (call, request) in queue.drain(..) {
+                let puts = match &request {
                     StateRequest::Txn(txn) => txn.writes.len() as f64,
                     _ => 0.0,
                 };
-                if self.requests.level(now) < 1.0 + request_reserve
-                    || (puts > 0.0 && !self.writes.take(now, puts, write_reserve))
-                {
-                    break;
+                let goes = self.requests.level(now) >= 1.0 + request_reserve
+                    && (puts == 0.0 || !blocked && self.writes.take(now, puts, write_reserve));
+                if !goes {
+                    blocked |= puts > 0.0;
+                    kept.push_back((call, request));
+                    continue;
                 }
                 self.requests.take(now, 1.0, request_reserve);
-                let Some((call, request)) =
-                    self.outbox.get_mut(&importance).and_then(|queue| queue.pop_front())
-                else {
-                    break;
-                };
                 self.counters.state_calls += 1;
                 self.counters.state_writes += puts as u64;
-                let timeout = match &request {
-                    StateRequest::Watch { wait_ms, .. } => CALL_TIMEOUT + Span(*wait_ms),
-                    _ => CALL_TIMEOUT,
-                };
-                self.sent_at.insert(call, now);
-                self.effects.push(Effect::State { call, request, timeout });
+                going.push((call, request));
             }
+            *queue = kept;
+        }
+        for (call, request) in going {
+            let timeout = match &request {
+                StateRequest::Watch { wait_ms, .. } => CALL_TIMEOUT + Span(*wait_ms),
+                _ => CALL_TIMEOUT,
+            };
+            self.sent_at.insert(call, now);
+            self.effects.push(Effect::State { call, request, timeout });
         }
     }
 
--- a/crates/coordination/src/pipe.rs
+++ b/crates/coordination/src/pipe.rs
@@ -63,6 +63,7 @@
                 Outcome::Written(what)
             }
             StateReply::Conflict { failed, revision } => {
+                tracing::debug!(?failed, puts = txn.writes.len(), "a write met a conflict");
                 self.settled_at = Revision(revision);
                 Outcome::Conflict(what, failed)
             }
--- a/crates/coordination/src/records.rs
+++ b/crates/coordination/src/records.rs
@@ -45,7 +45,7 @@
     format!("s/x/{node}")
 }
 
-/// Key of a page of ended jobs that some page of accepted jobs still shows.
+/// Key of a page of ended jobs.
 pub fn ends_key(partition: PartitionId, page: u32) -> String {
     format!("s/e/{partition}/{page:04}")
 }
@@ -165,20 +165,38 @@
     pub jobs: Vec<u64>,
 }
 
-/// Jobs that are over while a page of accepted jobs still shows them.
+/// Jobs that are over, while their final states are not all filed under their ids yet or a
+/// page of accepted jobs still shows them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndsPage {
     #[serde(rename = "d", default)]
     pub done: Vec<u64>,
     #[serde(rename = "c", default)]
     pub cancelled: Vec<u64>,
+    /// Those whose final states are filed.
+    #[serde(rename = "fd", default)]
+    pub filed_done: Vec<u64>,
+    #[serde(rename = "fc", default)]
+    pub filed_cancelled: Vec<u64>,
 }
 
 impl EndsPage {
     /// Its jobs with their final states.
     pub fn jobs(&self) -> impl Iterator<Item = (JobId, JobState)> + '_ {
-        let done = self.done.iter().map(|id| (JobId(*id), JobState::Done));
-        done.chain(self.cancelled.iter().map(|id| (JobId(*id), JobState::Cancelled)))
+        let done = self.done.iter().chain(&self.filed_done);
+        let cancelled = self.cancelled.iter().chain(&self.filed_cancelled);
+        done.map(|id| (JobId(*id), JobState::Done))
+            .chain(cancelled.map(|id| (JobId(*id), JobState::Cancelled)))
+    }
+
+    /// How many jobs it names.
+    pub fn len(&self) -> usize {
+        self.jobs().count()
+    }
+
+    /// Whether it names none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
     }
 
     /// Adds a job.
@@ -188,6 +206,22 @@
             _ => self.done.push(id.0),
         }
     }
+
+    /// Marks as many as `most` final states as filed and returns them.
+    pub fn file(&mut self, most: usize) -> Vec<(JobId, JobState)> {
+        let done = self.done.drain(..self.done.len().min(most)).collect::<Vec<_>>();
+        let rest = most - done.len();
+        let cancelled = self.cancelled.drain(..self.cancelled.len().min(rest)).collect::<Vec<_>>();
+        self.filed_done.extend(&done);
+        self.filed_cancelled.extend(&cancelled);
+        EndsPage { done, cancelled, ..EndsPage::default() }.jobs().collect()
+    }
+
+    /// Drops filed jobs that are listed nowhere any more.
+    pub fn drop_unlisted(&mut self, listed: &std::collections::HashSet<JobId>) {
+        self.filed_done.retain(|id| listed.contains(&JobId(*id)));
+        self.filed_cancelled.retain(|id| listed.contains(&JobId(*id)));
+    }
 }
 
 /// A job that is over.
