Partitions cede machines to those in need; rent the urgent first, the rest in turn

Now urgent work is rented for first in all partitions, the rest one machine each in turn; when nothing can be had, holders hand over machines without replicas or guaranteed work as they empty. Small tests in `fleet`.

--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -439,6 +439,7 @@
         self.write_round(partition);
         self.send_direct(partition);
         self.raise_tokens(partition);
+        self.hand_over_ceded(partition);
         self.give_up_silent(partition);
     }
 
@@ -609,6 +610,36 @@
         }
     }
 
+    /// The leader asks for machines as they empty, for a partition that has greater need.
+    pub(super) fn on_cede_asked(&mut self, message: &MeshMessage) {
+        let MeshMessage::Cede { from, to, count, shape } = message else { return };
+        if *to >= self.partition_count() || from == to {
+            return;
+        }
+        let now = self.now;
+        let share = self.holdings.get_mut(&PartitionId(*from)).and_then(|h| h.share_mut());
+        if let Some(share) = share {
+            share.cede(PartitionId(*to), *count as usize, shape, now);
+        }
+    }
+
+    /// Hands over machines that were asked for and are empty now.
+    fn hand_over_ceded(&mut self, partition: PartitionId) {
+        let now = self.now;
+        let Some(share) = self.holdings.get_mut(&partition).and_then(|h| h.share_mut()) else {
+            return;
+        };
+        for (name, to) in share.ceded(now) {
+            if !self.machine_changes.concern(&name) {
+                if let Some(machine) = share.machines.get_mut(&name) {
+                    // Nothing is placed here from now on, whether or not the write succeeds.
+                    machine.leaving = true;
+                }
+                self.machine_changes.want(&name, MachineChange::Shift(to));
+            }
+        }
+    }
+
     /// What each of our partitions lacks and could spare, and how far its jobs are.
     fn tell_loads(&mut self) {
         let now = self.now;
--- a/crates/coordination/src/node/leader.rs
+++ b/crates/coordination/src/node/leader.rs
@@ -370,6 +370,8 @@
                 silent: load.map_or(Span::ZERO, |(m, _)| Span(m.silent_ms)),
                 failed: listed.is_some_and(|m| m.state == MachineState::Failed),
                 known: load.is_some_and(|(_, fresh)| fresh),
+                cedable: load.is_some_and(|(m, _)| m.cedable),
+                ceding: load.and_then(|(m, _)| m.ceding).map(PartitionId),
             });
         }
         let mut pending: Vec<(String, MachineRecord)> = self
@@ -404,6 +406,8 @@
                 silent: Span::ZERO,
                 failed: false,
                 known: false,
+                cedable: false,
+                ceding: None,
             });
         }
         machines
@@ -456,6 +460,9 @@
                 }
                 FleetAction::Shift { machine, to } => self.ask_release(&machine, Some(to.0)),
                 FleetAction::Return { machine } => self.ask_release(&machine, None),
+                FleetAction::Cede { from, to, shape, count } => {
+                    self.ask_cede(MeshMessage::Cede { from: from.0, to: to.0, count, shape });
+                }
             }
         }
     }
@@ -479,4 +486,16 @@
             self.mesh(&holder, MeshMessage::Release { machine: machine.to_string(), to });
         }
     }
+
+    /// Asks a holder to hand over machines that are not empty yet.
+    fn ask_cede(&mut self, message: MeshMessage) {
+        let MeshMessage::Cede { from, .. } = &message else { return };
+        let record = self.mirror.partitions.get(&PartitionId(*from));
+        let Some(holder) = record.map(|p| p.record.holder.clone()) else { return };
+        if holder == *self.me() {
+            self.on_cede_asked(&message);
+        } else {
+            self.mesh(&holder, message);
+        }
+    }
 }
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -302,6 +302,7 @@
             }
             MeshMessage::Load(load) => self.on_load(load),
             MeshMessage::Release { machine, to } => self.on_release_asked(&machine, to),
+            MeshMessage::Cede { .. } => self.on_cede_asked(&message),
             MeshMessage::Taken { partition, term, holder } => {
                 if let Some(holding) = self.holdings.get_mut(&PartitionId(partition)) {
                     if Token(term) > holding.term() {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -35,7 +35,7 @@
             keep_idle: Span(8_000),
             paid: Span(55_000),
             shift_idle: Span(1_000),
-            shift_count: 4,
+            shift_count: 16,
             silent: Span(15_000),
             boot_trust: 1.6,
             boot_patience: 3,
@@ -64,6 +64,10 @@
     pub failed: bool,
     /// Whether the holder's view of it is fresh.
     pub known: bool,
+    /// It runs nothing that its partition's teams are guaranteed, and no replicas.
+    pub cedable: bool,
+    /// Its holder hands it to this partition as soon as it is empty.
+    pub ceding: Option<PartitionId>,
 }
 
 /// A partition's wishes.
@@ -77,9 +81,27 @@
 /// What is to be done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum FleetAction {
-    Rent { machine_type: String, zone: ZoneName, spot: bool, count: u32, partition: PartitionId },
-    Shift { machine: MachineName, to: PartitionId },
-    Return { machine: MachineName },
+    Rent {
+        machine_type: String,
+        zone: ZoneName,
+        spot: bool,
+        count: u32,
+        partition: PartitionId,
+    },
+    Shift {
+        machine: MachineName,
+        to: PartitionId,
+    },
+    /// A holder should hand over so many machines that suit the shape, in all, as they empty.
+    Cede {
+        from: PartitionId,
+        to: PartitionId,
+        shape: DemandShape,
+        count: u32,
+    },
+    Return {
+        machine: MachineName,
+    },
 }
 
 /// A kind of machine that can be asked for.
@@ -103,7 +125,12 @@
         && shape.types.as_ref().is_none_or(|t| t.iter().any(|name| name == machine_type))
 }
 
-/// Room that is about to be there: machines that boot.
+/// Machines asked for in one call, or ceded for one shape, at most.
+const MOST_AT_ONCE: u32 = 50;
+/// Machines by which partitions may differ in what they run beyond guarantees.
+const CEDE_SLACK: u32 = 3;
+
+/// Room that is about to be there: machines that boot or change hands.
 struct Coming {
     machine_type: String,
     zone: ZoneName,
@@ -113,7 +140,42 @@
     work: u64,
 }
 
+/// Waiting work of one shape in one partition.
+struct Want<'a> {
+    need: usize,
+    shape: &'a DemandShape,
+    per: Resources,
+    service: bool,
+    work_each: u64,
+    /// Tasks for which there is no room yet.
+    waiting: u64,
+    /// No machine can be had for it at present.
+    stuck: bool,
+}
+
+/// The plan while it is made.
+struct Planner<'a> {
+    policy: &'a FleetPolicy,
+    types: &'a [MachineType],
+    machines: &'a [FleetMachine],
+    needs: &'a [PartitionNeed],
+    refused: &'a HashMap<Offer, u32>,
+    idle: Vec<&'a FleetMachine>,
+    shifted: usize,
+    /// Machines asked for: in all by offer, and by partition.
+    asked: BTreeMap<Offer, u32>,
+    rent: BTreeMap<(usize, Offer), u32>,
+    coming: Vec<Vec<Coming>>,
+    actions: Vec<FleetAction>,
+}
+
 /// Makes the plan. `refused` holds offers that were refused lately and are not asked again.
+///
+/// What is urgent (replicas, work inside a guarantee) comes first in all partitions; then each
+/// gets one machine in turn for the rest, so that whoever is planned for first does not take
+/// all there is. When no more machines can be had, partitions that run work beyond their teams'
+/// guarantees cede machines: as many as others lack for what is urgent, and for the rest until
+/// all have about as many for such work.
 pub fn plan(
     policy: &FleetPolicy,
     types: &[MachineType],
@@ -121,106 +183,218 @@
     needs: &[PartitionNeed],
     refused: &HashMap<Offer, u32>,
 ) -> Vec<FleetAction> {
-    let mut actions = Vec::new();
-    let sizes: HashMap<&str, &MachineType> = types.iter().map(|t| (t.name.as_str(), t)).collect();
-    let mut idle: Vec<&FleetMachine> = machines
-        .iter()
-        .filter(|m| m.known && m.up && m.tasks == 0 && !m.leaving && !m.faulty)
-        .collect();
-    idle.sort_by_key(|m| std::cmp::Reverse(m.idle));
-    let mut shifted = 0;
-    for need in needs {
-        let mut coming: Vec<Coming> = machines
+    let mut planner = Planner::new(policy, types, machines, needs, refused);
+    for urgent in [true, false] {
+        let mut wants = planner.wants(urgent);
+        for want in &mut wants {
+            planner.absorb(want);
+        }
+        while wants.iter().any(|w| w.waiting > 0 && !w.stuck) {
+            for want in wants.iter_mut().filter(|w| w.waiting > 0 && !w.stuck) {
+                want.stuck = !planner.one_machine(want);
+            }
+        }
+        planner.cede(&wants, urgent);
+    }
+    planner.returns();
+    let mut actions = planner.actions;
+    for ((need, (machine_type, zone, spot)), count) in planner.rent {
+        let partition = needs[need].partition;
+        let count = count.min(MOST_AT_ONCE);
+        actions.push(FleetAction::Rent { machine_type, zone, spot, count, partition });
+    }
+    actions
+}
+
+impl<'a> Planner<'a> {
+    fn new(
+        policy: &'a FleetPolicy,
+        types: &'a [MachineType],
+        machines: &'a [FleetMachine],
+        needs: &'a [PartitionNeed],
+        refused: &'a HashMap<Offer, u32>,
+    ) -> Self {
+        let mut idle: Vec<&FleetMachine> = machines
+            .iter()
+            .filter(|m| m.known && m.up && m.tasks == 0 && !m.leaving && !m.faulty)
+            .filter(|m| m.ceding.is_none())
+            .collect();
+        idle.sort_by_key(|m| std::cmp::Reverse(m.idle));
+        let mut planner = Planner {
+            policy,
+            types,
+            machines,
+            needs,
+            refused,
+            idle,
+            shifted: 0,
+            asked: BTreeMap::new(),
+            rent: BTreeMap::new(),
+            coming: Vec::new(),
+            actions: Vec::new(),
+        };
+        planner.coming = needs.iter().map(|need| planner.coming_to(need.partition)).collect();
+        planner
+    }
+
+    fn kind(&self, name: &str) -> Option<&'a MachineType> {
+        self.types.iter().find(|t| t.name == name)
+    }
+
+    /// Machines that boot or are being handed over.
+    fn coming_to(&self, partition: PartitionId) -> Vec<Coming> {
+        self.machines
             .iter()
-            .filter(|m| m.partition == need.partition && !m.up && !m.leaving && !m.faulty)
+            .filter(|m| !m.leaving && !m.faulty)
             .filter_map(|m| {
-                let kind = sizes.get(m.machine_type.as_str())?;
+                let kind = self.kind(&m.machine_type)?;
                 // A machine that is late may never come: work must not wait for it.
-                let trusted = Span::from_secs(kind.boot_s * policy.boot_trust) + Span(2_000);
-                (m.age <= trusted).then(|| coming_from(policy, m, kind))
+                let trusted = Span::from_secs(kind.boot_s * self.policy.boot_trust) + Span(2_000);
+                let boots = m.partition == partition && !m.up && m.age <= trusted;
+                (boots || m.ceding == Some(partition)).then(|| coming_from(self.policy, m, kind))
             })
-            .collect();
-        let mut rent: BTreeMap<(String, ZoneName, bool), u32> = BTreeMap::new();
-        for shape in &need.demand {
-            let per = needs_of(shape);
-            let service = shape.estimate_ms == 0;
-            let mut waiting = shape.tasks;
-            let work_each = shape.estimate_ms.max(1_000) * shape.milli_cpus.max(1) / 1000;
-            for c in &mut coming {
-                if !suits(shape, &c.machine_type, c.zone.as_str(), c.spot) {
-                    continue;
-                }
-                waiting -= take(c, &per, waiting, service, work_each);
-            }
-            while waiting > 0 {
-                // An idle machine of a partition that has no use for it comes first.
-                let spare = idle.iter().position(|m| {
-                    m.partition != need.partition
-                        && m.idle >= policy.shift_idle
-                        && suits(shape, &m.machine_type, m.zone.as_str(), m.spot)
-                        && sizes.get(m.machine_type.as_str()).is_some_and(|t| per.fits(&size_of(t)))
-                        && !needs.iter().any(|n| n.partition == m.partition && !n.demand.is_empty())
+            .collect()
+    }
+
+    fn wants(&self, urgent: bool) -> Vec<Want<'a>> {
+        let mut wants = Vec::new();
+        for (need, wishes) in self.needs.iter().enumerate() {
+            for shape in &wishes.demand {
+                let waiting = if urgent { shape.urgent } else { shape.tasks - shape.urgent };
+                wants.push(Want {
+                    need,
+                    shape,
+                    per: needs_of(shape),
+                    service: shape.estimate_ms == 0,
+                    work_each: shape.estimate_ms.max(1_000) * shape.milli_cpus.max(1) / 1000,
+                    waiting,
+                    stuck: false,
                 });
-                if let (Some(at), true) = (spare, shifted < policy.shift_count) {
-                    let machine = idle.remove(at);
-                    shifted += 1;
-                    actions.push(FleetAction::Shift {
-                        machine: machine.name.clone(),
-                        to: need.partition,
-                    });
-                    if let Some(t) = sizes.get(machine.machine_type.as_str()) {
-                        let mut c = coming_from(policy, machine, t);
-                        waiting -= take(&mut c, &per, waiting, service, work_each);
-                        coming.push(c);
-                        continue;
-                    }
+            }
+        }
+        wants
+    }
+
+    /// Lets what is coming take work.
+    fn absorb(&mut self, want: &mut Want<'_>) {
+        for c in &mut self.coming[want.need] {
+            if suits(want.shape, &c.machine_type, c.zone.as_str(), c.spot) {
+                want.waiting -= take(c, &want.per, want.waiting, want.service, want.work_each);
+            }
+        }
+    }
+
+    /// Gets one more machine for the work: an idle one of a partition that has no use for it, or
+    /// a rented one.
+    fn one_machine(&mut self, want: &mut Want<'_>) -> bool {
+        let need = &self.needs[want.need];
+        let spare = self.idle.iter().position(|m| {
+            m.partition != need.partition
+                && m.idle >= self.policy.shift_idle
+                && suits(want.shape, &m.machine_type, m.zone.as_str(), m.spot)
+                && self.kind(&m.machine_type).is_some_and(|t| want.per.fits(&size_of(t)))
+                && !self.needs.iter().any(|n| n.partition == m.partition && !n.demand.is_empty())
+        });
+        let mut c = match spare {
+            Some(at) if self.shifted < self.policy.shift_count => {
+                let machine = self.idle.remove(at);
+                let Some(kind) = self.kind(&machine.machine_type) else { return false };
+                self.shifted += 1;
+                self.actions
+                    .push(FleetAction::Shift { machine: machine.name.clone(), to: need.partition });
+                coming_from(self.policy, machine, kind)
+            }
+            _ => {
+                let offer = choose_offer(
+                    self.types,
+                    want.shape,
+                    &need.home_zone,
+                    self.refused,
+                    &self.asked,
+                );
+                let Some((kind, zone, spot)) = offer else { return false };
+                let offer = (kind.name.clone(), zone.clone(), spot);
+                *self.asked.entry(offer.clone()).or_default() += 1;
+                *self.rent.entry((want.need, offer)).or_default() += 1;
+                let (room, work) = (size_of(kind), work_of(self.policy, kind));
+                Coming { machine_type: kind.name.clone(), zone, spot, room, work }
+            }
+        };
+        let taken = take(&mut c, &want.per, want.waiting, want.service, want.work_each);
+        want.waiting -= taken;
+        self.coming[want.need].push(c);
+        taken > 0
+    }
+
+    /// Has other partitions cede machines for work that no machine can be had for.
+    fn cede(&mut self, wants: &[Want<'_>], urgent: bool) {
+        let free = |m: &&FleetMachine| {
+            m.known && m.up && m.cedable && !m.leaving && !m.faulty && m.ceding.is_none()
+        };
+        let mut held: BTreeMap<PartitionId, u32> =
+            self.needs.iter().map(|n| (n.partition, 0)).collect();
+        for machine in self.machines.iter().filter(free) {
+            *held.entry(machine.partition).or_default() += 1;
+        }
+        let mut given: BTreeMap<(PartitionId, PartitionId), u32> = BTreeMap::new();
+        for want in wants.iter().filter(|w| w.stuck && w.waiting > 0) {
+            let to = self.needs[want.need].partition;
+            let mut fits: BTreeMap<PartitionId, u32> = BTreeMap::new();
+            for m in self.machines.iter().filter(free).filter(|m| m.partition != to) {
+                if suits(want.shape, &m.machine_type, m.zone.as_str(), m.spot) {
+                    *fits.entry(m.partition).or_default() += 1;
                 }
-                let Some((kind, zone, spot)) =
-                    choose_offer(types, shape, &need.home_zone, refused, &rent)
-                else {
-                    break;
-                };
-                let mut c = Coming {
-                    machine_type: kind.name.clone(),
-                    zone: zone.clone(),
-                    spot,
-                    room: size_of(kind),
-                    work: work_of(policy, kind),
-                };
-                let taken = take(&mut c, &per, waiting, service, work_each);
-                if taken == 0 {
+            }
+            let slots =
+                self.types.iter().map(|t| size_of(t).holds(&want.per)).max().unwrap_or(1).max(1);
+            let mut asked: BTreeMap<PartitionId, u32> = BTreeMap::new();
+            for _ in 0..want.waiting.div_ceil(slots).min(u64::from(MOST_AT_ONCE)) {
+                let own = held.get(&to).copied().unwrap_or(0);
+                let richest = fits
+                    .iter()
+                    .filter(|(_, left)| **left > 0)
+                    .map(|(from, _)| (held.get(from).copied().unwrap_or(0), *from))
+                    // Other work may have been promised them already.
+                    .filter(|(count, _)| *count > 0)
+                    .max();
+                let Some((count, from)) = richest else { break };
+                if !urgent && count < own + CEDE_SLACK {
                     break;
                 }
-                waiting -= taken;
-                coming.push(c);
-                *rent.entry((kind.name.clone(), zone, spot)).or_default() += 1;
+                *fits.entry(from).or_default() -= 1;
+                *held.entry(from).or_default() -= 1;
+                *held.entry(to).or_default() += u32::from(!urgent);
+                *asked.entry(from).or_default() += 1;
+            }
+            for (from, count) in asked {
+                let under_way = |m: &&FleetMachine| m.partition == from && m.ceding == Some(to);
+                let before = self.machines.iter().filter(under_way).count() as u32;
+                let total = given.entry((from, to)).or_insert(before);
+                *total += count;
+                let (shape, count) = (want.shape.clone(), *total);
+                self.actions.push(FleetAction::Cede { from, to, shape, count });
             }
-        }
-        for ((machine_type, zone, spot), count) in rent {
-            actions.push(FleetAction::Rent {
-                machine_type,
-                zone,
-                spot,
-                count: count.min(50),
-                partition: need.partition,
-            });
         }
     }
-    for machine in machines {
-        let boot = sizes
-            .get(machine.machine_type.as_str())
-            .map_or(Span(60_000), |t| Span::from_secs(t.boot_s));
-        let never_came = !machine.up && machine.age > boot * policy.boot_patience + Span(10_000);
-        let done_with = machine.tasks == 0
-            && (machine.faulty || machine.failed || machine.silent >= policy.silent);
-        let surplus = idle.iter().any(|m| m.name == machine.name)
-            && machine.idle >= policy.keep_idle
-            && machine.age >= policy.paid;
-        if machine.known && !machine.leaving && (never_came || done_with || surplus) {
-            actions.push(FleetAction::Return { machine: machine.name.clone() });
+
+    /// Machines that are of no use any more.
+    fn returns(&mut self) {
+        for machine in self.machines {
+            let boot = self
+                .kind(&machine.machine_type)
+                .map_or(Span(60_000), |t| Span::from_secs(t.boot_s));
+            let never_came =
+                !machine.up && machine.age > boot * self.policy.boot_patience + Span(10_000);
+            let done_with = machine.tasks == 0
+                && (machine.faulty || machine.failed || machine.silent >= self.policy.silent);
+            let surplus = self.idle.iter().any(|m| m.name == machine.name)
+                && machine.idle >= self.policy.keep_idle
+                && machine.age >= self.policy.paid;
+            if machine.known && !machine.leaving && (never_came || done_with || surplus) {
+                self.actions.push(FleetAction::Return { machine: machine.name.clone() });
+            }
         }
     }
-    actions
 }
 
 fn work_of(policy: &FleetPolicy, kind: &MachineType) -> u64 {
@@ -292,3 +466,98 @@
     }
     best.map(|(_, kind, zone, spot)| (kind, zone, spot))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn kind() -> MachineType {
+        MachineType {
+            name: "m4".into(),
+            cpus: 4.0,
+            gpus: 0.0,
+            memory_gb: 16.0,
+            cache_gb: 50.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 0.3,
+            boot_s: 20.0,
+            zones: vec!["a".into()],
+        }
+    }
+
+    fn machine(n: u32, partition: u32, cedable: bool) -> FleetMachine {
+        FleetMachine {
+            name: MachineName::from(format!("host-{n}").as_str()),
+            machine_type: "m4".into(),
+            zone: ZoneName::from("a"),
+            spot: false,
+            partition: PartitionId(partition),
+            up: true,
+            tasks: 1,
+            idle: Span::ZERO,
+            faulty: false,
+            leaving: false,
+            age: Span(100_000),
+            silent: Span::ZERO,
+            failed: false,
+            known: true,
+            cedable,
+            ceding: None,
+        }
+    }
+
+    fn need(partition: u32, tasks: u64, urgent: u64) -> PartitionNeed {
+        let shape = DemandShape {
+            milli_cpus: 4_000,
+            milli_gpus: 0,
+            memory_mb: 4_000,
+            types: None,
+            zone: None,
+            spot: false,
+            tasks,
+            urgent,
+            estimate_ms: 30_000,
+        };
+        let demand = if tasks > 0 { vec![shape] } else { Vec::new() };
+        PartitionNeed { partition: PartitionId(partition), home_zone: ZoneName::from("a"), demand }
+    }
+
+    fn ceded(actions: &[FleetAction]) -> Vec<(u32, u32, u32)> {
+        let cede = |a: &FleetAction| match a {
+            FleetAction::Cede { from, to, count, .. } => Some((from.0, to.0, *count)),
+            _ => None,
+        };
+        actions.iter().filter_map(cede).collect()
+    }
+
+    /// Seen on a grown site: the partition planned for first rented all there was, and another's
+    /// replicas waited for minutes while it ran arrays beyond its guarantee.
+    #[test]
+    fn when_no_machine_can_be_had_others_cede() {
+        let machines: Vec<FleetMachine> = (0..20).map(|n| machine(n, 0, n >= 4)).collect();
+        let refused = HashMap::from([(("m4".to_owned(), ZoneName::from("a"), false), 0)]);
+        let plan = |needs: &[PartitionNeed]| {
+            plan(&FleetPolicy::default(), &[kind()], &machines, needs, &refused)
+        };
+        assert_eq!(ceded(&plan(&[need(0, 9, 0), need(1, 18, 18)])), [(0, 1, 16)]);
+        assert_eq!(ceded(&plan(&[need(0, 9, 0), need(1, 18, 0)])), [(0, 1, 7)], "an even part");
+        assert_eq!(ceded(&plan(&[need(0, 9, 9), need(1, 0, 0)])), []);
+    }
+
+    #[test]
+    fn what_is_urgent_is_rented_first_and_the_rest_in_turn() {
+        let refused = HashMap::new();
+        let needs = [need(0, 30, 0), need(1, 30, 3)];
+        let policy = FleetPolicy { horizon: Span(1_000), ..FleetPolicy::default() };
+        let actions = plan(&policy, &[kind()], &[], &needs, &refused);
+        let rented: Vec<(u32, u32)> = actions
+            .iter()
+            .filter_map(|a| match a {
+                FleetAction::Rent { partition, count, .. } => Some((partition.0, *count)),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(rented, [(0, 30), (1, 30)]);
+    }
+}
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -2,12 +2,17 @@
 
 use crate::cycle::zone_allowed;
 use crate::job::Job;
-use crate::machine::Machine;
+use crate::machine::{Ceding, Machine};
 use crate::share::{EntryKey, Share};
-use model::{JobId, JobKind, Moment, Resources, TeamName, ZoneName};
+use model::{
+    JobId, JobKind, MachineName, Moment, PartitionId, Resources, Span, TeamName, ZoneName,
+};
 use std::collections::{BTreeMap, HashMap};
 use wire::mesh::{DemandShape, MachineLoad};
 
+/// How long a machine that is to be handed over is kept free for that.
+const CEDE_PATIENCE: Span = Span(40_000);
+
 impl Share {
     /// Waiting work that its team's limit would let start, by shape.
     /// What fits into the room there is will be placed soon and is no demand.
@@ -204,6 +209,61 @@
         );
     }
 
+    /// Whether nothing on the machine would be missed by a guarantee, or by users who want their
+    /// replicas where they are.
+    fn cedable(&self, machine: &Machine) -> bool {
+        machine.pinned == 0
+            && machine.tasks.iter().all(|task| {
+                self.jobs
+                    .get(&task.job)
+                    .is_some_and(|job| !job.guaranteed && job.spec.kind == JobKind::Array)
+            })
+    }
+
+    /// Marks machines to be handed to another partition as they empty, until there are `count`
+    /// of them; first those that will be empty soonest.
+    pub fn cede(&mut self, to: PartitionId, count: usize, shape: &DemandShape, now: Moment) {
+        let under_way = |m: &&Machine| m.ceding.is_some_and(|c| c.to == to);
+        let missing = count.saturating_sub(self.machines.values().filter(under_way).count());
+        let suits = |m: &&Machine| {
+            m.usable(now, self.policy.silence)
+                && (shape.spot || !m.spot)
+                && shape.zone.as_deref().is_none_or(|zone| zone == m.zone.as_str())
+                && shape.types.as_ref().is_none_or(|types| types.contains(&m.machine_type))
+                && self.cedable(m)
+        };
+        let ends = |m: &Machine| {
+            let left = m.tasks.iter().filter_map(|task| {
+                let job = self.jobs.get(&task.job)?;
+                let placement = job.placed.get(&task.index)?;
+                Some((placement.placed_at + job.spec.estimate).since(now))
+            });
+            left.max().unwrap_or(Span::ZERO)
+        };
+        let mut machines: Vec<(Span, MachineName)> =
+            self.machines.values().filter(suits).map(|m| (ends(m), m.name.clone())).collect();
+        machines.sort_unstable();
+        for (_, name) in machines.into_iter().take(missing) {
+            if let Some(machine) = self.machines.get_mut(&name) {
+                machine.ceding = Some(Ceding { to, until: now + CEDE_PATIENCE });
+            }
+        }
+    }
+
+    /// Machines that are empty and to be handed over.
+    pub fn ceded(&mut self, now: Moment) -> Vec<(MachineName, PartitionId)> {
+        let mut ready = Vec::new();
+        for machine in self.machines.values_mut() {
+            let Some(ceding) = machine.ceding else { continue };
+            if ceding.until <= now {
+                machine.ceding = None;
+            } else if machine.tasks.is_empty() && !machine.leaving {
+                ready.push((machine.name.clone(), ceding.to));
+            }
+        }
+        ready
+    }
+
     /// The share's machines for the leader.
     pub fn loads(&self, now: Moment) -> Vec<MachineLoad> {
         self.machines
@@ -215,6 +275,8 @@
                 up: m.heard_at.is_some(),
                 faulty: m.faulty,
                 silent_ms: m.heard_at.map_or(0, |at| now.since(at).0),
+                cedable: self.cedable(m),
+                ceding: m.ceding.map(|c| c.to.0),
             })
             .collect()
     }
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -1,8 +1,8 @@
 //! A machine of the share, as its newest report and our own doings show it.
 
 use model::{
-    Attempt, JobKind, JobSpec, MachineName, Moment, Resources, Seq, Session, Span, TaskId, Token,
-    ZoneName,
+    Attempt, JobKind, JobSpec, MachineName, Moment, PartitionId, Resources, Seq, Session, Span,
+    TaskId, Token, ZoneName,
 };
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -18,6 +18,14 @@
     pub why: Option<ExitCause>,
 }
 
+/// A machine's way to another partition.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ceding {
+    pub to: PartitionId,
+    /// When it is kept after all if it is not empty by then.
+    pub until: Moment,
+}
+
 /// A machine.
 #[derive(Debug)]
 pub struct Machine {
@@ -61,6 +69,8 @@
     /// Images it holds, least recently used first.
     pub images: Vec<(Arc<str>, f64)>,
     pub idle_since: Moment,
+    /// Goes to another partition as soon as it is empty, and takes nothing new until then.
+    pub ceding: Option<Ceding>,
     /// The token must rise before a lost direct launch is out of the world.
     pub needs_token: bool,
 }
@@ -120,6 +130,7 @@
             strays: Vec::new(),
             images: Vec::new(),
             idle_since: Moment::default(),
+            ceding: None,
             needs_token: false,
         }
     }
@@ -147,6 +158,7 @@
     /// Whether new tasks may be placed here.
     pub fn usable(&self, now: Moment, silence: Span) -> bool {
         !self.leaving
+            && self.ceding.is_none()
             && !self.faulty
             && !self.needs_token
             && self.notice.is_none()
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the mesh protocol; frames of another version are refused.
-pub const MESH_VERSION: u16 = 1;
+pub const MESH_VERSION: u16 = 2;
 /// Largest frame that is read.
 pub const MAX_FRAME: usize = 256 * 1024;
 
@@ -36,6 +36,10 @@
     pub faulty: bool,
     /// How long it has been silent, once it has reported.
     pub silent_ms: u64,
+    /// It runs nothing that is guaranteed, and no replicas.
+    pub cedable: bool,
+    /// It goes to this partition as soon as it is empty.
+    pub ceding: Option<u32>,
 }
 
 /// What a holder tells the leader about its partition.
@@ -62,6 +66,9 @@
     Load(PartitionLoad),
     /// Leader to holder: give up an idle machine, to a partition or to the cloud.
     Release { machine: String, to: Option<u32> },
+    /// Leader to holder: hand `count` machines of partition `from` that suit the shape over to
+    /// another partition as they empty, those under way included.
+    Cede { from: u32, to: u32, count: u32, shape: DemandShape },
     /// A new holder tells everybody, so that a predecessor stops at once.
     Taken { partition: u32, term: u64, holder: String },
     /// The home node of a partition offers to hold it again, under this lease.
