Machines that change hands are not given back as ones that never came; idle ones kept 20 s

It now counts from when it came into its partition. Idle machines are kept for 20 s instead of 8, about what a boot and a fetch cost anew.

--- a/crates/coordination/src/node/leader.rs
+++ b/crates/coordination/src/node/leader.rs
@@ -36,7 +36,8 @@
     calls: Bucket,
     loads: HashMap<PartitionId, (PartitionLoad, Moment)>,
     listed: HashMap<MachineName, (ListedMachine, Moment)>,
-    first_seen: HashMap<MachineName, Moment>,
+    /// Since when each machine has been in its partition, as far as this leader knows.
+    first_seen: HashMap<MachineName, (PartitionId, Moment)>,
     unrecorded: BTreeMap<MachineName, MachineRecord>,
     refused: HashMap<Offer, Moment>,
     renting: HashMap<CallId, (RentRequest, PartitionId)>,
@@ -299,7 +300,7 @@
                 );
                 for name in names {
                     let name = MachineName::from(name.as_str());
-                    self.leader.first_seen.insert(name.clone(), self.now);
+                    self.leader.first_seen.insert(name.clone(), (partition, self.now));
                     let record = record_of(&request, partition);
                     self.leader.unrecorded.insert(name, record);
                 }
@@ -347,8 +348,12 @@
         let now = self.now;
         let mut machines = Vec::new();
         for (name, record) in &self.mirror.machines {
-            let seen = *self.leader.first_seen.entry(name.clone()).or_insert(now);
             let r = &record.record;
+            let seen = self.leader.first_seen.entry(name.clone()).or_insert((r.partition, now));
+            if seen.0 != r.partition {
+                *seen = (r.partition, now);
+            }
+            let since = now.since(seen.1);
             let load = self.leader.loads.get(&r.partition).and_then(|(load, at)| {
                 let fresh = now.since(*at) <= Span(2_500);
                 load.machines.iter().find(|m| m.machine == name.as_str()).map(|m| (m, fresh))
@@ -366,7 +371,8 @@
                 idle: load.map_or(Span::ZERO, |(m, _)| Span(m.idle_ms)),
                 faulty: load.is_some_and(|(m, _)| m.faulty),
                 leaving: r.leaving,
-                age: age.max(now.since(seen)),
+                age: age.max(since),
+                since,
                 silent: load.map_or(Span::ZERO, |(m, _)| Span(m.silent_ms)),
                 failed: listed.is_some_and(|m| m.state == MachineState::Failed),
                 known: load.is_some_and(|(_, fresh)| fresh),
@@ -403,6 +409,7 @@
                 faulty: false,
                 leaving: false,
                 age: Span::ZERO,
+                since: Span::ZERO,
                 silent: Span::ZERO,
                 failed: false,
                 known: false,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -32,7 +32,7 @@
     fn default() -> Self {
         FleetPolicy {
             horizon: Span(45_000),
-            keep_idle: Span(8_000),
+            keep_idle: Span(20_000),
             paid: Span(55_000),
             shift_idle: Span(1_000),
             shift_count: 16,
@@ -58,6 +58,9 @@
     pub faulty: bool,
     pub leaving: bool,
     pub age: Span,
+    /// How long it has been in its partition. A machine that has just been handed over is not
+    /// up for its new holder, which says nothing against it.
+    pub since: Span,
     /// How long it has been silent, once it has reported.
     pub silent: Span,
     /// The cloud says that it has stopped of its own accord.
@@ -250,7 +253,7 @@
                 let kind = self.kind(&m.machine_type)?;
                 // A machine that is late may never come: work must not wait for it.
                 let trusted = Span::from_secs(kind.boot_s * self.policy.boot_trust) + Span(2_000);
-                let boots = m.partition == partition && !m.up && m.age <= trusted;
+                let boots = m.partition == partition && !m.up && m.since <= trusted;
                 (boots || m.ceding == Some(partition)).then(|| coming_from(self.policy, m, kind))
             })
             .collect()
@@ -384,7 +387,7 @@
                 .kind(&machine.machine_type)
                 .map_or(Span(60_000), |t| Span::from_secs(t.boot_s));
             let never_came =
-                !machine.up && machine.age > boot * self.policy.boot_patience + Span(10_000);
+                !machine.up && machine.since > boot * self.policy.boot_patience + Span(10_000);
             let done_with = machine.tasks == 0
                 && (machine.faulty || machine.failed || machine.silent >= self.policy.silent);
             let surplus = self.idle.iter().any(|m| m.name == machine.name)
@@ -499,6 +502,7 @@
             faulty: false,
             leaving: false,
             age: Span(100_000),
+            since: Span(100_000),
             silent: Span::ZERO,
             failed: false,
             known: true,
@@ -545,6 +549,18 @@
         assert_eq!(ceded(&plan(&[need(0, 9, 9), need(1, 0, 0)])), []);
     }
 
+    /// Found in the log of a grown site: machines were given back to the cloud on arriving in
+    /// another partition, since they were old and its holder had not heard them yet.
+    #[test]
+    fn a_machine_that_changes_hands_is_not_taken_for_one_that_never_came() {
+        let moved = FleetMachine { up: false, tasks: 0, since: Span(500), ..machine(1, 0, false) };
+        let lost = FleetMachine { since: Span(100_000), ..moved.clone() };
+        let policy = FleetPolicy::default();
+        let plan = |m: FleetMachine| plan(&policy, &[kind()], &[m], &[], &HashMap::new());
+        assert_eq!(plan(moved), []);
+        assert_eq!(plan(lost).len(), 1);
+    }
+
     #[test]
     fn what_is_urgent_is_rented_first_and_the_rest_in_turn() {
         let refused = HashMap::new();
