A home node asks through the state service; a holder that hears no workers gives up

Ruled out: the lapse times themselves, room elsewhere. A node that is not answered within 2 s now puts its wish, bound to its lease, into the state service; a holder whose workers are nine in ten silent while peers are well deletes its record (pause of 15 s, doubling, before it takes it again). The conditions are those of a takeover. Two tests in the simulated world.

--- a/crates/coordination/src/mirror.rs
+++ b/crates/coordination/src/mirror.rs
@@ -64,6 +64,7 @@
     pub ends: BTreeMap<(PartitionId, u32), Versioned<EndsPage>>,
     ended: HashMap<JobId, JobState>,
     pub partitions: BTreeMap<PartitionId, Versioned<PartitionRecord>>,
+    pub wishes: BTreeMap<PartitionId, WishRecord>,
     pub machines: BTreeMap<MachineName, KnownMachine>,
     pub machine_pages: BTreeMap<u32, Versioned<BTreeSet<MachineName>>>,
     pub boots: BTreeMap<NodeName, Versioned<BootRecord>>,
@@ -133,6 +134,11 @@
                 self.partitions.insert(PartitionId(number), Versioned { record, version });
                 changed.push(Changed::Partition(PartitionId(number)));
             }
+            "w" => {
+                if let (Ok(number), Some(record)) = (name.parse(), decode(key, value)) {
+                    self.wishes.insert(PartitionId(number), record);
+                }
+            }
             "m" => {
                 if let (Ok(page), Some(record)) = (name.parse(), decode(key, value)) {
                     self.put_machines(page, record, version, changed);
@@ -252,6 +258,11 @@
                     changed.push(Changed::Partition(PartitionId(number)));
                 }
             }
+            "w" => {
+                if let Ok(number) = name.parse() {
+                    self.wishes.remove(&PartitionId(number));
+                }
+            }
             "c" => {
                 self.tuning = None;
                 changed.push(Changed::Tuning);
--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -442,6 +442,9 @@
         self.raise_tokens(partition);
         self.hand_over_ceded(partition);
         self.give_up_silent(partition);
+        if contact && self.unreached(partition) {
+            self.give_up(partition);
+        }
     }
 
     /// Writes what has changed, one round at a time.
@@ -551,6 +554,23 @@
         self.load_ledger(partition);
     }
 
+    /// Whether hardly any machine of the share reports to us, though they had time to find us.
+    fn unreached(&self, partition: PartitionId) -> bool {
+        let now = self.now;
+        let silence = Span(self.settings.workers.report.0 * 3);
+        let Some(holding) = self.holdings.get(&partition) else { return false };
+        let Some(share) = holding.share() else { return false };
+        // Machines that boot say nothing about us.
+        let known =
+            share.machines.values().filter(|m| m.heard_at.is_some() || !m.tasks.is_empty());
+        let (mut all, mut silent) = (0, 0);
+        for machine in known {
+            all += 1;
+            silent += u32::from(machine.reported_at.is_none_or(|at| now.since(at) > silence));
+        }
+        now.since(holding.since) >= silence + Span(3_000) && all >= 2 && silent * 10 >= all * 9
+    }
+
     /// Gives silent machines with replicas back to the cloud, whose confirmation proves that
     /// everything on them is gone.
     fn give_up_silent(&mut self, partition: PartitionId) {
--- a/crates/coordination/src/node/mod.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -143,6 +143,10 @@
         partition: PartitionId,
         to: NodeName,
     },
+    /// A wish for our home partition.
+    Wish,
+    /// A partition given up.
+    GiveUp(PartitionId),
     LedgerList {
         partition: PartitionId,
         term: u64,
@@ -245,6 +249,12 @@
     vacant_since: HashMap<PartitionId, Moment>,
     peers: HashMap<NodeName, PeerView>,
     home_asked_at: Option<Moment>,
+    /// Since when another node holds our home partition while we could.
+    homeless_since: Option<Moment>,
+    wishing: bool,
+    /// Partitions given up since their workers do not reach us: not taken again until then, and
+    /// the pause after the next time.
+    shunned: HashMap<PartitionId, (Moment, Span)>,
     alive_at: Moment,
     load_at: Moment,
     progress: HashMap<JobId, (u64, u64)>,
@@ -307,6 +317,9 @@
             vacant_since: HashMap::new(),
             peers: HashMap::new(),
             home_asked_at: None,
+            homeless_since: None,
+            wishing: false,
+            shunned: HashMap::new(),
             alive_at: Moment::default(),
             load_at: Moment::default(),
             progress: HashMap::new(),
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -3,7 +3,7 @@
 use super::holder::Holding;
 use super::{Node, PeerView, Purpose};
 use crate::budget::Importance;
-use crate::records::{partition_key, PartitionRecord, COUNTER};
+use crate::records::{partition_key, wish_key, PartitionRecord, WishRecord, COUNTER};
 use model::{NodeName, PartitionId, Span, Token};
 use wire::mesh::MeshMessage;
 use wire::state::{StateReply, StateRequest, Txn, Write};
@@ -14,6 +14,16 @@
 const PEER_SILENCE: Span = Span(1_500);
 /// How long a vacant partition is left to its home node while that seems alive.
 const HOME_FIRST: Span = Span(600);
+/// How long our home partition may be held by another node that we ask over the mesh, before
+/// we ask through the state service: the two may not reach each other.
+const HOMELESS: Span = Span(2_000);
+/// Pause before a partition whose workers did not reach us is taken or asked for again; it
+/// doubles with every time, up to a limit.
+const SHUN: Span = Span(15_000);
+const LONGEST_SHUN: Span = Span(120_000);
+/// A partition that we have given up and nobody has taken for so long is ours again: better a
+/// holder that few reach than none.
+const NOBODY: Span = Span(5_000);
 /// How long a vacant partition is left to each node that is before us in line.
 const LINE: Span = Span(250);
 
@@ -47,12 +57,75 @@
             }
             let now = self.now;
             let vacant = *self.vacant_since.entry(partition).or_insert(now);
-            if self.acquiring.contains(&partition) || now < vacant + self.wait_in_line(partition) {
+            let shunned = self.shuns(partition) && now < vacant + NOBODY;
+            let in_line = now < vacant + self.wait_in_line(partition);
+            if self.acquiring.contains(&partition) || in_line || shunned {
                 continue;
             }
             self.acquire(partition);
         }
         self.ask_for_home();
+        self.grant_wishes();
+    }
+
+    fn shuns(&self, partition: PartitionId) -> bool {
+        self.shunned.get(&partition).is_some_and(|(until, _)| self.now < *until)
+    }
+
+    /// Home nodes that do not reach us over the mesh ask through the state service.
+    fn grant_wishes(&mut self) {
+        let wishes: Vec<(PartitionId, WishRecord)> = self
+            .mirror
+            .wishes
+            .iter()
+            .filter(|(partition, _)| self.holdings.contains_key(partition))
+            .filter(|(_, wish)| wish.node != *self.me())
+            .map(|(partition, wish)| (*partition, wish.clone()))
+            .collect();
+        for (partition, wish) in wishes {
+            self.hand_over(partition, &wish.node, wish.lease, wish.boot);
+        }
+    }
+
+    /// Gives a partition up whose workers do not reach us while other nodes may be reached: a
+    /// holder that hears nobody keeps leases from being renewed and work from being placed.
+    pub(super) fn give_up(&mut self, partition: PartitionId) {
+        let others = self.peers.values().any(|peer| {
+            peer.ready && peer.state_contact && self.now.since(peer.heard_at) <= PEER_SILENCE
+        });
+        let Some(holding) = self.holdings.get_mut(&partition) else { return };
+        if !others || !holding.may_hand_over() {
+            return;
+        }
+        tracing::warn!(%partition, "its workers do not reach us: giving a partition up");
+        // From here on nobody is answered. The counter names us as the last taker, so whoever
+        // takes it next counts our answers until we show that we know.
+        holding.set_yielding(true);
+        let key = partition_key(partition);
+        let txn = Txn::default().when(&key, holding.version().0).write(Write::delete(&key));
+        let now = self.now;
+        let pause = self.shunned.get(&partition).map_or(SHUN, |(_, pause)| *pause);
+        let next = Span(pause.0 * 2).min(LONGEST_SHUN);
+        self.shunned.insert(partition, (now + pause, next));
+        self.state(Importance::Lease, StateRequest::Txn(txn), Purpose::GiveUp(partition));
+    }
+
+    pub(super) fn on_given_up(&mut self, partition: PartitionId, reply: StateReply) {
+        let Some(holding) = self.holdings.get_mut(&partition) else { return };
+        match reply {
+            // The watch brings the end of it.
+            StateReply::Committed { .. } => {
+                let term = holding.term();
+                self.given_away.insert(partition, term);
+                self.holdings.remove(&partition);
+            }
+            // It may yet be applied.
+            StateReply::Unknown => {
+                holding.set_yielding(true);
+                holding.yield_until(self.now + Span(2_000));
+            }
+            _ => holding.set_yielding(false),
+        }
     }
 
     /// How long we leave a vacant partition to others: its home node goes first, then the
@@ -210,11 +283,26 @@
         let Some(lease) = self.lease else { return };
         let Some(held) = self.mirror.partitions.get(&partition) else { return };
         if held.record.holder == *self.me() || self.acquiring.contains(&partition) {
+            self.homeless_since = None;
+            return;
+        }
+        if self.shuns(partition) || self.mirror.types.is_none() {
             return;
         }
+        let homeless = self.now.since(*self.homeless_since.get_or_insert(self.now));
+        let known = self.mirror.wishes.get(&partition).is_some_and(|w| w.lease == lease.0);
+        if homeless >= HOMELESS && !known && !self.wishing {
+            self.wishing = true;
+            let wish = WishRecord { node: self.me().clone(), boot: self.boot, lease: lease.0 };
+            let value = serde_json::to_value(wish).unwrap_or_default();
+            let write = Write::put_leased(wish_key(partition), value, lease.0);
+            let request = StateRequest::Txn(Txn::default().write(write));
+            self.state(Importance::Lease, request, Purpose::Wish);
+        }
+        let Some(held) = self.mirror.partitions.get(&partition) else { return };
         let holder = held.record.holder.clone();
         let due = self.home_asked_at.is_none_or(|at| self.now.since(at) >= Span(1_000));
-        if due && self.peer_lives(&holder) && self.mirror.types.is_some() {
+        if due && self.peer_lives(&holder) {
             self.home_asked_at = Some(self.now);
             let message =
                 MeshMessage::WantHome { partition: partition.0, lease: lease.0, boot: self.boot };
@@ -239,7 +327,10 @@
         suspects.push((self.settings.name.clone(), self.boot));
         let record =
             PartitionRecord { holder: to.clone(), boot, term: self.mirror.next_token(), suspects };
-        let txn = self.partition_txn(partition, version.0, &record, lease);
+        let mut txn = self.partition_txn(partition, version.0, &record, lease);
+        if self.mirror.wishes.contains_key(&partition) {
+            txn = txn.write(Write::delete(wish_key(partition)));
+        }
         let purpose = Purpose::HandOver { partition, to: to.clone() };
         self.state(Importance::Lease, StateRequest::Txn(txn), purpose);
     }
--- a/crates/coordination/src/node/sync.rs
+++ b/crates/coordination/src/node/sync.rs
@@ -107,6 +107,8 @@
             Purpose::Boot => {}
             Purpose::Acquire(partition) => self.on_acquired(partition, &reply),
             Purpose::HandOver { partition, to } => self.on_handed_over(partition, to, reply),
+            Purpose::Wish => self.wishing = false,
+            Purpose::GiveUp(partition) => self.on_given_up(partition, reply),
             Purpose::LedgerList { partition, term } => self.on_ledger(partition, term, reply),
             Purpose::LedgerWrite { partition, term } => self.on_round(partition, term, reply),
             Purpose::LedgerProof { partition, term, number } => {
--- a/crates/coordination/src/records.rs
+++ b/crates/coordination/src/records.rs
@@ -65,6 +65,11 @@
     format!("s/p/{id}")
 }
 
+/// Key of a home node's wish to hold its partition again. Bound to that node's lease.
+pub fn wish_key(id: PartitionId) -> String {
+    format!("s/w/{id}")
+}
+
 /// Key of a node's incarnation.
 pub fn boot_key(name: &NodeName) -> String {
     format!("s/b/{name}")
@@ -296,6 +301,15 @@
     pub machines: Vec<PackedMachine>,
 }
 
+/// A home node's wish to hold its partition again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WishRecord {
+    pub node: NodeName,
+    pub boot: u64,
+    /// The lease under which it would hold the partition.
+    pub lease: u64,
+}
+
 /// The counter, and who took each partition last.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct CounterRecord {
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// What is stored under a key, for the eyes of a test.
+    pub fn value(&self, key: &str) -> Option<&serde_json::Value> {
+        self.keys.get(key).map(|stored| &stored.value)
+    }
+
     /// Loses what is stored under a prefix without anybody noticing: a broken store.
     pub fn lose(&mut self, prefix: &str) {
         for (_, stored) in self.keys.iter_mut().filter(|(key, _)| key.starts_with(prefix)) {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -259,8 +259,19 @@
 
     /// Runs to the end, or to the first broken rule.
     pub fn run(&mut self) {
+        self.run_to(self.plan.ms);
+    }
+
+    /// The node that holds a partition by its record.
+    pub fn holder(&self, partition: u32) -> Option<&str> {
+        self.state.value(&format!("s/p/{partition}"))?.get("holder")?.as_str()
+    }
+
+    /// Runs to a time, or to the first broken rule.
+    pub fn run_to(&mut self, ms: u64) {
         while let Some(Reverse(next)) = self.queue.pop() {
-            if next.at > self.plan.ms || !self.rules.broken.is_empty() {
+            if next.at > ms || !self.rules.broken.is_empty() {
+                self.queue.push(Reverse(next));
                 break;
             }
             self.now = next.at;
--- a/crates/testkit/tests/rules.rs
+++ b/crates/testkit/tests/rules.rs
@@ -154,3 +154,33 @@
         assert_eq!(world.rules.broken, [], "seed {seed}");
     }
 }
+
+/// Found by a hunted day: a node came back while the zones were apart, and its partition stayed
+/// with a node that neither it nor the partition's workers reached.
+#[test]
+fn a_node_gets_its_partition_back_although_the_mesh_is_cut() {
+    let faults = vec![
+        (50_000, Fault::CutZones { ms: 60_000 }),
+        (50_500, Fault::Crash { node: 1, back: 6_000 }),
+    ];
+    let mut world = World::new(plan(3, faults));
+    world.run_to(56_000);
+    assert_ne!(world.holder(1), Some("n1"), "another node has taken it");
+    world.run_to(64_000);
+    assert_eq!(world.holder(1), Some("n1"));
+    world.run();
+    assert_eq!(world.rules.broken, []);
+    assert_eq!(world.unfinished(), Vec::<String>::new());
+}
+
+#[test]
+fn a_holder_that_its_workers_do_not_reach_gives_its_partition_up() {
+    let mut world = World::new(plan(4, vec![(50_000, Fault::CutWorkers { node: 0, ms: 60_000 })]));
+    world.run_to(64_000);
+    assert!(world.holder(0).is_some_and(|holder| holder != "n0"), "{:?}", world.holder(0));
+    world.run_to(150_000);
+    assert_eq!(world.holder(0), Some("n0"), "it is back when workers reach its node again");
+    world.run();
+    assert_eq!(world.rules.broken, []);
+    assert_eq!(world.unfinished(), Vec::<String>::new());
+}
