--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -561,8 +561,7 @@
         let Some(holding) = self.holdings.get(&partition) else { return false };
         let Some(share) = holding.share() else { return false };
         // Machines that boot say nothing about us.
-        let known =
-            share.machines.values().filter(|m| m.heard_at.is_some() || !m.tasks.is_empty());
+        let known = share.machines.values().filter(|m| m.heard_at.is_some() || !m.tasks.is_empty());
         let (mut all, mut silent) = (0, 0);
         for machine in known {
             all += 1;
