A lost direct launch is void only by a higher token than its own; forget waits for answers too

The mark now keeps the token and session of the lost launch and falls only for higher ones. Likewise a launch in a slow answer holds the forget back until the next report. Ruled out: giving up a partition and shifts, which had happened long before.

--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -599,7 +599,7 @@
     fn raise_tokens(&mut self, partition: PartitionId) {
         let Some(share) = self.holdings.get(&partition).and_then(|h| h.share()) else { return };
         for machine in share.machines.values() {
-            if machine.needs_token && machine.seen_token >= machine.token {
+            if machine.wants_token() {
                 self.machine_changes.want(&machine.name, MachineChange::Raise);
             }
         }
--- a/crates/coordination/src/node/machines.rs
+++ b/crates/coordination/src/node/machines.rs
@@ -78,9 +78,7 @@
                 machine.is_some_and(|m| m.tasks.is_empty() && m.leaving)
                     && known.is_some_and(|r| r.partition != *to && !r.leaving)
             }
-            MachineChange::Raise => {
-                machine.is_some_and(|m| m.needs_token && m.seen_token >= m.token)
-            }
+            MachineChange::Raise => machine.is_some_and(|m| m.wants_token()),
         }
     }
 
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -24,7 +24,12 @@
             let attempt = stray.attempt.0;
             if stray.state != TaskState::Exited {
                 commands.push(Command::Stop { task, attempt, grace_s: 0.0 });
-            } else if !self.unsaved.contains(&(stray.task, stray.attempt)) && !machine.needs_token {
+            } else if !self.unsaved.contains(&(stray.task, stray.attempt))
+                && machine.lost_launch.is_none()
+                // A worker that has forgotten the attempt would start it when the launch in a
+                // late answer reaches it.
+                && !machine.answer_launches.contains(&(stray.task, stray.attempt))
+            {
                 commands.push(Command::Forget { task, attempt });
             }
         }
@@ -62,15 +67,19 @@
                     Route::Direct => p.unanswered = Some((token, session)),
                     Route::Answer => p.in_answer = true,
                 }
-                launches.push(Command::Start { task: id, attempt });
+                launches.push(((task, p.attempt), Command::Start { task: id, attempt }));
             }
         }
-        if let (Route::Direct, false, Some(machine)) =
-            (route, launches.is_empty(), self.machines.get_mut(name))
-        {
-            machine.direct_at = now;
+        if let Some(machine) = self.machines.get_mut(name) {
+            match route {
+                Route::Direct if !launches.is_empty() => machine.direct_at = now,
+                Route::Direct => {}
+                Route::Answer => {
+                    machine.answer_launches = launches.iter().map(|(id, _)| *id).collect();
+                }
+            }
         }
-        commands.extend(launches);
+        commands.extend(launches.into_iter().map(|(_, command)| command));
         commands
     }
 
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -73,8 +73,12 @@
     pub ceding: Option<Ceding>,
     /// Being emptied until then, and takes nothing new.
     pub emptied_until: Option<Moment>,
-    /// The token must rise before a lost direct launch is out of the world.
-    pub needs_token: bool,
+    /// Launches in the newest answer to a report, which may still be under way: only the next
+    /// report shows that it has arrived or was dropped.
+    pub answer_launches: Vec<(TaskId, Attempt)>,
+    /// Token and session of a lost direct launch. Only a worker that has seen a higher token or
+    /// has begun a newer session will not execute it any more.
+    pub lost_launch: Option<(Token, Session)>,
 }
 
 impl Machine {
@@ -134,7 +138,8 @@
             idle_since: Moment::default(),
             ceding: None,
             emptied_until: None,
-            needs_token: false,
+            answer_launches: Vec::new(),
+            lost_launch: None,
         }
     }
 
@@ -164,12 +169,23 @@
             && self.ceding.is_none()
             && self.emptied_until.is_none_or(|until| now >= until)
             && !self.faulty
-            && !self.needs_token
+            && self.lost_launch.is_none()
             && self.notice.is_none()
             && self.seen_token <= self.token
             && self.reported_at.is_some_and(|at| now.since(at) <= silence)
     }
 
+    /// A direct launch was lost that could start again what is forgotten now.
+    pub fn lose_launch(&mut self, token: Token, session: Session) {
+        let (old, before) = self.lost_launch.unwrap_or_default();
+        self.lost_launch = Some((old.max(token), before.max(session)));
+    }
+
+    /// Whether its record must get a higher token to void a lost launch.
+    pub fn wants_token(&self) -> bool {
+        self.lost_launch.is_some() && self.seen_token >= self.token
+    }
+
     /// Whether every task must be gone: nobody entitled has answered for a whole lease.
     pub fn lapsed(&self, now: Moment, entitled_until: Moment, lease: Span) -> bool {
         now > self.answered_at.max(self.direct_at).max(entitled_until) + lease.with_drift()
--- a/crates/scheduler/src/observe.rs
+++ b/crates/scheduler/src/observe.rs
@@ -37,6 +37,8 @@
         machine.heard_at = Some(now);
         if source == Source::Report {
             machine.reported_at = Some(now);
+            // One report is in flight at a time, so the answer to the one before is settled.
+            machine.answer_launches.clear();
         }
         machine.address = Some(report.address.clone());
         machine.notice = report.notice_s.map(|s| now + Span::from_secs(s));
@@ -44,8 +46,12 @@
             machine.idle_since = now;
         }
         let has_token = Token(report.token) >= machine.token;
-        if has_token {
-            machine.needs_token = false;
+        // Any report would bear the current token: only a higher one than the launch's counts.
+        if machine
+            .lost_launch
+            .is_some_and(|(token, session)| machine.seen_token > token || machine.session > session)
+        {
+            machine.lost_launch = None;
         }
         let mut listed: HashMap<TaskId, Vec<&TaskReport>> = HashMap::new();
         for task in &report.tasks {
@@ -102,12 +108,12 @@
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let gang = job.spec.kind == JobKind::Gang;
         let Some(placement) = job.placed.get_mut(&task.index) else { return };
-        if placement.unanswered.is_some() {
+        if let Some((token, session)) = placement.unanswered {
             // A direct launch may still be under way: the task stays bound to its machine.
             let machine = placement.machine.clone();
             if placement.stop.is_some() || placement.seen.is_some() {
                 if let Some(machine) = self.machines.get_mut(&machine) {
-                    machine.needs_token = true;
+                    machine.lose_launch(token, session);
                 }
             }
             return;
@@ -139,10 +145,10 @@
         let Some(placement) = job.placed.get(&task.index) else { return };
         let attempt = placement.attempt;
         let name = placement.machine.clone();
-        if placement.unanswered.is_some() {
+        if let Some((token, session)) = placement.unanswered {
             // Forgetting it now could let the lost launch start it again.
             if let Some(machine) = self.machines.get_mut(&name) {
-                machine.needs_token = true;
+                machine.lose_launch(token, session);
             }
         }
         let stopped = placement.stop.is_some();
