What a partition lacks goes through the state service when the leader is not heard

A holder that has not heard the leader for 1.5 s now writes its demand every 2 s (eight shapes at most); nothing is said of its machines, so none is shifted or returned. A test with the mesh cut.

--- a/crates/coordination/src/mirror.rs
+++ b/crates/coordination/src/mirror.rs
@@ -40,13 +40,15 @@
 }
 
 /// What changed when events were applied.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Changed {
     /// A job was accepted or cancelled.
     Job(JobId),
     /// A job is over.
     Ended(JobId, JobState),
     Partition(PartitionId),
+    /// A holder has written what its partition lacks.
+    Demand(PartitionId, DemandRecord),
     Machine(MachineName),
     Boot(NodeName),
     Types,
@@ -139,6 +141,11 @@
                     self.wishes.insert(PartitionId(number), record);
                 }
             }
+            "d" => {
+                if let (Ok(number), Some(record)) = (name.parse(), decode(key, value)) {
+                    changed.push(Changed::Demand(PartitionId(number), record));
+                }
+            }
             "m" => {
                 if let (Ok(page), Some(record)) = (name.parse(), decode(key, value)) {
                     self.put_machines(page, record, version, changed);
--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -5,18 +5,22 @@
 use super::{Node, Purpose};
 use crate::budget::Importance;
 use crate::ledger::{Ledger, Round};
-use crate::records::MachineRecord;
+use crate::records::{demand_key, DemandRecord, MachineRecord};
 use model::{JobId, MachineName, Moment, NodeName, PartitionId, Span, Token, Version, ZoneName};
 use scheduler::{Machine, Route, Share, Source, Written};
 use std::collections::HashMap;
 use wire::mesh::{MeshMessage, PartitionLoad};
-use wire::state::{Item, StateReply, StateRequest};
+use wire::state::{Item, StateReply, StateRequest, Txn, Write};
 use wire::workers::{Command, Report};
 
 /// Pause between rounds that carry placements.
 const ROUND_GAP: Span = Span(60);
 /// Pause between rounds that carry outcomes only.
 const OUTCOME_GAP: Span = Span(400);
+/// Time between writes of what a partition lacks while the leader cannot be told.
+const DEMAND_PACE: Span = Span(2_000);
+/// Shapes of waiting work that are written then.
+const MOST_SHAPES: usize = 8;
 /// Entries tried in one step; the rest follow in the next.
 const CYCLES: usize = 400;
 
@@ -660,6 +664,25 @@
         }
     }
 
+    /// Tells a leader that we do not reach over the mesh what a partition lacks, so that machines
+    /// are rented for it all the same.
+    fn write_demand(&mut self, load: PartitionLoad) {
+        let partition = PartitionId(load.partition);
+        let lacks = !load.demand.is_empty();
+        let (at, lacked) = self.demand_at.get(&partition).copied().unwrap_or_default();
+        let due = at == Moment::default() || self.now.since(at) >= DEMAND_PACE;
+        if !(lacks || lacked) || !due || !self.may_write(Importance::Placement, 1.0) {
+            return;
+        }
+        self.demand_at.insert(partition, (self.now, lacks));
+        let mut demand = load.demand;
+        demand.truncate(MOST_SHAPES);
+        let record = DemandRecord { term: load.term, demand };
+        let value = serde_json::to_value(record).unwrap_or_default();
+        let txn = Txn::default().write(Write::put(demand_key(partition), value));
+        self.state(Importance::Placement, StateRequest::Txn(txn), Purpose::Demand);
+    }
+
     /// What each of our partitions lacks and could spare, and how far its jobs are.
     fn tell_loads(&mut self) {
         let now = self.now;
@@ -694,6 +717,7 @@
         for load in loads {
             match &leader {
                 Some(name) if name == self.me() => self.on_load(load),
+                Some(name) if !self.peer_lives(name) => self.write_demand(load),
                 Some(name) => {
                     let name = name.clone();
                     self.mesh(&name, MeshMessage::Load(load));
--- a/crates/coordination/src/node/leader.rs
+++ b/crates/coordination/src/node/leader.rs
@@ -3,7 +3,7 @@
 use super::machines::MachineChange;
 use super::{Node, Purpose};
 use crate::budget::{Bucket, Importance};
-use crate::records::{MachineRecord, TYPES};
+use crate::records::{DemandRecord, MachineRecord, TYPES};
 use fleet::{FleetAction, FleetMachine, Offer, PartitionNeed};
 use model::{CallId, MachineName, Moment, NodeName, PartitionId, Span, ZoneName};
 use std::collections::{BTreeMap, HashMap};
@@ -125,6 +125,13 @@
         }
     }
 
+    /// A holder that does not reach us has written what its partition lacks. Of its machines we
+    /// know nothing then, so none is shifted or returned.
+    pub(super) fn demand_written(&mut self, partition: PartitionId, record: DemandRecord) {
+        let DemandRecord { term, demand } = record;
+        self.on_load(PartitionLoad { partition: partition.0, term, demand, machines: Vec::new() });
+    }
+
     pub(super) fn types_changed(&mut self) {
         let partitions: Vec<PartitionId> = self.holdings.keys().copied().collect();
         for partition in partitions {
--- a/crates/coordination/src/node/mod.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -145,6 +145,8 @@
     },
     /// A wish for our home partition.
     Wish,
+    /// What a partition lacks.
+    Demand,
     /// A partition given up.
     GiveUp(PartitionId),
     LedgerList {
@@ -257,6 +259,8 @@
     shunned: HashMap<PartitionId, (Moment, Span)>,
     alive_at: Moment,
     load_at: Moment,
+    /// When we wrote what our partitions lack, and whether that was anything.
+    demand_at: HashMap<PartitionId, (Moment, bool)>,
     progress: HashMap<JobId, (u64, u64)>,
     finals: HashMap<JobId, JobState>,
     polls: Vec<Poll>,
@@ -322,6 +326,7 @@
             shunned: HashMap::new(),
             alive_at: Moment::default(),
             load_at: Moment::default(),
+            demand_at: HashMap::new(),
             progress: HashMap::new(),
             finals: HashMap::new(),
             polls: Vec::new(),
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -37,7 +37,7 @@
         self.nodes.get(partition.0 as usize).map(|(name, _)| name)
     }
 
-    fn peer_lives(&self, name: &NodeName) -> bool {
+    pub(super) fn peer_lives(&self, name: &NodeName) -> bool {
         self.peers.get(name).is_some_and(|p| self.now.since(p.heard_at) <= PEER_SILENCE)
     }
 
--- a/crates/coordination/src/node/sync.rs
+++ b/crates/coordination/src/node/sync.rs
@@ -108,6 +108,7 @@
             Purpose::Acquire(partition) => self.on_acquired(partition, &reply),
             Purpose::HandOver { partition, to } => self.on_handed_over(partition, to, reply),
             Purpose::Wish => self.wishing = false,
+            Purpose::Demand => {}
             Purpose::GiveUp(partition) => self.on_given_up(partition, reply),
             Purpose::LedgerList { partition, term } => self.on_ledger(partition, term, reply),
             Purpose::LedgerWrite { partition, term } => self.on_round(partition, term, reply),
@@ -186,6 +187,7 @@
             match change {
                 Changed::Job(id) => self.job_changed(id),
                 Changed::Ended(id, state) => self.job_ended(id, state),
+                Changed::Demand(id, record) => self.demand_written(id, record),
                 Changed::Partition(id) => self.partition_changed(id),
                 Changed::Machine(name) => self.machine_changed(&name),
                 Changed::Types => self.types_changed(),
--- a/crates/coordination/src/records.rs
+++ b/crates/coordination/src/records.rs
@@ -8,6 +8,7 @@
 use model::{JobId, NodeName, PartitionId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use wire::mesh::DemandShape;
 use wire::users::{JobKind, JobRequest, JobState, Priority};
 
 /// Prefix of everything that is watched.
@@ -70,6 +71,11 @@
     format!("s/w/{id}")
 }
 
+/// Key of a partition's demand, for a leader that its holder does not reach over the mesh.
+pub fn demand_key(id: PartitionId) -> String {
+    format!("s/d/{id}")
+}
+
 /// Key of a node's incarnation.
 pub fn boot_key(name: &NodeName) -> String {
     format!("s/b/{name}")
@@ -310,6 +316,13 @@
     pub lease: u64,
 }
 
+/// What a partition lacks, as its holder last wrote it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DemandRecord {
+    pub term: u64,
+    pub demand: Vec<DemandShape>,
+}
+
 /// The counter, and who took each partition last.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct CounterRecord {
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -52,7 +52,9 @@
                     if let EntryKey::Gang(job) = entry {
                         self.hold_for_gang(job, why, now);
                     }
-                    placeless.insert(entry.job(), why);
+                    if placeless.insert(entry.job(), why).is_none() {
+                        tracing::debug!(job = %entry.job(), ?why, "no place");
+                    }
                     if self.policy.preempt && why != Unplaced::Image {
                         self.make_room(entry, why, now);
                     }
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -289,6 +289,13 @@
         (self.state.taken, self.state.refused)
     }
 
+    /// Machines recorded for a partition.
+    pub fn machines_of(&self, partition: u32) -> usize {
+        let page = |n: u32| self.state.value(&format!("s/m/{n:04}"));
+        let machines = (0..).map_while(page).filter_map(|p| p.get("machines")?.as_array());
+        machines.flatten().filter(|m| m.get(4).is_some_and(|p| *p == partition)).count()
+    }
+
     /// Machines that are up.
     pub fn machines_up(&self) -> usize {
         self.workers.values().filter(|w| !w.dead).count()
--- a/crates/testkit/tests/rules.rs
+++ b/crates/testkit/tests/rules.rs
@@ -216,3 +216,17 @@
         assert_eq!(world.unfinished(), Vec::<String>::new(), "seed {seed}");
     }
 }
+
+/// Seen on days on which connections between nodes are refused: the leader did not know what
+/// other partitions lacked and rented nothing for them.
+#[test]
+fn machines_are_rented_for_partitions_whose_holders_do_not_reach_the_leader() {
+    let faults = (0..3).map(|node| (0, Fault::CutMesh { node, ms: 60_000 })).collect();
+    let mut world = World::new(Plan { size: 2, ..plan(5, faults) });
+    world.run_to(40_000);
+    for partition in 0..3 {
+        assert!(world.machines_of(partition) > 0, "partition {partition}");
+    }
+    world.run_to(200_000);
+    assert_eq!(world.rules.broken, []);
+}
