One check of type, zone and kind for waiting work; drop a caller-less function

No change of behaviour: fleet and the share asked the same of a demand shape in two places; Share::finish_failed lost its caller when ends became entries of a page.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -122,12 +122,6 @@
     }
 }
 
-fn suits(shape: &DemandShape, machine_type: &str, zone: &str, spot: bool) -> bool {
-    (shape.spot || !spot)
-        && shape.zone.as_deref().is_none_or(|z| z == zone)
-        && shape.types.as_ref().is_none_or(|t| t.iter().any(|name| name == machine_type))
-}
-
 /// Machines asked for in one call, or ceded for one shape, at most.
 const MOST_AT_ONCE: u32 = 50;
 /// Machines by which partitions may differ in what they run beyond guarantees, besides a quarter:
@@ -282,7 +276,7 @@
     /// Lets what is coming take work.
     fn absorb(&mut self, want: &mut Want<'_>) {
         for c in &mut self.coming[want.need] {
-            if suits(want.shape, &c.machine_type, c.zone.as_str(), c.spot) {
+            if want.shape.suits(&c.machine_type, c.zone.as_str(), c.spot) {
                 want.waiting -= take(c, &want.per, want.waiting, want.service, want.work_each);
             }
         }
@@ -295,7 +289,7 @@
         let spare = self.idle.iter().position(|m| {
             m.partition != need.partition
                 && m.idle >= self.policy.shift_idle
-                && suits(want.shape, &m.machine_type, m.zone.as_str(), m.spot)
+                && want.shape.suits(&m.machine_type, m.zone.as_str(), m.spot)
                 && self.kind(&m.machine_type).is_some_and(|t| want.per.fits(&size_of(t)))
                 && !self.needs.iter().any(|n| n.partition == m.partition && !n.demand.is_empty())
         });
@@ -345,7 +339,7 @@
             let to = self.needs[want.need].partition;
             let mut fits: BTreeMap<PartitionId, u32> = BTreeMap::new();
             for m in self.machines.iter().filter(free).filter(|m| m.partition != to) {
-                if suits(want.shape, &m.machine_type, m.zone.as_str(), m.spot) {
+                if want.shape.suits(&m.machine_type, m.zone.as_str(), m.spot) {
                     *fits.entry(m.partition).or_default() += 1;
                 }
             }
@@ -451,7 +445,7 @@
             continue;
         }
         for (zone, spot) in kind.zones.iter().flat_map(|z| [(z, true), (z, false)]) {
-            if !suits(shape, &kind.name, zone, spot) {
+            if !shape.suits(&kind.name, zone, spot) {
                 continue;
             }
             let offer = (kind.name.clone(), ZoneName::from(zone.as_str()), spot);
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -227,9 +227,7 @@
         let missing = count.saturating_sub(self.machines.values().filter(under_way).count());
         let suits = |m: &&Machine| {
             m.usable(now, self.policy.silence)
-                && (shape.spot || !m.spot)
-                && shape.zone.as_deref().is_none_or(|zone| zone == m.zone.as_str())
-                && shape.types.as_ref().is_none_or(|types| types.contains(&m.machine_type))
+                && shape.suits(&m.machine_type, m.zone.as_str(), m.spot)
                 && self.cedable(m)
         };
         let ends = |m: &Machine| {
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -379,14 +379,6 @@
         std::mem::take(&mut self.finished)
     }
 
-    /// The end of a job could not be written: its record had changed meanwhile.
-    pub fn finish_failed(&mut self, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.finishing = false;
-        }
-        self.check_finished(id);
-    }
-
     /// The job's end is durable, which settles the outcomes of all its tasks.
     pub fn remove_job(&mut self, id: JobId, now: Moment) {
         let Some(job) = self.jobs.remove(&id) else { return };
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -24,6 +24,15 @@
     pub estimate_ms: u64,
 }
 
+impl DemandShape {
+    /// Whether the work may run on a machine of this type, in this zone, of this kind.
+    pub fn suits(&self, machine_type: &str, zone: &str, spot: bool) -> bool {
+        (self.spot || !spot)
+            && self.zone.as_deref().is_none_or(|z| z == zone)
+            && self.types.as_ref().is_none_or(|t| t.iter().any(|name| name == machine_type))
+    }
+}
+
 /// A holder's view of one of its machines.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MachineLoad {
