A bench of what each event costs as the fleet grows, with criterion

The cost of an event must not grow with machines and open jobs, and only a measurement tells whether it does. testkit::Solo is one node alone with a state service that answers at once; the bench feeds it ticks, reports and takeovers, and asks shares and plans of 300 to 10,000 machines.

Filling 3,000 machines did not end in nine minutes: each entry tried looks at every machine.

--- /dev/null
+++ b/crates/testkit/benches/scale.rs
@@ -0,0 +1,237 @@
+//! What each kind of event costs the deciding code as the fleet grows: a share of so many
+//! machines, full of tasks, with a tenth as much work waiting.
+//!
+//! `cargo bench -p testkit` (`-- tick` for one kind). Only the time inside `Node::handle` and its
+//! like is measured, not that of the stand-ins.
+
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use fleet::{FleetMachine, FleetPolicy, PartitionNeed};
+use model::{
+    JobSpec, MachineName, Moment, PartitionId, Resources, Span, TeamName, Token, ZoneName,
+};
+use queue::QueueConfig;
+use scheduler::{Machine, Policy, Share, Source};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+use testkit::Solo;
+use wire::cloud::MachineType;
+use wire::mesh::DemandShape;
+use wire::users::{JobKind, JobRequest, Priority};
+use wire::workers::Report;
+
+const SIZES: [usize; 4] = [300, 1_000, 3_000, 10_000];
+
+/// One turn of a measurement and what it cost.
+type Each = Box<dyn FnMut(&mut Solo, u64) -> Duration>;
+
+/// A node: ticks, reports, takeovers.
+fn node(c: &mut Criterion) {
+    let mut group = c.benchmark_group("node");
+    group.sample_size(10);
+    for size in SIZES {
+        let made: RefCell<Option<Solo>> = RefCell::new(None);
+        let solo = |iters: u64, mut each: Each| {
+            let mut made = made.borrow_mut();
+            let solo = made.get_or_insert_with(|| {
+                let mut solo = Solo::new(size);
+                solo.fill();
+                solo
+            });
+            (0..iters).map(|n| each(solo, n)).sum::<Duration>()
+        };
+        group.bench_function(BenchmarkId::new("tick", size), |b| {
+            b.iter_custom(|iters| solo(iters, Box::new(|solo, _| solo.tick(7))));
+        });
+        group.bench_function(BenchmarkId::new("report", size), |b| {
+            b.iter_custom(|iters| {
+                solo(iters, Box::new(move |solo, n| solo.report(n as usize * 7 % size)))
+            });
+        });
+        group.bench_function(BenchmarkId::new("report_done", size), |b| {
+            b.iter_custom(|iters| {
+                solo(
+                    iters,
+                    Box::new(move |solo, n| {
+                        let cost = solo.report_done(n as usize * 13 % size);
+                        if n.is_multiple_of(10) {
+                            solo.tick(70);
+                        }
+                        cost
+                    }),
+                )
+            });
+        });
+        group.bench_function(BenchmarkId::new("takeover", size), |b| {
+            b.iter_custom(|iters| solo(iters, Box::new(|solo, _| solo.take_over().0)));
+        });
+    }
+    group.finish();
+}
+
+fn kind() -> MachineType {
+    MachineType {
+        name: "m4".into(),
+        cpus: 4.0,
+        gpus: 0.0,
+        memory_gb: 16.0,
+        cache_gb: 80.0,
+        fetch_gb_per_s: 1.0,
+        price: 0.2,
+        spot_price: 0.06,
+        boot_s: 15.0,
+        zones: vec!["a".into(), "b".into()],
+    }
+}
+
+fn name(nth: usize) -> MachineName {
+    MachineName::from(format!("host-{nth:06}").as_str())
+}
+
+fn job(id: u64, tasks: u64, cpus: f64) -> JobSpec {
+    let request = JobRequest {
+        id: format!("j-{id:06}"),
+        class: "c".into(),
+        team: "t".into(),
+        kind: JobKind::Array,
+        priority: Priority::Normal,
+        tasks,
+        cpus,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: format!("img-{}", id % 11),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    };
+    match JobSpec::try_from(&request) {
+        Ok(spec) => spec,
+        Err(error) => panic!("a job of the bench: {error}"),
+    }
+}
+
+/// A share with idle machines that have just reported.
+fn share(size: usize) -> Share {
+    let amounts = Resources::offered(1e6, 0.0, 0.0);
+    let teams = [(TeamName::from("t"), Resources::default(), amounts)];
+    // Time goes on by seconds here without another report.
+    let policy = Policy { silence: Span(u64::MAX), ..Policy::default() };
+    let mut share = Share::new(teams, Span(600_000), policy, QueueConfig::default(), Token(5));
+    for nth in 0..size {
+        let zone = if nth.is_multiple_of(2) { "a" } else { "b" };
+        let machine =
+            Machine::new(name(nth), &kind(), ZoneName::from(zone), nth.is_multiple_of(3), Token(5));
+        share.add_machine(machine, Moment(0));
+        let report = Report {
+            machine: name(nth).to_string(),
+            address: "10.1.0.1:9000".into(),
+            machine_type: "m4".into(),
+            zone: zone.into(),
+            spot: nth.is_multiple_of(3),
+            session: 1,
+            seq: 1,
+            token: 5,
+            notice_s: None,
+            tasks: Vec::new(),
+        };
+        share.observe(&report, Source::Report, Moment(1));
+    }
+    share
+}
+
+/// A scheduling cycle that places one task where everything is free, and one that finds no place
+/// where everything is taken.
+fn cycles(c: &mut Criterion) {
+    let mut group = c.benchmark_group("cycle");
+    group.sample_size(10);
+    for size in SIZES {
+        let mut time = 2;
+        let mut id = 1;
+        let mut empty = share(size);
+        let mut one = |share: &mut Share, cpus: f64| {
+            (time, id) = (time + 2_000, id + 1);
+            let now = Moment(time);
+            share.add_job(job(id, 1, cpus), id, &[], now);
+            let start = Instant::now();
+            share.run_cycles(now, 10);
+            let spent = start.elapsed();
+            share.remove_job(model::JobId(id), now);
+            share.take_dirty();
+            spent
+        };
+        group.bench_function(BenchmarkId::new("placed", size), |b| {
+            b.iter_custom(|iters| (0..iters).map(|_| one(&mut empty, 1.0)).sum());
+        });
+        let mut full = share(size);
+        full.add_job(job(1, size as u64, 4.0), 1, &[], Moment(2));
+        while full.run_cycles(Moment(2), 10_000) {}
+        group.bench_function(BenchmarkId::new("no_room", size), |b| {
+            b.iter_custom(|iters| (0..iters).map(|_| one(&mut full, 1.0)).sum());
+        });
+    }
+    group.finish();
+}
+
+/// A plan of the leader: full machines in three partitions, some idle, three shapes of work each.
+fn plans(c: &mut Criterion) {
+    let mut group = c.benchmark_group("plan");
+    group.sample_size(10);
+    for size in SIZES {
+        let machines: Vec<FleetMachine> = (0..size)
+            .map(|nth| FleetMachine {
+                name: name(nth),
+                machine_type: "m4".into(),
+                zone: ZoneName::from(if nth.is_multiple_of(2) { "a" } else { "b" }),
+                spot: nth.is_multiple_of(3),
+                partition: PartitionId(nth as u32 % 3),
+                up: nth % 20 != 1,
+                tasks: u32::from(nth % 20 != 0) * 4,
+                idle: Span(if nth % 20 == 0 { 5_000 } else { 0 }),
+                faulty: false,
+                leaving: false,
+                age: Span(100_000),
+                since: Span(10_000),
+                silent: Span::ZERO,
+                failed: false,
+                known: true,
+                cedable: nth % 4 == 0,
+                best_effort: false,
+                ceding: None,
+            })
+            .collect();
+        let shape = |n: usize| DemandShape {
+            milli_cpus: 1_000 + n as u64 * 500,
+            milli_gpus: 0,
+            memory_mb: 2_000,
+            types: None,
+            zone: None,
+            spot: n.is_multiple_of(2),
+            tasks: size as u64 / 10,
+            urgent: size as u64 / 40,
+            estimate_ms: 20_000,
+            priority: Priority::Normal,
+        };
+        let needs: Vec<PartitionNeed> = (0..3)
+            .map(|partition| PartitionNeed {
+                partition: PartitionId(partition),
+                home_zone: ZoneName::from("a"),
+                demand: (0..3).map(shape).collect(),
+            })
+            .collect();
+        let policy = FleetPolicy::default();
+        group.bench_function(BenchmarkId::new("made", size), |b| {
+            b.iter(|| fleet::plan(&policy, &[kind()], &machines, &needs, &HashMap::new()));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, cycles, plans, node);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/testkit/src/solo.rs
@@ -0,0 +1,354 @@
+//! One node alone, with machines and work at a size of choice and a state service that answers at
+//! once: what each kind of event costs it.
+
+use crate::state::StateService;
+use crate::worker::Worker;
+use coordination::node::DirectReply;
+use coordination::records::{machines_key, MachineRecord, MachinesPage, PackedMachine};
+use coordination::{Effect, Event, Node, ReportReply, UserReply, UserRequest};
+use model::{CallId, MachineName, Moment, PartitionId, Settings};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+use wire::cloud::{CloudReply, CloudRequest, MachineType, MachineTypes};
+use wire::state::{StateReply, StateRequest, Txn, Write};
+use wire::users::{JobKind, JobRequest, Priority};
+use wire::workers::{Report, TaskState};
+
+/// Tasks that a machine holds.
+const SLOTS: u64 = 4;
+/// Machines on one page of their records.
+const PAGE: usize = 40;
+/// The longest that a worker's lease lasts here; time passes only as events are fed.
+const LEASE: u64 = 600_000;
+
+/// The node and what surrounds it.
+pub struct Solo {
+    node: Node,
+    state: StateService,
+    now: u64,
+    workers: Vec<Worker>,
+    jobs: BTreeMap<String, JobRequest>,
+    next_job: u64,
+    watch: Option<(CallId, String, u64)>,
+    events: VecDeque<Event>,
+    tickets: u64,
+    accepted: usize,
+    answered: usize,
+    machines: usize,
+}
+
+fn settings(machines: usize) -> Settings {
+    let teams: String = (0..12)
+        .map(|t| {
+            let cpus = machines / 4;
+            format!(
+                "[[settings.teams]]\nname = \"t{t}\"\ncpus = {cpus}.0\ncpus_max = {machines}.0\n"
+            )
+        })
+        .collect();
+    let text = format!(
+        "member = \"n0\"\nzone = \"a\"\nserve_on = \"10.0.0.1:80\"\nmesh_addr = \"10.0.0.1:81\"\n\
+         [endpoints]\ncloud = \"10.1.0.1:1\"\nstate = \"10.1.0.2:1\"\n{teams}\
+         [settings.workers]\nreport_s = 5.0\nlease_s = 600.0\ngang_wait_s = 45.0\n\
+         gang_peer_s = 8.0\ncancel_s = 1300.0\n[settings.state]\nrps = 1000000.0\n\
+         write_rps = 1000000.0\nvalue_kb = 8.0\ntxn_ops = 8\n[settings.cloud]\nrps = 10.0\n\
+         list_lag_s = 8.0\n"
+    );
+    match Settings::parse(&text) {
+        Ok(settings) => settings,
+        Err(error) => panic!("settings of the lone node: {error}"),
+    }
+}
+
+fn types() -> MachineTypes {
+    let kind = MachineType {
+        name: "m4".into(),
+        cpus: SLOTS as f64,
+        gpus: 0.0,
+        memory_gb: 16.0,
+        cache_gb: 80.0,
+        fetch_gb_per_s: 1.0,
+        price: 0.2,
+        spot_price: 0.06,
+        boot_s: 15.0,
+        zones: vec!["a".into(), "b".into()],
+    };
+    MachineTypes { types: vec![kind] }
+}
+
+fn name(nth: usize) -> String {
+    format!("host-{nth:06}")
+}
+
+impl Solo {
+    /// A node that holds so many machines, all of them idle and known to it.
+    pub fn new(machines: usize) -> Self {
+        let mut state = StateService::new(1e9);
+        for (page, from) in (0..machines).step_by(PAGE).enumerate() {
+            let records = (from..machines.min(from + PAGE)).map(|nth| {
+                let record = MachineRecord {
+                    machine_type: "m4".into(),
+                    zone: if nth % 2 == 0 { "a" } else { "b" }.into(),
+                    spot: nth % 3 == 0,
+                    partition: PartitionId(0),
+                    token: 0,
+                    leaving: false,
+                };
+                PackedMachine::new(&MachineName::from(name(nth).as_str()), &record)
+            });
+            let value = serde_json::to_value(MachinesPage { machines: records.collect() });
+            let write = Write::put(machines_key(page as u32), value.unwrap_or_default());
+            state.execute(1, &StateRequest::Txn(Txn::default().write(write)));
+        }
+        let workers = (0..machines).map(|nth| {
+            let zone = if nth % 2 == 0 { "a" } else { "b" };
+            Worker::new(&name(nth), "m4", zone, nth % 3 == 0, 0)
+        });
+        let mut solo = Solo {
+            node: Node::new(settings(machines), 1 << 20),
+            state,
+            now: 10,
+            workers: workers.collect(),
+            jobs: BTreeMap::new(),
+            next_job: 0,
+            watch: None,
+            events: VecDeque::new(),
+            tickets: 0,
+            accepted: 0,
+            answered: 0,
+            machines,
+        };
+        solo.hear_all();
+        solo
+    }
+
+    /// Ticks until the node holds its partition, and has every machine report.
+    fn hear_all(&mut self) {
+        for _ in 0..200 {
+            self.tick(20);
+        }
+        for nth in 0..self.machines {
+            self.report(nth);
+        }
+        assert!(self.answered >= self.machines, "{} of {}", self.answered, self.machines);
+    }
+
+    /// Fills all machines but for some slots: a quarter with replicas, the rest with arrays, a
+    /// tenth as much again waiting.
+    pub fn fill(&mut self) {
+        let slots = self.machines as u64 * SLOTS;
+        let mut left = slots / 4;
+        while left > 0 {
+            self.submit(JobKind::Service, 1);
+            left -= 1;
+        }
+        let mut left = slots * 3 / 4 + slots / 10;
+        while left > 0 {
+            let tasks = left.min(40);
+            self.submit(JobKind::Array, tasks);
+            left -= tasks;
+        }
+        // Workers report every 5 s, and a silent machine is given nothing.
+        let each = self.machines.div_ceil(50);
+        for round in 0..1_000 {
+            self.tick(70);
+            for nth in 0..each {
+                self.report((round * each + nth) % self.machines);
+            }
+            if self.running() as u64 >= slots {
+                break;
+            }
+        }
+        assert_eq!(self.running() as u64, slots, "the machines are full");
+        for nth in 0..self.machines {
+            self.run_all(nth);
+            self.report(nth);
+        }
+        self.tick(100);
+    }
+
+    /// Submits a job.
+    pub fn submit(&mut self, kind: JobKind, tasks: u64) -> String {
+        self.next_job += 1;
+        let number = self.next_job;
+        let id = format!("j-{number:06}");
+        let service = kind == JobKind::Service;
+        let job = JobRequest {
+            id: id.clone(),
+            class: "c".into(),
+            team: format!("t{}", number % 12),
+            kind,
+            priority: if service { Priority::High } else { Priority::Normal },
+            tasks,
+            cpus: 1.0,
+            gpus: 0.0,
+            memory_gb: 3.0,
+            image: format!("img-{}", number % 11),
+            image_gb: 2.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: !service,
+            estimate_s: if service { 0.0 } else { 20.0 },
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        };
+        self.jobs.insert(id.clone(), job.clone());
+        self.tickets += 1;
+        let request = UserRequest::Submit(Box::new(job));
+        self.feed(Event::User { ticket: self.tickets, request });
+        // A few at a time, as users come.
+        if number.is_multiple_of(50) {
+            self.tick(70);
+        }
+        id
+    }
+
+    /// Lets time pass and turns the loop once; returns what that cost.
+    pub fn tick(&mut self, ms: u64) -> Duration {
+        self.now += ms;
+        let cost = self.feed(Event::Tick);
+        // A long poll that has found nothing ends.
+        if let Some((call, ..)) = self.watch.take() {
+            let reply = self.state.no_changes();
+            self.feed(Event::State { call, reply });
+        }
+        cost
+    }
+
+    /// A report of a machine; returns what it cost.
+    pub fn report(&mut self, nth: usize) -> Duration {
+        let report = self.workers[nth].report();
+        self.now += 1;
+        self.tickets += 1;
+        self.feed(Event::Report { ticket: self.tickets, report: Box::new(report) })
+    }
+
+    /// A report of a machine on which one array task has just completed; what it cost.
+    pub fn report_done(&mut self, nth: usize) -> Duration {
+        let jobs = &self.jobs;
+        let array = |task: &str| {
+            let id = task.split('/').next().unwrap_or_default();
+            jobs.get(id).is_some_and(|job| job.kind == JobKind::Array)
+        };
+        let worker = &mut self.workers[nth];
+        let running = worker
+            .tasks
+            .iter_mut()
+            .find(|((task, _), held)| held.state == TaskState::Running && array(task));
+        if let Some((_, held)) = running {
+            held.state = TaskState::Exited;
+            held.why = Some(wire::workers::ExitCause::Done);
+        }
+        let cost = self.report(nth);
+        self.run_all(nth);
+        cost
+    }
+
+    fn run_all(&mut self, nth: usize) {
+        for held in self.workers[nth].tasks.values_mut() {
+            if held.state == TaskState::Fetching {
+                held.state = TaskState::Running;
+            }
+        }
+    }
+
+    /// Another incarnation of the node starts on the same state: what all its events cost until
+    /// it has answered the first report with its partition read, and the longest of them.
+    pub fn take_over(&mut self) -> (Duration, Duration) {
+        self.node = Node::new(settings(self.machines), (2 + self.now) << 20);
+        self.watch = None;
+        self.events.clear();
+        self.now += 10_000;
+        self.state.expire(self.now);
+        let (mut all, mut longest) = (Duration::ZERO, Duration::ZERO);
+        let before = self.answered;
+        for round in 0..400 {
+            let mut cost = self.tick(20);
+            if round % 10 == 9 {
+                cost += self.report(0);
+            }
+            all += cost;
+            longest = longest.max(cost);
+            if self.answered > before {
+                break;
+            }
+        }
+        assert!(self.answered > before, "the next incarnation answers");
+        (all, longest)
+    }
+
+    /// Feeds an event and all that follows from it; returns what the node itself took.
+    fn feed(&mut self, event: Event) -> Duration {
+        let mut spent = Duration::ZERO;
+        self.events.push_back(event);
+        while let Some(event) = self.events.pop_front() {
+            let start = Instant::now();
+            let effects = self.node.handle(Moment(self.now), event);
+            spent += start.elapsed();
+            for effect in effects {
+                self.carry_out(effect);
+            }
+        }
+        spent
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::State { call, request, .. } => self.state_call(call, request),
+            Effect::Cloud { call, request } => {
+                let reply = match request {
+                    CloudRequest::Types => CloudReply::Types(types()),
+                    CloudRequest::Rent(_) => CloudReply::NoCapacity,
+                    _ => CloudReply::Refused,
+                };
+                self.events.push_back(Event::Cloud { call, reply });
+            }
+            Effect::Worker { call, address, body } => {
+                let machine = address.trim_end_matches(":9000");
+                let nth = machine.trim_start_matches("host-").parse::<usize>().unwrap_or(0);
+                let worker = &mut self.workers[nth];
+                worker.check_lease(self.now, LEASE);
+                worker.direct(body.token, body.session, &body.commands, self.now, &self.jobs);
+                let report: Box<Report> = Box::new(worker.report());
+                let reply = DirectReply::Answered(report);
+                self.events.push_back(Event::Worker { call, reply });
+            }
+            Effect::User { reply, .. } => {
+                self.accepted += usize::from(matches!(reply, UserReply::Created(_)));
+            }
+            Effect::Report { reply: ReportReply::Answer(_), .. } => self.answered += 1,
+            Effect::Report { .. } | Effect::Mesh { .. } | Effect::Admin { .. } => {}
+        }
+    }
+
+    fn state_call(&mut self, call: CallId, request: StateRequest) {
+        if let StateRequest::Watch { prefix, after, wait_ms } = &request {
+            match self.state.changes(prefix, *after) {
+                Some(reply) => self.events.push_back(Event::State { call, reply }),
+                None if *wait_ms == 0 => {
+                    let reply = self.state.no_changes();
+                    self.events.push_back(Event::State { call, reply });
+                }
+                None => self.watch = Some((call, prefix.clone(), *after)),
+            }
+            return;
+        }
+        let reply = self.state.execute(self.now, &request);
+        let changed = matches!(reply, StateReply::Committed { .. });
+        self.events.push_back(Event::State { call, reply });
+        if let Some((call, prefix, after)) = self.watch.take_if(|_| changed) {
+            match self.state.changes(&prefix, after) {
+                Some(reply) => self.events.push_back(Event::State { call, reply }),
+                None => self.watch = Some((call, prefix, after)),
+            }
+        }
+    }
+
+    /// Tasks on all machines.
+    pub fn running(&self) -> usize {
+        self.workers.iter().map(|w| w.tasks.len()).sum()
+    }
+}
