Rooms, victims and promises are indexed; looks at all machines keep a pace

Each entry tried looked at every machine of the share and, for each, at every promise by name; every event scanned all machines six times over; each job's end gathered all pages of accepted and ended jobs anew; a round looked at the whole ledger, a plan compared names pairwise. Cost grew with the square of the fleet.

Now: machines stand in an index by type, zone, kind, replicas and free room, once in all and once for each image, and those that take nothing are left out; what could be stopped stands newest first; promises are a sum on each machine; guarantees are worked out for the teams that changed; pages count what they name; scans for what comes with time run every 100 ms.

--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -22,16 +22,18 @@
     items: Vec<Entry>,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct Page {
     version: Version,
     round: u64,
+    /// Items whose newest copies it holds.
+    holds: BTreeSet<ChunkKey>,
 }
 
+/// An item's newest copy, which is as new as the page that holds it.
 #[derive(Debug, Clone)]
 struct Kept {
     page: usize,
-    round: u64,
     body: ChunkBody,
     size: usize,
 }
@@ -104,20 +106,18 @@
             if ledger.pages.len() <= number {
                 ledger.pages.resize(number + 1, Page::default());
             }
-            ledger.pages[number] = Page { version: Version(item.version), round: body.round };
+            ledger.pages[number].version = Version(item.version);
+            ledger.pages[number].round = body.round;
             if body.round >= ledger.round {
                 ledger.round = body.round;
                 ledger.cursor = number + 1;
             }
             for Entry(job, chunk, chunk_body) in body.items {
                 let key = (JobId(job), chunk);
-                let newer = ledger.items.get(&key).is_none_or(|kept| kept.round < body.round);
-                if newer {
+                let known = ledger.items.get(&key);
+                if known.is_none_or(|kept| ledger.pages[kept.page].round < body.round) {
                     let size = size_of(&chunk_body);
-                    ledger.items.insert(
-                        key,
-                        Kept { page: number, round: body.round, body: chunk_body, size },
-                    );
+                    ledger.keep(key, Kept { page: number, body: chunk_body, size });
                 }
             }
         }
@@ -144,10 +144,22 @@
         let keys: Vec<ChunkKey> =
             self.items.range((job, 0)..=(job, u32::MAX)).map(|(key, _)| *key).collect();
         for key in keys {
-            self.items.remove(&key);
+            self.drop_item(&key);
+        }
+    }
+
+    fn drop_item(&mut self, key: &ChunkKey) {
+        if let Some(kept) = self.items.remove(key) {
+            self.pages[kept.page].holds.remove(key);
         }
     }
 
+    fn keep(&mut self, key: ChunkKey, kept: Kept) {
+        self.drop_item(&key);
+        self.pages[kept.page].holds.insert(key);
+        self.items.insert(key, kept);
+    }
+
     /// Prepares a round with these changes; returns it with the changes that found no room.
     pub fn prepare(
         &self,
@@ -190,8 +202,9 @@
             number += 1;
             // An empty item may go once no page can hold an older copy of it.
             items.retain(|key, (body, _)| {
+                let kept_in = |kept: &Kept| self.pages[kept.page].round;
                 let gone =
-                    body.is_empty() && self.items.get(key).is_some_and(|k| oldest >= k.round);
+                    body.is_empty() && self.items.get(key).is_some_and(|k| oldest >= kept_in(k));
                 if gone {
                     round.dropped.push(*key);
                 }
@@ -228,10 +241,11 @@
         page: usize,
         written: &BTreeSet<ChunkKey>,
     ) -> BTreeMap<ChunkKey, (ChunkBody, usize)> {
-        self.items
-            .iter()
-            .filter(|(key, kept)| kept.page == page && !written.contains(key))
-            .map(|(key, kept)| (*key, (kept.body.clone(), kept.size)))
+        let holds = self.pages.get(page).into_iter().flat_map(|page| &page.holds);
+        holds
+            .filter(|key| !written.contains(*key))
+            .filter_map(|key| Some((*key, self.items.get(key)?)))
+            .map(|(key, kept)| (key, (kept.body.clone(), kept.size)))
             .collect()
     }
 
@@ -241,20 +255,16 @@
             if self.pages.len() <= *page {
                 self.pages.resize(*page + 1, Page::default());
             }
-            self.pages[*page] = Page { version: Version(revision), round: *number };
+            self.pages[*page].version = Version(revision);
+            self.pages[*page].round = *number;
             self.round = self.round.max(*number);
             self.cursor = *page + 1;
-            for kept in self.items.values_mut().filter(|kept| kept.page == *page) {
-                kept.round = *number;
-            }
         }
         for key in &round.dropped {
-            self.items.remove(key);
+            self.drop_item(key);
         }
         for (page, key, body, size) in &round.bodies {
-            let number = round.pages.iter().find(|(p, _)| p == page).map_or(0, |(_, n)| *n);
-            self.items
-                .insert(*key, Kept { page: *page, round: number, body: body.clone(), size: *size });
+            self.keep(*key, Kept { page: *page, body: body.clone(), size: *size });
         }
         if self.cursor >= self.pages.len() {
             self.cursor = 0;
--- a/crates/coordination/src/mirror.rs
+++ b/crates/coordination/src/mirror.rs
@@ -4,7 +4,7 @@
 use model::{JobId, JobSpec, JobState, MachineName, NodeName, PartitionId, Revision, Version};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use wire::cloud::MachineTypes;
 use wire::state::{Changes, Item};
@@ -37,6 +37,43 @@
 pub struct KnownMachine {
     pub record: MachineRecord,
     pub page: u32,
+    /// Bytes that it may come to take there.
+    pub size: usize,
+}
+
+/// A page of machines.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct MachinePage {
+    pub names: BTreeSet<MachineName>,
+    /// Bytes that its machines may come to take.
+    pub filled: usize,
+}
+
+/// How many pages name each job.
+#[derive(Debug, Default)]
+struct Tally(HashMap<JobId, u32>);
+
+impl Tally {
+    /// One page more names the job; true if it is the first.
+    fn add(&mut self, id: JobId) -> bool {
+        let pages = self.0.entry(id).or_default();
+        *pages += 1;
+        *pages == 1
+    }
+
+    /// One page fewer names it.
+    fn take(&mut self, id: JobId) {
+        if let Some(pages) = self.0.get_mut(&id) {
+            *pages -= 1;
+            if *pages == 0 {
+                self.0.remove(&id);
+            }
+        }
+    }
+
+    fn has(&self, id: JobId) -> bool {
+        self.0.contains_key(&id)
+    }
 }
 
 /// What changed when events were applied.
@@ -64,11 +101,16 @@
     pub intake: BTreeMap<String, Versioned<Vec<JobId>>>,
     pub cancels: BTreeMap<NodeName, Versioned<BTreeSet<JobId>>>,
     pub ends: BTreeMap<(PartitionId, u32), Versioned<EndsPage>>,
-    ended: HashMap<JobId, JobState>,
+    /// Jobs that are over, with the pages of ended jobs that name them. This and the next are
+    /// counted as pages change: gathered from all pages at each end of a job, they were a sixth of
+    /// a controller's time at a thousand machines.
+    ended: Tally,
+    /// Jobs on pages of accepted jobs, over or not.
+    listed: Tally,
     pub partitions: BTreeMap<PartitionId, Versioned<PartitionRecord>>,
     pub wishes: BTreeMap<PartitionId, WishRecord>,
     pub machines: BTreeMap<MachineName, KnownMachine>,
-    pub machine_pages: BTreeMap<u32, Versioned<BTreeSet<MachineName>>>,
+    pub machine_pages: BTreeMap<u32, Versioned<MachinePage>>,
     pub boots: BTreeMap<NodeName, Versioned<BootRecord>>,
     pub counter: Option<Versioned<CounterRecord>>,
     pub types: Option<Versioned<MachineTypes>>,
@@ -109,9 +151,9 @@
         self.cancels.values().any(|c| c.record.contains(&id))
     }
 
-    /// All jobs on any page of accepted jobs, over or not.
-    pub fn listed(&self) -> HashSet<JobId> {
-        self.intake.values().flat_map(|page| page.record.iter().copied()).collect()
+    /// Whether a job is on any page of accepted jobs, over or not.
+    pub fn is_listed(&self, id: JobId) -> bool {
+        self.listed.has(id)
     }
 
     fn put(&mut self, key: &str, value: &Value, version: u64, changed: &mut Vec<Changed>) {
@@ -187,7 +229,7 @@
             ids.push(id);
             // Two nodes may have accepted the same job, and one that is over stays on its page
             // until that is written again.
-            if self.jobs.contains_key(&id) || self.ended.contains_key(&id) {
+            if self.jobs.contains_key(&id) || self.ended.has(id) {
                 continue;
             }
             let Some(packed) = decode::<PackedJob>(key, entry) else { continue };
@@ -200,7 +242,13 @@
             self.jobs.insert(id, job);
             changed.push(Changed::Job(id));
         }
-        self.intake.insert(key.to_owned(), Versioned { record: ids, version });
+        for id in &ids {
+            self.listed.add(*id);
+        }
+        let old = self.intake.insert(key.to_owned(), Versioned { record: ids, version });
+        for id in old.into_iter().flat_map(|page| page.record) {
+            self.listed.take(id);
+        }
     }
 
     fn put_ends(
@@ -216,19 +264,15 @@
         });
         let (Some(place), Some(record)) = (place, decode::<EndsPage>(key, value)) else { return };
         for (id, state) in record.jobs() {
-            if self.ended.insert(id, state).is_none() {
+            if self.ended.add(id) {
                 self.jobs.remove(&id);
                 changed.push(Changed::Ended(id, state));
             }
         }
         // What a page no longer names is on no page of accepted jobs any more either.
         let old = self.ends.insert(place, Versioned { record, version });
-        let kept: HashSet<JobId> =
-            self.ends.values().flat_map(|page| page.record.jobs().map(|(id, _)| id)).collect();
         for (id, _) in old.iter().flat_map(|page| page.record.jobs()) {
-            if !kept.contains(&id) {
-                self.ended.remove(&id);
-            }
+            self.ended.take(id);
         }
     }
 
@@ -239,18 +283,27 @@
         version: Version,
         changed: &mut Vec<Changed>,
     ) {
-        let mut names = BTreeSet::new();
+        let mut new = MachinePage::default();
         for packed in record.machines {
             let name = MachineName::from(packed.0.as_str());
-            let known = KnownMachine { record: packed.record(), page };
-            if self.machines.get(&name) != Some(&known) {
-                self.machines.insert(name.clone(), known);
-                changed.push(Changed::Machine(name.clone()));
+            let record = packed.record();
+            let size = match self.machines.get(&name) {
+                Some(known) if known.record == record && known.page == page => known.size,
+                _ => {
+                    let size = PackedMachine::most_bytes(&name, &record);
+                    self.machines.insert(name.clone(), KnownMachine { record, page, size });
+                    changed.push(Changed::Machine(name.clone()));
+                    size
+                }
+            };
+            if new.names.insert(name) {
+                new.filled += size;
             }
-            names.insert(name);
         }
-        let page = self.machine_pages.insert(page, Versioned { record: names.clone(), version });
-        for name in page.iter().flat_map(|p| &p.record).filter(|name| !names.contains(*name)) {
+        let old = self.machine_pages.insert(page, Versioned { record: new, version });
+        let Some(new) = self.machine_pages.get(&page) else { return };
+        let gone = old.iter().flat_map(|old| &old.record.names);
+        for name in gone.filter(|name| !new.record.names.contains(*name)) {
             self.machines.remove(name);
             changed.push(Changed::Machine(name.clone()));
         }
--- a/crates/coordination/src/node/ends.rs
+++ b/crates/coordination/src/node/ends.rs
@@ -94,14 +94,13 @@
     jobs: &BTreeSet<JobId>,
     room: usize,
 ) -> Txn {
-    let listed = mirror.listed();
     let mut number = 0;
     let (page_version, mut page) = loop {
         let Some(old) = mirror.ends.get(&(partition, number)) else {
             break (0, EndsPage::default());
         };
         let mut page = old.record.clone();
-        page.drop_unlisted(&listed);
+        page.drop_unlisted(|id| mirror.is_listed(id));
         if page.len() < room {
             break (old.version.0, page);
         }
@@ -126,7 +125,7 @@
     let ((_, number), old) =
         pages.max_by_key(|(_, page)| page.record.done.len() + page.record.cancelled.len())?;
     let mut page = old.record.clone();
-    page.drop_unlisted(&mirror.listed());
+    page.drop_unlisted(|id| mirror.is_listed(id));
     let filed = page.file(most);
     // A few are not worth a put of the page.
     if filed.len() < most {
--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -21,6 +21,10 @@
 const DEMAND_PACE: Span = Span(2_000);
 /// Shapes of waiting work that are written then.
 const MOST_SHAPES: usize = 8;
+/// Time between two looks at all machines of the share, for what comes with time and not with an
+/// event. Events come a thousand a second, and with a look at each the cost grew with the square
+/// of the fleet.
+const LOOK: Span = Span(100);
 /// Entries tried in one step; the rest follow in the next.
 const CYCLES: usize = 400;
 
@@ -49,6 +53,7 @@
     yield_until: Option<Moment>,
     successor: Option<NodeName>,
     round_at: Moment,
+    looked_at: Moment,
 }
 
 #[derive(Debug)]
@@ -81,6 +86,7 @@
             yield_until: None,
             successor: None,
             round_at: now,
+            looked_at: Moment::default(),
         }
     }
 
@@ -433,11 +439,17 @@
         if holding.yielding || holding.successor.is_some() {
             return;
         }
+        let look = now.since(holding.looked_at) >= LOOK;
         let Some(loaded) = holding.loaded.as_mut() else { return };
-        loaded.share.drain_noticed(now);
+        if look {
+            holding.looked_at = now;
+            loaded.share.drain_noticed(now);
+        }
         if contact {
-            // Without contact a successor may be answering them.
-            loaded.share.expire_leases(now);
+            if look {
+                // Without contact a successor may be answering them.
+                loaded.share.expire_leases(now);
+            }
             loaded.more_cycles = loaded.share.run_cycles(now, CYCLES);
             loaded.share.consolidate(now);
         }
@@ -445,11 +457,13 @@
         self.step_ends(partition);
         self.write_round(partition);
         self.send_direct(partition);
-        self.raise_tokens(partition);
-        self.hand_over_ceded(partition);
-        self.give_up_silent(partition);
-        if contact && self.unreached(partition) {
-            self.give_up(partition);
+        if look {
+            self.raise_tokens(partition);
+            self.hand_over_ceded(partition);
+            self.give_up_silent(partition);
+            if contact && self.unreached(partition) {
+                self.give_up(partition);
+            }
         }
     }
 
--- a/crates/coordination/src/node/leader.rs
+++ b/crates/coordination/src/node/leader.rs
@@ -18,6 +18,9 @@
 /// How long an offer that was refused is left alone.
 const REFUSED: Span = Span(6_000);
 
+/// Time between two looks at which machines lack a record or are to be released.
+const LOOK: Span = Span(50);
+
 /// The record of a machine rented by this request.
 fn record_of(request: &RentRequest, partition: PartitionId) -> MachineRecord {
     MachineRecord {
@@ -50,6 +53,7 @@
     list_at: Moment,
     listing: bool,
     plan_at: Moment,
+    looked_at: Moment,
     requests: u64,
     retries: Vec<(Moment, RentRequest, PartitionId)>,
 }
@@ -73,6 +77,7 @@
             list_at: Moment::default(),
             listing: false,
             plan_at: Moment::default(),
+            looked_at: Moment::default(),
             requests: 0,
             retries: Vec::new(),
         }
@@ -157,8 +162,11 @@
         if !leads || !self.in_contact(super::LAUNCH_CONTACT) {
             return;
         }
-        self.record_machines();
-        self.release_leaving();
+        if self.now.since(self.leader.looked_at) >= LOOK {
+            self.leader.looked_at = self.now;
+            self.record_machines();
+            self.release_leaving();
+        }
         if self.now.since(self.leader.list_at) >= Span(4_000)
             && !self.leader.listing
             && self.leader.calls.take(self.now, 1.0, 1.0)
@@ -363,7 +371,9 @@
             let since = now.since(seen.1);
             let load = self.leader.loads.get(&r.partition).and_then(|(load, at)| {
                 let fresh = now.since(*at) <= Span(2_500);
-                load.machines.iter().find(|m| m.machine == name.as_str()).map(|m| (m, fresh))
+                // A holder tells of its machines in the order of their names.
+                let at = load.machines.binary_search_by(|m| m.machine.as_str().cmp(name.as_str()));
+                at.ok().map(|at| (&load.machines[at], fresh))
             });
             let listed = self.leader.listed.get(name).map(|(m, _)| m);
             let age = listed.map_or(Span::ZERO, |m| Span::from_secs(m.age_s));
--- a/crates/coordination/src/node/machines.rs
+++ b/crates/coordination/src/node/machines.rs
@@ -184,7 +184,7 @@
     }
 
     fn page_records(&self, page: u32) -> BTreeMap<&MachineName, MachineRecord> {
-        let names = self.mirror.machine_pages.get(&page).into_iter().flat_map(|p| &p.record);
+        let names = self.mirror.machine_pages.get(&page).into_iter().flat_map(|p| &p.record.names);
         names
             .filter_map(|name| Some((name, self.mirror.machines.get(name)?.record.clone())))
             .collect()
@@ -192,13 +192,7 @@
 
     /// How full each page is.
     fn filled_pages(&self) -> BTreeMap<u32, usize> {
-        let mut filled: BTreeMap<u32, usize> =
-            self.mirror.machine_pages.keys().map(|page| (*page, 0)).collect();
-        for (name, known) in &self.mirror.machines {
-            let size = PackedMachine::most_bytes(name, &known.record);
-            *filled.entry(known.page).or_default() += size;
-        }
-        filled
+        self.mirror.machine_pages.iter().map(|(page, of)| (*page, of.record.filled)).collect()
     }
 
     pub(super) fn on_machines(&mut self, reply: StateReply) {
--- a/crates/coordination/src/records.rs
+++ b/crates/coordination/src/records.rs
@@ -230,9 +230,9 @@
     }
 
     /// Drops filed jobs that are listed nowhere any more.
-    pub fn drop_unlisted(&mut self, listed: &std::collections::HashSet<JobId>) {
-        self.filed_done.retain(|id| listed.contains(&JobId(*id)));
-        self.filed_cancelled.retain(|id| listed.contains(&JobId(*id)));
+    pub fn drop_unlisted(&mut self, is_listed: impl Fn(JobId) -> bool) {
+        self.filed_done.retain(|id| is_listed(JobId(*id)));
+        self.filed_cancelled.retain(|id| is_listed(JobId(*id)));
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,7 +3,7 @@
 //! A pure plan: the leader hands in what it knows and gets back what is to be done.
 
 use model::{MachineName, PartitionId, Resources, Span, ZoneName};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use wire::cloud::MachineType;
 use wire::mesh::DemandShape;
 use wire::users::Priority;
@@ -152,6 +152,9 @@
     waiting: u64,
     /// No machine can be had for it at present.
     stuck: bool,
+    /// Others have no idle machine for it, and none with best-effort work only.
+    nothing_idle: bool,
+    nothing_lent: bool,
 }
 
 /// What is planned for together.
@@ -297,6 +300,8 @@
                     work_each: shape.estimate_ms.max(1_000) * shape.milli_cpus.max(1) / 1000,
                     waiting,
                     stuck: false,
+                    nothing_idle: false,
+                    nothing_lent: tier == Tier::BestEffort,
                 });
             }
         }
@@ -322,15 +327,20 @@
                 && want.shape.suits(&m.machine_type, m.zone.as_str(), m.spot)
                 && self.kind(&m.machine_type).is_some_and(|t| want.per.fits(&size_of(t)))
         };
-        let lent = self.lent.iter().position(|m| tier != Tier::BestEffort && of_use(m));
-        let spare = self.idle.iter().position(|m| {
+        let lends = |m: &&FleetMachine| of_use(m);
+        let lent = (!want.nothing_lent).then(|| self.lent.iter().position(lends)).flatten();
+        let spares = |m: &&FleetMachine| {
             of_use(m)
                 && m.idle >= self.policy.shift_idle
                 && (m.spot || !cheap)
                 && !self.needs.iter().any(|n| n.partition == m.partition && !n.demand.is_empty())
-        });
+        };
+        let may_shift = !want.nothing_idle && self.shifted < self.policy.shift_count;
+        let spare = may_shift.then(|| self.idle.iter().position(spares)).flatten();
+        // The plan only takes from both lists, so what is not there now will not be.
+        (want.nothing_idle, want.nothing_lent) = (spare.is_none(), lent.is_none());
         let mut c = match (spare, lent) {
-            (Some(at), _) if self.shifted < self.policy.shift_count => {
+            (Some(at), _) => {
                 let machine = self.idle.remove(at);
                 let Some(kind) = self.kind(&machine.machine_type) else { return false };
                 self.shifted += 1;
@@ -370,8 +380,8 @@
     /// Has a partition hand over so many more machines as they empty.
     fn give(&mut self, from: PartitionId, to: PartitionId, shape: &DemandShape, more: u32) {
         let under_way = |m: &&FleetMachine| m.partition == from && m.ceding == Some(to);
-        let before = self.machines.iter().filter(under_way).count() as u32;
-        let total = self.given.entry((from, to)).or_insert(before);
+        let before = || self.machines.iter().filter(under_way).count() as u32;
+        let total = self.given.entry((from, to)).or_insert_with(before);
         *total += more;
         let (shape, count) = (shape.clone(), *total);
         self.actions.push(FleetAction::Cede { from, to, shape, count });
@@ -424,6 +434,7 @@
 
     /// Machines that are of no use any more.
     fn returns(&mut self) {
+        let idle: HashSet<&MachineName> = self.idle.iter().map(|m| &m.name).collect();
         for machine in self.machines {
             let boot = self
                 .kind(&machine.machine_type)
@@ -432,7 +443,7 @@
                 !machine.up && machine.since > boot * self.policy.boot_patience + Span(10_000);
             let done_with = machine.tasks == 0
                 && (machine.faulty || machine.failed || machine.silent >= self.policy.silent);
-            let surplus = self.idle.iter().any(|m| m.name == machine.name)
+            let surplus = idle.contains(&machine.name)
                 && machine.idle >= self.policy.keep_idle
                 && machine.age >= self.policy.paid;
             if machine.known && !machine.leaving && (never_came || done_with || surplus) {
--- a/crates/scheduler/src/consolidate.rs
+++ b/crates/scheduler/src/consolidate.rs
@@ -5,6 +5,7 @@
 //! beside others that have their image, so that the machines they leave can be used or returned.
 
 use crate::machine::Machine;
+use crate::promises::Promise;
 use crate::share::{EntryKey, Share};
 use model::{JobKind, MachineName, Moment, Resources, Span, TaskId};
 use wire::workers::TaskState;
@@ -43,7 +44,8 @@
         let rest = self.machines.get(&source).map(|m| m.tasks.iter().copied().collect());
         self.clear_best_effort(rest.unwrap_or_default(), now);
         for (task, target, needs) in moves {
-            self.nominated.insert(EntryKey::Task(task), (target, needs, now + PATIENCE));
+            let promise = Promise { machine: target, needs, until: now + PATIENCE };
+            self.promise(EntryKey::Task(task), promise);
             let grace = self.grace_of(task);
             self.stop_task(task, grace, now);
         }
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -2,8 +2,9 @@
 
 use crate::job::Job;
 use crate::machine::Machine;
+use crate::rooms::MOST_PINNED;
 use crate::share::{rank_of, EntryKey, GangHold, Share};
-use model::{JobId, JobKind, MachineName, Moment, Resources, Span, TaskId, ZoneName};
+use model::{JobId, JobKind, MachineName, Moment, Span, TaskId, ZoneName};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// How long machines are kept for a gang.
@@ -12,6 +13,9 @@
 /// How long freed room is left to a job that found none: its backoff lasts as long at most.
 const NEXT_IN_LINE: Span = Span(1_500);
 
+/// Time between two looks at which machines take anything at all.
+const SORT_OUT: Span = Span(100);
+
 /// Fetches that take less are not worth stopping a task elsewhere for.
 const WORTH_STOPPING: Span = Span(500);
 
@@ -30,11 +34,12 @@
     /// Runs both flushes and then cycles until the active heap is empty or `most` entries
     /// have been tried. True if entries are left.
     pub fn run_cycles(&mut self, now: Moment, most: usize) -> bool {
+        self.sort_out(now);
         self.refresh_guarantees();
         self.queue.flush(now);
         self.queue_probes(now);
         self.roomless.retain(|_, at| now.since(*at) <= NEXT_IN_LINE);
-        self.nominated.retain(|_, (_, _, until)| *until > now);
+        self.expire_promises(now);
         if self.gang_hold.as_ref().is_some_and(|h| h.until <= now || !self.waits(h.job)) {
             self.gang_hold = None;
         }
@@ -44,14 +49,14 @@
         for _ in 0..most {
             let Some(entry) = self.queue.pop() else { return false };
             let placed = match (entry, placeless.get(&entry.job())) {
-                (EntryKey::Task(_), Some(why)) if !self.nominated.contains_key(&entry) => Err(*why),
+                (EntryKey::Task(_), Some(why)) if !self.promises.contains_key(&entry) => Err(*why),
                 (EntryKey::Task(task), _) => self.try_task(task, now),
                 (EntryKey::Gang(job), _) => self.try_gang(job, now),
             };
             match placed {
                 Ok(()) => {
                     self.queue.scheduled(entry);
-                    self.nominated.remove(&entry);
+                    self.unpromise(&entry);
                     self.enqueue(entry.job());
                 }
                 Err(why) => {
@@ -75,6 +80,21 @@
         self.queue.has_active()
     }
 
+    /// Takes machines out of the index that take nothing at present, and others in.
+    fn sort_out(&mut self, now: Moment) {
+        if now.since(self.sorted_at) < SORT_OUT {
+            return;
+        }
+        self.sorted_at = now;
+        for machine in self.machines.values_mut() {
+            match (machine.usable(now, self.policy.silence), machine.place) {
+                (true, None) => self.rooms.enter(machine),
+                (false, Some(_)) => self.rooms.remove(machine),
+                _ => {}
+            }
+        }
+    }
+
     fn try_task(&mut self, task: TaskId, now: Moment) -> Result<(), Unplaced> {
         let Some(job) = self.jobs.get(&task.job) else { return Ok(()) };
         if job.cancelled || job.is_done(task.index) || job.placed.contains_key(&task.index) {
@@ -88,20 +108,27 @@
         // Where room is being made for it, the task waits for that, or takes another place with
         // its image.
         let promised = self
-            .nominated
+            .promises
             .get(&entry)
-            .map(|(name, ..)| name)
-            .filter(|name| self.machines.get(*name).is_some_and(|m| self.admits(job, m, now)));
-        let machine = self
-            .machines
-            .values()
-            .filter(|m| self.admits(job, m, now) && !self.held_from(job, m))
-            .filter(|m| zone_allowed(job, &m.zone, &zones))
-            .filter(|m| promised.is_none_or(|p| *p == m.name || m.has_image(&job.spec.image)))
-            .filter(|m| job.spec.needs.fits(&self.room_for(entry, m)))
-            .filter(|m| !self.left_to_others(job, m, now))
-            .min_by_key(|m| score(job, m))
-            .ok_or(Unplaced::Room)?;
+            .and_then(|promise| self.machines.get(&promise.machine))
+            .filter(|machine| self.admits(job, machine, now));
+        let fit = |m: &Machine| {
+            job.spec.needs.fits(&self.room_for(entry, m))
+                && self.admits(job, m, now)
+                && zone_allowed(job, &m.zone, &zones)
+                && !self.held_from(job, m)
+                && !self.left_to_others(job, m, now)
+        };
+        let find = |name: &MachineName| self.machines.get(name);
+        let scored = |m: &Machine| score(job, m);
+        let machine = match promised {
+            Some(machine) => self
+                .rooms
+                .best_with_image(&job.spec, find, fit, scored)
+                .or(Some(machine).filter(|m| fit(m))),
+            None => self.rooms.best(&job.spec, find, fit, scored),
+        }
+        .ok_or(Unplaced::Room)?;
         let fetch = fetch_time(job, machine);
         let name = machine.name.clone();
         if fetch > Span::ZERO && job.spec.kind == JobKind::Array && self.sooner(job, fetch, now) {
@@ -109,8 +136,8 @@
         }
         let stops = self.policy.preempt && self.stops_for(job).is_some();
         if fetch >= WORTH_STOPPING && promised.is_none() && stops {
-            let stops = self.cheapest_stops(entry, job, Unplaced::Room, now);
-            if let Some(stops) = stops.filter(|stops| stops.cost < fetch.0) {
+            let stops = self.cheapest_stops(entry, job, Unplaced::Room, Some(fetch.0), now);
+            if let Some(stops) = stops {
                 self.carry_out(entry, stops, now);
                 return Err(Unplaced::Room);
             }
@@ -125,8 +152,9 @@
     fn sooner(&self, job: &Job, fetch: Span, now: Moment) -> bool {
         let waiting = u64::from(job.spec.tasks - job.done_count()) - job.placed.len() as u64;
         let mut turns_over = 0;
-        for machine in self.machines.values() {
-            if machine.has_image(&job.spec.image) && self.admits(job, machine, now) {
+        let holders = self.rooms.holders(&job.spec.image);
+        for machine in holders.filter_map(|name| self.machines.get(name)) {
+            if self.admits(job, machine, now) {
                 // Best-effort tasks may run for minutes: they leave when stopped, not by themselves.
                 turns_over += machine.regular() - machine.pinned;
             }
@@ -160,7 +188,8 @@
     fn fit_gang(&self, job: &Job, now: Moment) -> Option<Vec<MachineName>> {
         let entry = EntryKey::Gang(job.spec.id);
         let mut by_zone: BTreeMap<&ZoneName, Vec<(&Machine, u64)>> = BTreeMap::new();
-        for machine in self.machines.values().filter(|m| self.admits(job, m, now)) {
+        let roomy = self.rooms.with_room(&job.spec).filter_map(|name| self.machines.get(name));
+        for machine in roomy.filter(|m| self.admits(job, m, now)) {
             let count = self.room_for(entry, machine).holds(&job.spec.needs);
             if count > 0 {
                 by_zone.entry(&machine.zone).or_default().push((machine, count));
@@ -177,7 +206,7 @@
         }
         let mut places = Vec::new();
         for mut list in zones {
-            list.sort_by_key(|(m, _)| score(job, m));
+            list.sort_by(|(a, _), (b, _)| (score(job, a), &a.name).cmp(&(score(job, b), &b.name)));
             let mut left = per_zone.min(wanted - places.len() as u64);
             for (machine, count) in list {
                 let here = count.min(left);
@@ -248,20 +277,6 @@
             && self.may_linger(job, machine)
     }
 
-    /// Room on a machine, less what is promised to other entries.
-    pub(crate) fn room_for(&self, entry: EntryKey, machine: &Machine) -> Resources {
-        let mut room = machine.free();
-        if self.nominated.is_empty() {
-            return room;
-        }
-        for (other, (name, promised, _)) in &self.nominated {
-            if *other != entry && *name == machine.name {
-                room -= *promised;
-            }
-        }
-        room
-    }
-
     /// How many of a job's tasks each zone holds, gone or not proven gone.
     pub(crate) fn zones_of(&self, job: &Job) -> BTreeMap<ZoneName, u32> {
         let mut zones = BTreeMap::new();
@@ -297,6 +312,13 @@
 /// returned. Last, the fullest machine.
 pub(crate) fn score(job: &Job, machine: &Machine) -> (u64, bool, u64, u64, u64) {
     let left = machine.free().less(&job.spec.needs);
-    let replicas = machine.pinned.min(if job.spec.kind == JobKind::Service { 64 } else { 1 });
-    (fetch_time(job, machine).0, !machine.spot, 64 - replicas, left.milli_gpus, left.milli_cpus)
+    let service = job.spec.kind == JobKind::Service;
+    let replicas = machine.pinned.min(if service { MOST_PINNED } else { 1 });
+    (
+        fetch_time(job, machine).0,
+        !machine.spot,
+        MOST_PINNED - replicas,
+        left.milli_gpus,
+        left.milli_cpus,
+    )
 }
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -51,11 +51,15 @@
             let last = entry.best_effort();
             *waiting.entry((last, entry.order, job)).or_default() += tasks;
         }
+        let least = waiting.keys().filter_map(|(_, _, id)| self.jobs.get(id));
+        let least = least.map(|job| job.spec.needs.milli_cpus).min().unwrap_or(0);
+        // Machines that are full for all that waits are not looked at job by job.
         let mut free: Vec<Room> = self
             .machines
             .values()
             .filter(|m| m.usable(now, self.policy.silence))
             .map(|m| Room { machine: m, free: m.free(), cleared: self.clearable(m, now) })
+            .filter(|room| (room.free + room.cleared).milli_cpus >= least)
             .collect();
         let mut absorbed = self.turnover();
         let mut room: HashMap<TeamName, Resources> = HashMap::new();
@@ -155,7 +159,13 @@
         }
         for room in free.iter_mut() {
             let machine = room.machine;
-            if !self.admits(job, machine, now) || !zone_allowed(job, &machine.zone, &zones) {
+            if here == tasks {
+                break;
+            }
+            if room.holds(job) == 0
+                || !self.admits(job, machine, now)
+                || !zone_allowed(job, &machine.zone, &zones)
+            {
                 continue;
             }
             let used = zones.get(&machine.zone).copied().unwrap_or(0);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -15,7 +15,10 @@
 pub mod machine;
 pub mod observe;
 pub mod preempt;
+mod promises;
+mod rooms;
 pub mod share;
+mod victims;
 
 pub use commands::Route;
 pub use job::{ChunkBody, Job, PlacedTask, Placement, Stop, CHUNK};
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -1,5 +1,6 @@
 //! A machine of the share, as its newest report and our own doings show it.
 
+use crate::rooms::Place;
 use model::{
     Attempt, JobId, JobKind, JobSpec, MachineName, Moment, PartitionId, Resources, Seq, Session,
     Span, TaskId, Token, ZoneName,
@@ -39,6 +40,10 @@
     pub fetch_gb_per_s: f64,
     /// What placements take, proven gone or not.
     pub used: Resources,
+    /// Room promised to entries of the queue.
+    pub(crate) promised: Resources,
+    /// Where it stands in the index of rooms.
+    pub(crate) place: Option<Place>,
     pub tasks: BTreeSet<TaskId>,
     /// Replicas of services among them.
     pub pinned: u64,
@@ -140,6 +145,8 @@
             cache_gb: kind.cache_gb,
             fetch_gb_per_s: kind.fetch_gb_per_s,
             used: Resources::default(),
+            promised: Resources::default(),
+            place: None,
             tasks: BTreeSet::new(),
             pinned: 0,
             best_effort: 0,
@@ -177,14 +184,19 @@
         self.images.iter().any(|(name, _)| &**name == image)
     }
 
-    /// Notes that a task with this image got past its fetch.
-    pub fn touch_image(&mut self, image: &Arc<str>, gb: f64) {
+    /// Notes that a task with this image got past its fetch; returns the images that had to
+    /// make room for it.
+    pub(crate) fn touch_image(&mut self, image: &Arc<str>, gb: f64) -> Vec<Arc<str>> {
         self.images.retain(|(name, _)| name != image);
         self.images.push((image.clone(), gb));
         let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        let mut lost = Vec::new();
         while total > self.cache_gb && self.images.len() > 1 {
-            total -= self.images.remove(0).1;
+            let (name, gb) = self.images.remove(0);
+            total -= gb;
+            lost.push(name);
         }
+        lost
     }
 
     /// Whether new tasks may be placed here.
--- a/crates/scheduler/src/observe.rs
+++ b/crates/scheduler/src/observe.rs
@@ -4,7 +4,6 @@
 use crate::machine::{Machine, Stray};
 use crate::share::Share;
 use model::{Attempt, JobKind, MachineName, Moment, Seq, Session, Span, TaskId, Token};
-use std::collections::HashMap;
 use wire::workers::{ExitCause, Report, TaskReport, TaskState};
 
 /// How long before a machine is taken its tasks are stopped, besides the time to save.
@@ -53,17 +52,21 @@
         {
             machine.lost_launch = None;
         }
-        let mut listed: HashMap<TaskId, Vec<&TaskReport>> = HashMap::new();
-        for task in &report.tasks {
-            if let Some(id) = TaskId::parse(&task.task) {
-                listed.entry(id).or_default().push(task);
-            }
-        }
+        let listed: Vec<(TaskId, &TaskReport)> = report
+            .tasks
+            .iter()
+            .filter_map(|entry| Some((TaskId::parse(&entry.task)?, entry)))
+            .collect();
         let placed: Vec<TaskId> = machine.tasks.iter().copied().collect();
         for task in placed {
-            self.observe_placement(task, &name, listed.get(&task), has_token, source, now);
+            self.observe_placement(task, &name, &listed, has_token, source, now);
+        }
+        self.find_strays(&name, &listed);
+        if let Some(machine) = self.machines.get_mut(&name) {
+            if machine.usable(now, self.policy.silence) {
+                self.rooms.enter(machine);
+            }
         }
-        self.find_strays(&name, report);
         if first || source == Source::Report && returns {
             self.queue.move_all(now);
         }
@@ -74,7 +77,7 @@
         &mut self,
         task: TaskId,
         name: &MachineName,
-        listed: Option<&Vec<&TaskReport>>,
+        listed: &[(TaskId, &TaskReport)],
         has_token: bool,
         source: Source,
         now: Moment,
@@ -83,9 +86,10 @@
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(placement) = job.placed.get_mut(&task.index) else { return };
         settle_direct(placement, machine);
-        let entry =
-            listed.and_then(|list| list.iter().find(|t| Attempt(t.attempt) == placement.attempt));
-        let Some(entry) = entry else {
+        let this = |(id, entry): &&(TaskId, &TaskReport)| {
+            *id == task && Attempt(entry.attempt) == placement.attempt
+        };
+        let Some((_, entry)) = listed.iter().find(this) else {
             self.absent(task, has_token, source, now);
             return;
         };
@@ -94,7 +98,7 @@
         placement.launched = Some(machine.session);
         placement.in_answer = false;
         if entry.state != TaskState::Fetching {
-            machine.touch_image(&job.spec.image, job.spec.image_gb);
+            self.rooms.touch_image(machine, &job.spec.image, job.spec.image_gb);
         }
         match entry.state {
             TaskState::Exited => self.exited(task, entry.why.unwrap_or(ExitCause::Error), now),
@@ -188,10 +192,9 @@
     }
 
     /// Tasks on the machine that have no placement here.
-    fn find_strays(&mut self, name: &MachineName, report: &Report) {
+    fn find_strays(&mut self, name: &MachineName, listed: &[(TaskId, &TaskReport)]) {
         let mut strays = Vec::new();
-        for entry in &report.tasks {
-            let Some(task) = TaskId::parse(&entry.task) else { continue };
+        for (task, entry) in listed.iter().copied() {
             let attempt = Attempt(entry.attempt);
             let ours = self
                 .jobs
--- /dev/null
+++ b/crates/scheduler/src/promises.rs
@@ -0,0 +1,70 @@
+//! Room that is kept for entries of the queue while tasks are being stopped for them.
+//!
+//! Each machine carries the sum of what is promised on it, so that a look at its room costs the
+//! same however many promises there are.
+
+use crate::machine::Machine;
+use crate::share::{EntryKey, Share};
+use model::{JobId, MachineName, Moment, Resources};
+
+/// Room kept for an entry.
+#[derive(Debug, Clone)]
+pub(crate) struct Promise {
+    pub machine: MachineName,
+    pub needs: Resources,
+    pub until: Moment,
+}
+
+impl Share {
+    /// Keeps room on a machine for an entry, instead of what was kept for it before.
+    pub(crate) fn promise(&mut self, entry: EntryKey, promise: Promise) {
+        self.unpromise(&entry);
+        if let Some(machine) = self.machines.get_mut(&promise.machine) {
+            machine.promised += promise.needs;
+            self.promises.insert(entry, promise);
+        }
+    }
+
+    /// Gives up what is kept for an entry.
+    pub(crate) fn unpromise(&mut self, entry: &EntryKey) {
+        if let Some(old) = self.promises.remove(entry) {
+            if let Some(machine) = self.machines.get_mut(&old.machine) {
+                machine.promised -= old.needs;
+            }
+        }
+    }
+
+    fn unpromise_where(&mut self, ended: impl Fn(&EntryKey, &Promise) -> bool) {
+        let entries: Vec<EntryKey> =
+            self.promises.iter().filter(|(e, p)| ended(e, p)).map(|(e, _)| *e).collect();
+        for entry in entries {
+            self.unpromise(&entry);
+        }
+    }
+
+    /// Gives up promises whose time is over.
+    pub(crate) fn expire_promises(&mut self, now: Moment) {
+        self.unpromise_where(|_, promise| promise.until <= now);
+    }
+
+    /// Gives up what is kept for a job.
+    pub(crate) fn unpromise_job(&mut self, id: JobId) {
+        self.unpromise_where(|entry, _| entry.job() == id);
+    }
+
+    /// Gives up what is kept on a machine that leaves.
+    pub(crate) fn unpromise_machine(&mut self, name: &MachineName) {
+        self.unpromise_where(|_, promise| promise.machine == *name);
+    }
+
+    /// Room on a machine, less what is promised to other entries.
+    pub(crate) fn room_for(&self, entry: EntryKey, machine: &Machine) -> Resources {
+        let free = machine.free();
+        if machine.promised == Resources::default() {
+            return free;
+        }
+        let own = self.promises.get(&entry).filter(|promise| promise.machine == machine.name);
+        let own = own.map_or(Resources::default(), |promise| promise.needs);
+        free.less(&machine.promised.less(&own))
+    }
+}
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -3,6 +3,9 @@
 use crate::blame::Probing;
 use crate::job::{ChunkBody, Job, Placement, Stop, CHUNK};
 use crate::machine::Machine;
+use crate::promises::Promise;
+use crate::rooms::RoomIndex;
+use crate::victims::Victims;
 use model::{
     Attempt, JobId, JobKind, JobSpec, MachineName, Moment, Priority, Resources, Span, TaskId,
     TeamName, Token, ZoneName,
@@ -74,6 +77,23 @@
     pub used: Resources,
     /// Since when its best-effort work has had hardly any place.
     pub thin_since: Option<Moment>,
+    /// Its jobs that are neither ending nor cancelled, in the order of their submission.
+    open: BTreeSet<(u64, JobId)>,
+    /// Those of them that were last found to lie within its guarantee.
+    within: BTreeSet<JobId>,
+    /// Its jobs have changed since.
+    stale: bool,
+}
+
+impl TeamUse {
+    fn opened(&mut self, job: &Job) {
+        self.open.insert((job.order, job.spec.id));
+        self.stale = true;
+    }
+
+    fn closed(&mut self, job: &Job) {
+        self.stale |= self.open.remove(&(job.order, job.spec.id));
+    }
 }
 
 /// Machines that take nothing of lower rank while a gang waits for room on them: otherwise
@@ -118,13 +138,19 @@
     finished: Vec<JobId>,
     /// Machines to be sent commands at once.
     urgent: BTreeSet<MachineName>,
-    /// Room promised to an entry for which tasks are being stopped.
-    pub(crate) nominated: HashMap<EntryKey, (MachineName, Resources, Moment)>,
+    /// Room kept for entries for which tasks are being stopped.
+    pub(crate) promises: HashMap<EntryKey, Promise>,
+    /// The machines by room and image, those that take nothing left out.
+    pub(crate) rooms: RoomIndex,
+    pub(crate) sorted_at: Moment,
+    /// What could be stopped to make room.
+    pub(crate) victims: Victims,
+    /// Placements that are not durable yet.
+    unrecorded: usize,
     /// Jobs that are not best-effort and lately found no room: when.
     pub(crate) roomless: BTreeMap<JobId, Moment>,
     /// Suspect jobs, which are not queued as others are.
     pub(crate) probing: BTreeMap<JobId, Probing>,
-    guarantees_stale: bool,
     pub(crate) consolidated_at: Moment,
     /// Waits from first sight to placement, for the metrics (ms).
     pub waits: Vec<u64>,
@@ -161,10 +187,13 @@
             unsaved: HashSet::new(),
             finished: Vec::new(),
             urgent: BTreeSet::new(),
-            nominated: HashMap::new(),
+            promises: HashMap::new(),
+            rooms: RoomIndex::default(),
+            sorted_at: Moment::default(),
+            victims: Victims::default(),
+            unrecorded: 0,
             roomless: BTreeMap::new(),
             probing: BTreeMap::new(),
-            guarantees_stale: true,
             consolidated_at: Moment::default(),
             waits: Vec::new(),
         }
@@ -194,7 +223,9 @@
             }
             if let Some(machine) = self.machines.get_mut(&placement.machine) {
                 machine.hold(task, &job.spec);
+                self.rooms.update(machine);
             }
+            self.victims.add(task, &job, placement);
         }
         let orphans: Vec<TaskId> = job
             .placed
@@ -219,7 +250,11 @@
         for task in orphans {
             self.drop_placement(task, now, false);
         }
-        self.guarantees_stale = true;
+        if let Some(job) = self.jobs.get(&id) {
+            if let Some(team) = self.teams.get_mut(&job.spec.team) {
+                team.opened(job);
+            }
+        }
         if self.jobs.get(&id).is_some_and(|job| job.all_done()) {
             self.stop_gang(id, now);
         }
@@ -257,8 +292,10 @@
         for task in tasks {
             self.drop_placement(task, now, true);
         }
-        self.machines.remove(name);
-        self.nominated.retain(|_, (machine, _, _)| machine != name);
+        self.unpromise_machine(name);
+        if let Some(mut machine) = self.machines.remove(name) {
+            self.rooms.remove(&mut machine);
+        }
     }
 
     /// The user has cancelled: nothing is started any more, everything is stopped.
@@ -274,7 +311,7 @@
         for index in entries {
             self.stop_task(TaskId { job: id, index }, 0, now);
         }
-        self.guarantees_stale = true;
+        self.close(id);
         self.check_finished(id);
     }
 
@@ -287,6 +324,7 @@
             return;
         }
         let machine = placement.machine.clone();
+        self.victims.remove(task, job.spec.priority, placement.placed_at);
         match &mut placement.stop {
             // A second stop may only shorten the grace.
             Some(stop) => stop.grace_ms = stop.grace_ms.min(grace_ms),
@@ -331,12 +369,15 @@
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(placement) = job.placed.remove(&task.index) else { return };
         let needs = job.spec.needs;
+        self.victims.remove(task, job.spec.priority, placement.placed_at);
         if let Some(team) = self.teams.get_mut(&job.spec.team) {
             team.used -= needs;
         }
         if let Some(machine) = self.machines.get_mut(&placement.machine) {
             machine.let_go(task, &job.spec, now);
+            self.rooms.update(machine);
         }
+        self.unrecorded -= usize::from(!placement.recorded);
         self.dirty.insert((task.job, task.index / CHUNK));
         if job.spec.kind == JobKind::Gang {
             self.gang_lost_member(task.job, now);
@@ -396,7 +437,15 @@
         if !job.finishing && (over || (job.cancelled && job.placed.is_empty())) {
             job.finishing = true;
             self.finished.push(id);
-            self.guarantees_stale = true;
+            self.close(id);
+        }
+    }
+
+    /// A job counts towards its team's guarantee no longer.
+    fn close(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if let Some(team) = self.teams.get_mut(&job.spec.team) {
+            team.closed(job);
         }
     }
 
@@ -417,13 +466,18 @@
             }
             if let Some(machine) = self.machines.get_mut(&placement.machine) {
                 machine.let_go(task, &job.spec, now);
+                self.rooms.update(machine);
             }
+            self.unrecorded -= usize::from(!placement.recorded);
+            self.victims.remove(task, job.spec.priority, placement.placed_at);
         }
         self.unsaved.retain(|(task, _)| task.job != id);
         for chunk in 0..job.spec.tasks.div_ceil(CHUNK) {
             self.dirty.remove(&(id, chunk));
         }
-        self.guarantees_stale = true;
+        if let Some(team) = self.teams.get_mut(&job.spec.team) {
+            team.closed(&job);
+        }
     }
 
     /// Takes a job's entries, of which `handed_out` tasks have been queued, out of the queue.
@@ -432,7 +486,7 @@
             self.queue.remove(EntryKey::Task(TaskId { job: id, index }));
         }
         self.queue.remove(EntryKey::Gang(id));
-        self.nominated.retain(|entry, _| entry.job() != id);
+        self.unpromise_job(id);
     }
 
     pub(crate) fn touch(&mut self, task: TaskId) {
@@ -459,12 +513,7 @@
 
     /// Whether a placement waits to be written, so that starts hang on the next round.
     pub fn has_unrecorded(&self) -> bool {
-        self.dirty.iter().any(|(id, chunk)| {
-            self.jobs.get(id).is_some_and(|job| {
-                let from = chunk * CHUNK;
-                job.placed.range(from..from + CHUNK).any(|(_, p)| !p.recorded)
-            })
-        })
+        self.unrecorded > 0
     }
 
     /// Hands out the chunks that changed since the last call.
@@ -508,6 +557,7 @@
             let Some(job) = self.jobs.get_mut(&task.job) else { continue };
             if let Some(p) = job.placed.get_mut(&task.index) {
                 if p.attempt == *attempt {
+                    self.unrecorded -= usize::from(!p.recorded);
                     p.recorded = true;
                     let machine = p.machine.clone();
                     self.urgent.insert(machine);
@@ -519,30 +569,32 @@
         }
     }
 
-    /// Recomputes which jobs lie within their team's guarantee: those that fit into it
-    /// together with the team's earlier unfinished jobs.
+    /// Works out anew which jobs lie within their team's guarantee: those that fit into it
+    /// together with the team's earlier unfinished jobs. Since the sum only grows, they are the
+    /// first of the team's jobs, and only teams whose jobs have changed are looked at.
     pub(crate) fn refresh_guarantees(&mut self) {
-        if !std::mem::take(&mut self.guarantees_stale) {
-            return;
-        }
-        let mut order: Vec<(u64, JobId)> =
-            self.jobs.values().filter(|j| !j.finishing).map(|j| (j.order, j.spec.id)).collect();
-        order.sort_unstable();
-        let mut sums: HashMap<TeamName, Resources> = HashMap::new();
         let mut changed = Vec::new();
-        for (_, id) in order {
-            let Some(job) = self.jobs.get_mut(&id) else { continue };
-            if job.cancelled {
-                continue;
+        for team in self.teams.values_mut().filter(|team| team.stale) {
+            team.stale = false;
+            let mut sum = Resources::default();
+            let mut within = BTreeSet::new();
+            for (_, id) in &team.open {
+                let Some(job) = self.jobs.get(id) else { continue };
+                sum += job.spec.needs.times(u64::from(job.spec.tasks));
+                if !sum.fits_quota(&team.guarantee) {
+                    break;
+                }
+                within.insert(*id);
             }
-            let Some(team) = self.teams.get(&job.spec.team) else { continue };
-            let sum = sums.entry(job.spec.team.clone()).or_default();
-            *sum += job.spec.needs.times(u64::from(job.spec.tasks));
-            let guaranteed = sum.fits_quota(&team.guarantee);
-            if guaranteed != job.guaranteed {
-                job.guaranteed = guaranteed;
-                changed.push(id);
+            for id in team.within.symmetric_difference(&within) {
+                let Some(job) = self.jobs.get_mut(id) else { continue };
+                // What ends or is cancelled stays what it was.
+                if team.open.contains(&(job.order, *id)) {
+                    job.guaranteed = within.contains(id);
+                    changed.push(*id);
+                }
             }
+            team.within = within;
         }
         for id in changed {
             let Some(job) = self.jobs.get(&id) else { continue };
@@ -579,6 +631,7 @@
         let cached = self.machines.get(machine).is_some_and(|m| m.has_image(&job.spec.image));
         tracing::debug!(%task, %machine, class = job.spec.class, waited, cached, guaranteed = job.guaranteed, "placed");
         self.waits.push(waited);
+        self.victims.add(task, job, &placement);
         job.placed.insert(task.index, placement);
         let needs = job.spec.needs;
         if let Some(team) = self.teams.get_mut(&job.spec.team) {
@@ -586,7 +639,9 @@
         }
         if let Some(machine) = self.machines.get_mut(machine) {
             machine.hold(task, &job.spec);
+            self.rooms.update(machine);
         }
+        self.unrecorded += 1;
         self.touch(task);
     }
 }
