Machines that have been quiet are asked; lost ones are noticed in 5 s, not in 12 to 14

Workers of the fleet report every 5 and 6 s; a machine with replicas counted as lost after 2.25 reports and 0.5 s, one with arrays only when its lease had lapsed (26 to 31 s).

Change: a holder asks quiet machines with tasks directly; two questions without an answer mean lost, unless half of the zone does not answer. Nothing is taken as gone for it: the cloud ends the machine.

--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -2,7 +2,7 @@
 
 use super::ends::Ending;
 use super::machines::MachineChange;
-use super::{Node, Purpose};
+use super::{Effect, Node, Purpose};
 use crate::budget::Importance;
 use crate::ledger::{Ledger, Round};
 use crate::records::{demand_key, DemandRecord, MachineRecord};
@@ -11,7 +11,7 @@
 use std::collections::HashMap;
 use wire::mesh::{MeshMessage, PartitionLoad};
 use wire::state::{Item, StateReply, StateRequest, Txn, Write};
-use wire::workers::{Command, Report};
+use wire::workers::{Command, DirectCommands, Report};
 
 /// Pause between rounds that carry placements.
 const ROUND_GAP: Span = Span(60);
@@ -25,6 +25,8 @@
 /// event. Events come a thousand a second, and with a look at each the cost grew with the square
 /// of the fleet.
 const LOOK: Span = Span(100);
+/// Patience with a machine that is asked whether it is there.
+const ASK_TIMEOUT: Span = Span(900);
 /// Entries tried in one step; the rest follow in the next.
 const CYCLES: usize = 400;
 
@@ -461,6 +463,7 @@
         if look {
             self.raise_tokens(partition);
             self.hand_over_ceded(partition);
+            self.ask_quiet(partition);
             self.give_up_silent(partition);
             if contact && self.unreached(partition) {
                 self.give_up(partition);
@@ -594,8 +597,22 @@
         now.since(since) >= silence + Span(3_000) && all >= 2 && silent * 10 >= all * 9
     }
 
-    /// Gives silent machines with replicas back to the cloud, whose confirmation proves that
-    /// everything on them is gone.
+    /// Asks machines that have been quiet whether they are there. The question bears no token and
+    /// no commands, so it changes nothing: the answer is a report.
+    fn ask_quiet(&mut self, partition: PartitionId) {
+        let now = self.now;
+        let Some(holding) = self.holdings.get_mut(&partition) else { return };
+        let since = holding.since;
+        let Some(share) = holding.share_mut() else { return };
+        for (machine, address) in share.to_be_asked(since, now) {
+            let call = self.call(Purpose::Ask { partition, machine });
+            let body = DirectCommands { token: 0, session: 0, commands: Vec::new() };
+            self.effects.push(Effect::Worker { call, address, body, timeout: ASK_TIMEOUT });
+        }
+    }
+
+    /// Gives silent machines back to the cloud, whose confirmation proves that everything on them
+    /// is gone.
     fn give_up_silent(&mut self, partition: PartitionId) {
         let now = self.now;
         let report = self.settings.workers.report;
@@ -604,14 +621,17 @@
         let Some(holding) = self.holdings.get_mut(&partition) else { return };
         // Workers need a moment to find a new holder, or one that stood still.
         let since = holding.since.max(self.awake_since);
-        if !contact || now.since(since) < patience + Span(1_500) {
+        if !contact {
             return;
         }
         let Some(loaded) = holding.loaded.as_mut() else { return };
-        let mut silent = loaded.share.silent_with_replicas(since, now, late, patience);
+        let mut silent = loaded.share.lost(now);
+        if now.since(since) >= patience + Span(1_500) {
+            silent.extend(loaded.share.silent_with_replicas(since, now, late, patience));
+        }
         silent.retain(|name| !self.machine_changes.concern(name));
         for name in silent {
-            tracing::info!(machine = %name, "a machine with replicas is silent: giving it up");
+            tracing::info!(machine = %name, "a machine is silent: giving it up");
             if let Some(machine) = loaded.share.machines.get_mut(&name) {
                 machine.leaving = true;
             }
--- a/crates/coordination/src/node/mod.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -103,7 +103,7 @@
 pub enum Effect {
     State { call: CallId, request: StateRequest, timeout: Span },
     Cloud { call: CallId, request: CloudRequest },
-    Worker { call: CallId, address: String, body: DirectCommands },
+    Worker { call: CallId, address: String, body: DirectCommands, timeout: Span },
     Mesh { to: NodeName, message: MeshMessage },
     User { ticket: Ticket, reply: UserReply },
     Report { ticket: Ticket, reply: ReportReply },
@@ -153,6 +153,11 @@
     GiveUp(PartitionId),
     /// A call to a worker of a partition that we gave up: does it reach us again?
     Probe(PartitionId),
+    /// A question to a machine that has been quiet: is it there?
+    Ask {
+        partition: PartitionId,
+        machine: MachineName,
+    },
     LedgerList {
         partition: PartitionId,
         term: u64,
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -111,7 +111,8 @@
             let call = self.call(Purpose::Probe(partition));
             // Under no token nothing is executed: the answer is a report.
             let body = DirectCommands { token: 0, session: 0, commands: Vec::new() };
-            self.effects.push(Effect::Worker { call, address, body });
+            let timeout = super::workers::CALL_TIMEOUT;
+            self.effects.push(Effect::Worker { call, address, body, timeout });
         }
     }
 
--- a/crates/coordination/src/node/sync.rs
+++ b/crates/coordination/src/node/sync.rs
@@ -140,6 +140,7 @@
             | Purpose::Release(_)
             | Purpose::CloudList { .. }
             | Purpose::Probe(_)
+            | Purpose::Ask { .. }
             | Purpose::Direct { .. } => {}
         }
     }
--- a/crates/coordination/src/node/workers.rs
+++ b/crates/coordination/src/node/workers.rs
@@ -1,10 +1,13 @@
 //! Reports of workers and direct calls to them.
 
 use super::{DirectReply, Effect, Node, Purpose, ReportReply, Ticket, LAUNCH_CONTACT};
-use model::{CallId, MachineName, PartitionId, TaskId, Token};
+use model::{CallId, MachineName, PartitionId, Span, TaskId, Token};
 use scheduler::{Route, Source};
 use wire::workers::{Command, DirectCommands, Report, ReportAnswer};
 
+/// Patience with a direct call that carries commands, and with one to a partition given up.
+pub(super) const CALL_TIMEOUT: Span = Span(2_500);
+
 impl Node {
     pub(super) fn on_report(&mut self, ticket: Ticket, report: Report) {
         let reply = self.report_reply(&report);
@@ -92,7 +95,21 @@
                 .collect();
             let call = self.call(Purpose::Direct { partition, machine, launches });
             let body = DirectCommands { token: token.0, session: session.0, commands };
-            self.effects.push(Effect::Worker { call, address, body });
+            self.effects.push(Effect::Worker { call, address, body, timeout: CALL_TIMEOUT });
+        }
+    }
+
+    /// A machine was asked whether it is there.
+    fn on_asked(&mut self, partition: PartitionId, machine: &MachineName, reply: DirectReply) {
+        let now = self.now;
+        let share = self.holdings.get_mut(&partition).and_then(|h| h.share_mut());
+        let Some(share) = share else { return };
+        match reply {
+            DirectReply::Answered(report) if report.machine == machine.as_str() => {
+                share.was_asked(machine, true, now);
+                share.observe(&report, Source::Direct, now);
+            }
+            _ => share.was_asked(machine, false, now),
         }
     }
 
@@ -105,6 +122,10 @@
                 self.on_probed(partition, matches!(reply, DirectReply::Answered(_)));
                 return;
             }
+            Some(Purpose::Ask { partition, machine }) => {
+                self.on_asked(partition, &machine, reply);
+                return;
+            }
             _ => return,
         };
         let now = self.now;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -18,6 +18,7 @@
 mod promises;
 mod rooms;
 pub mod share;
+mod silence;
 mod victims;
 
 pub use commands::Route;
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -1,6 +1,7 @@
 //! A machine of the share, as its newest report and our own doings show it.
 
 use crate::rooms::Place;
+use crate::silence::Asked;
 use model::{
     Attempt, JobId, JobKind, JobSpec, MachineName, Moment, PartitionId, Resources, Seq, Session,
     Span, TaskId, Token, ZoneName,
@@ -60,6 +61,8 @@
     pub seen_token: Token,
     /// When the newest report came in; none: not heard since we hold the share.
     pub heard_at: Option<Moment>,
+    /// What came of asking it directly whether it is there.
+    pub(crate) asked: Asked,
     /// When we answered it last.
     pub answered_at: Moment,
     /// When we last sent it a direct launch. A session that nobody answers still lives for one
@@ -157,6 +160,7 @@
             seq: Seq(0),
             seen_token: Token(0),
             heard_at: None,
+            asked: Asked::default(),
             answered_at: Moment::default(),
             direct_at: Moment::default(),
             reported_at: None,
--- a/crates/scheduler/src/observe.rs
+++ b/crates/scheduler/src/observe.rs
@@ -35,6 +35,7 @@
         machine.seq = seq;
         machine.seen_token = machine.seen_token.max(Token(report.token));
         machine.heard_at = Some(now);
+        machine.asked.missed = 0;
         if source == Source::Report {
             machine.reported_at = Some(now);
             // One report is in flight at a time, so the answer to the one before is settled.
@@ -239,37 +240,6 @@
         }
     }
 
-    /// Machines with replicas that have fallen silent while most others report: having the
-    /// cloud end them lets the replicas start elsewhere sooner than waiting for their lease.
-    /// One that has not been heard since the share is held counts from then. `late` is an age that
-    /// no report reaches as a rule.
-    pub fn silent_with_replicas(
-        &self,
-        held_since: Moment,
-        now: Moment,
-        late: Span,
-        patience: Span,
-    ) -> Vec<MachineName> {
-        // A machine that boots has nothing on it and is not missed yet.
-        let silent = |m: &&Machine, patience: Span| match m.reported_at {
-            Some(at) => now.since(at.max(self.awake_since)) > patience,
-            None => !m.tasks.is_empty() && now.since(held_since) > patience,
-        };
-        // Many at a time, or the first of many: the fault lies with us or with the network.
-        let count = self.machines.values().filter(|m| silent(m, late)).count();
-        let missed = |m: &&Machine| m.reported_at.is_some() || !m.tasks.is_empty();
-        let known = self.machines.values().filter(missed).count();
-        if count > 3.max(known / 5) || count * 2 > known {
-            return Vec::new();
-        }
-        self.machines
-            .values()
-            .filter(|m| silent(m, patience))
-            .filter(|m| m.pinned > 0 && !m.leaving)
-            .map(|m| m.name.clone())
-            .collect()
-    }
-
     /// Machines on which every task must be gone since nobody can have answered them for a
     /// whole lease.
     pub fn expire_leases(&mut self, now: Moment) {
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -146,6 +146,8 @@
     /// The machines by room and image, those that take nothing left out.
     pub(crate) rooms: RoomIndex,
     pub(crate) sorted_at: Moment,
+    /// Since when machines of a zone have not answered.
+    pub(crate) alarms: BTreeMap<ZoneName, Moment>,
     /// What could be stopped to make room.
     pub(crate) victims: Victims,
     /// Placements that are not durable yet.
@@ -194,6 +196,7 @@
             promises: HashMap::new(),
             rooms: RoomIndex::default(),
             sorted_at: Moment::default(),
+            alarms: BTreeMap::new(),
             victims: Victims::default(),
             unrecorded: 0,
             roomless: BTreeMap::new(),
--- /dev/null
+++ b/crates/scheduler/src/silence.rs
@@ -0,0 +1,147 @@
+//! Machines that have fallen silent, and which of them are lost.
+//!
+//! Workers report every few seconds, so silence alone tells late. A machine that has been quiet
+//! for long enough is asked directly; two questions in a row without an answer mean that it is
+//! lost, and having the cloud end it lets its tasks start elsewhere sooner than waiting for its
+//! lease. A first question without an answer has all machines of its zone asked at once: if half
+//! of them do not answer, the network is at fault, and ending them would help nobody.
+
+use crate::machine::Machine;
+use crate::share::Share;
+use model::{MachineName, Moment, Span, ZoneName};
+use std::collections::BTreeMap;
+
+/// A machine with replicas that has been quiet for so long is asked.
+const QUIET: Span = Span(3_000);
+/// One in whose zone another has just not answered.
+const ALARMED: Span = Span(400);
+/// How long an alarm lasts, and how long it takes until most have answered who will.
+const ALARM: Span = Span(6_000);
+const ANSWERED: Span = Span(1_400);
+/// Pause between a question without an answer and the next.
+const AGAIN: Span = Span(250);
+/// Questions without an answer after which a machine is lost.
+const LOST: u32 = 2;
+/// Machines asked in one look.
+const MOST_ASKED: usize = 100;
+
+/// What came of asking a machine.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Asked {
+    /// A question is under way.
+    pending: bool,
+    /// Questions without an answer since it was heard last.
+    pub(crate) missed: u32,
+    /// When the last of them was given up.
+    at: Moment,
+}
+
+/// Machines of one zone that were asked, and those that did not answer.
+#[derive(Debug, Default)]
+struct Tally {
+    asked: usize,
+    missed: usize,
+}
+
+impl Share {
+    /// Machines to be asked whether they are there, with their addresses. `since` is when workers
+    /// had time to find us.
+    pub fn to_be_asked(&mut self, since: Moment, now: Moment) -> Vec<(MachineName, String)> {
+        let since = since.max(self.awake_since);
+        let overdue = Span(self.report.0 * 5 / 4) + Span(300);
+        let mut list = Vec::new();
+        for machine in self.machines.values_mut() {
+            if machine.tasks.is_empty() || machine.asked.pending || machine.leaving {
+                continue;
+            }
+            let (Some(heard), Some(address)) = (machine.heard_at, &machine.address) else {
+                continue;
+            };
+            let alarm = self.alarms.get(&machine.zone).is_some_and(|at| now.since(*at) < ALARM);
+            let quiet = match (machine.asked.missed, alarm, machine.pinned > 0) {
+                (1.., ..) => AGAIN,
+                (0, true, _) => ALARMED,
+                (0, false, true) => QUIET.min(overdue),
+                (0, false, false) => overdue,
+            };
+            if now.since(heard.max(since).max(machine.asked.at)) >= quiet && list.len() < MOST_ASKED
+            {
+                machine.asked.pending = true;
+                list.push((machine.name.clone(), address.clone()));
+            }
+        }
+        list
+    }
+
+    /// What came of a question.
+    pub fn was_asked(&mut self, name: &MachineName, answered: bool, now: Moment) {
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        machine.asked.pending = false;
+        if answered {
+            machine.asked.missed = 0;
+            return;
+        }
+        machine.asked.missed += 1;
+        machine.asked.at = now;
+        let alarm = self.alarms.entry(machine.zone.clone()).or_insert(now);
+        if now.since(*alarm) >= ALARM {
+            *alarm = now;
+        }
+    }
+
+    /// Machines with tasks that did not answer, while most of their zone did.
+    pub fn lost(&self, now: Moment) -> Vec<MachineName> {
+        if !self.machines.values().any(|m| m.asked.missed >= LOST) {
+            return Vec::new();
+        }
+        let mut zones: BTreeMap<&ZoneName, Tally> = BTreeMap::new();
+        // Nobody asks those that run nothing; one whose lease has lapsed meanwhile was asked.
+        let was_asked = |m: &&Machine| !m.tasks.is_empty() || m.asked.missed > 0;
+        for machine in self.machines.values().filter(was_asked) {
+            let tally = zones.entry(&machine.zone).or_default();
+            tally.asked += 1;
+            tally.missed += usize::from(machine.asked.missed > 0);
+        }
+        let settled =
+            |zone: &ZoneName| self.alarms.get(zone).is_some_and(|at| now.since(*at) >= ANSWERED);
+        let mostly_there = |zone: &ZoneName| {
+            zones.get(zone).is_some_and(|tally| tally.missed * 2 < tally.asked.max(3))
+        };
+        self.machines
+            .values()
+            .filter(|m| !m.tasks.is_empty() && m.asked.missed >= LOST && !m.leaving)
+            .filter(|m| settled(&m.zone) && mostly_there(&m.zone))
+            .map(|m| m.name.clone())
+            .collect()
+    }
+
+    /// Machines with replicas that have not reported while most others do. One that has not been
+    /// heard since the share is held counts from then. `late` is an age that no report reaches as a
+    /// rule.
+    pub fn silent_with_replicas(
+        &self,
+        held_since: Moment,
+        now: Moment,
+        late: Span,
+        patience: Span,
+    ) -> Vec<MachineName> {
+        // A machine that boots has nothing on it and is not missed yet.
+        let silent = |m: &&Machine, patience: Span| match m.reported_at {
+            Some(at) => now.since(at.max(self.awake_since)) > patience,
+            None => !m.tasks.is_empty() && now.since(held_since) > patience,
+        };
+        // Many at a time, or the first of many: the fault lies with us or with the network.
+        let count = self.machines.values().filter(|m| silent(m, late)).count();
+        let missed = |m: &&Machine| m.reported_at.is_some() || !m.tasks.is_empty();
+        let known = self.machines.values().filter(missed).count();
+        if count > 3.max(known / 5) || count * 2 > known {
+            return Vec::new();
+        }
+        self.machines
+            .values()
+            .filter(|m| silent(m, patience))
+            .filter(|m| m.pinned > 0 && !m.leaving)
+            .map(|m| m.name.clone())
+            .collect()
+    }
+}
--- a/crates/scheduler/tests/share.rs
+++ b/crates/scheduler/tests/share.rs
@@ -484,3 +484,46 @@
     hear(&mut share, 4, 3, Vec::new(), Moment(6_050));
     assert_eq!(silent(&share, 6_100), 3);
 }
+
+/// Seen on days on which a hundred machines hang or die at once: replicas were missed after 14 s, by
+/// the reports that did not come. A machine that is asked and does not answer twice is lost, unless
+/// half of its zone is quiet too: then the network is at fault.
+#[test]
+fn a_quiet_machine_is_asked_and_lost_unless_its_zone_is_quiet_too() {
+    let asked = |zone_is_quiet: bool| -> Vec<MachineName> {
+        let mut share = share();
+        share.report = Span(5_000);
+        for n in 2..=8 {
+            add_machine(&mut share, n);
+        }
+        let hear = |share: &mut Share, n: u32, seq: u64, at: u64| {
+            let report = Report { machine: name(n).to_string(), ..report(seq, None, Vec::new()) };
+            share.observe(&report, Source::Report, Moment(at));
+        };
+        (1..=8).for_each(|n| hear(&mut share, n, 1, 100));
+        for id in 1..=8 {
+            let team = if id % 2 == 0 { "t" } else { "u" };
+            share.add_job(job(id, team, JobKind::Service, Priority::High, 1), id, &[], Moment(100));
+        }
+        share.run_cycles(Moment(100), 100);
+        make_durable(&mut share);
+        let busy: Vec<MachineName> = share
+            .machines
+            .values()
+            .filter(|m| !m.tasks.is_empty())
+            .map(|m| m.name.clone())
+            .collect();
+        assert!(busy.len() >= 2, "{busy:?}");
+        assert_eq!(share.to_be_asked(Moment(0), Moment(2_000)), [], "it was heard just now");
+        for at in [3_200, 4_400, 5_700] {
+            let names = share.to_be_asked(Moment(0), Moment(at));
+            for (name, _) in names {
+                let answers = !zone_is_quiet && name != busy[0];
+                share.was_asked(&name, answers, Moment(at + 900));
+            }
+        }
+        share.lost(Moment(6_900))
+    };
+    assert_eq!(asked(false).len(), 1);
+    assert_eq!(asked(true), []);
+}
--- a/crates/testkit/src/solo.rs
+++ b/crates/testkit/src/solo.rs
@@ -306,7 +306,7 @@
                 };
                 self.events.push_back(Event::Cloud { call, reply });
             }
-            Effect::Worker { call, address, body } => {
+            Effect::Worker { call, address, body, .. } => {
                 let machine = address.trim_end_matches(":9000");
                 let nth = machine.trim_start_matches("host-").parse::<usize>().unwrap_or(0);
                 let worker = &mut self.workers[nth];
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -496,10 +496,10 @@
                 let message = Message::Cloud { node, life, call, request };
                 self.send(Place::Node(node), Place::Cloud, message);
             }
-            Effect::Worker { call, address, body } => {
+            Effect::Worker { call, address, body, timeout } => {
                 self.pending.insert((node, life, call));
                 let event = Event::Worker { call, reply: DirectReply::Unknown };
-                self.time_out(2_500, node, life, call, event);
+                self.time_out(timeout.0, node, life, call, event);
                 let machine = address.trim_end_matches(":9000").to_owned();
                 let to = self.machine(&machine);
                 let message = Message::Direct { node, life, call, machine, body };
--- a/crates/trackcrank/src/clients.rs
+++ b/crates/trackcrank/src/clients.rs
@@ -19,9 +19,8 @@
 /// Largest answer that is read.
 const MAX_ANSWER: usize = 16 * 1024 * 1024;
 
-/// Patience with the cloud and with workers.
+/// Patience with the cloud.
 const CLOUD_TIMEOUT: Duration = Duration::from_millis(4_000);
-const WORKER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// A client with pooled connections.
 #[derive(Clone)]
@@ -116,9 +115,10 @@
     }
 
     /// Commands straight to a worker.
-    pub async fn worker(&self, to: &str, commands: &DirectCommands) -> DirectReply {
+    pub async fn worker(&self, to: &str, commands: &DirectCommands, timeout: Span) -> DirectReply {
         let body = encode(commands);
-        let answer = self.call(Method::POST, to, "/commands", body, WORKER_TIMEOUT).await;
+        let timeout = Duration::from_millis(timeout.0);
+        let answer = self.call(Method::POST, to, "/commands", body, timeout).await;
         match answer {
             Some((status, body)) if status == StatusCode::OK || status == StatusCode::CONFLICT => {
                 match decode::<Report>(&body) {
--- a/crates/trackcrank/src/runtime.rs
+++ b/crates/trackcrank/src/runtime.rs
@@ -152,9 +152,9 @@
                     let _ = events.send(Event::Cloud { call, reply }).await;
                 });
             }
-            Effect::Worker { call, address, body } => {
+            Effect::Worker { call, address, body, timeout } => {
                 tokio::spawn(async move {
-                    let reply = client.worker(&address, &body).await;
+                    let reply = client.worker(&address, &body, timeout).await;
                     let _ = events.send(Event::Worker { call, reply }).await;
                 });
             }
