A quiet machine is lost only when most of its zone has been heard since the alarm

When half of the fleet is cut off, the first machines were given up before the others had been asked, since the share that had not answered was still small.

--- a/crates/scheduler/src/silence.rs
+++ b/crates/scheduler/src/silence.rs
@@ -3,8 +3,8 @@
 //! Workers report every few seconds, so silence alone tells late. A machine that has been quiet
 //! for long enough is asked directly; two questions in a row without an answer mean that it is
 //! lost, and having the cloud end it lets its tasks start elsewhere sooner than waiting for its
-//! lease. A first question without an answer has all machines of its zone asked at once: if half
-//! of them do not answer, the network is at fault, and ending them would help nobody.
+//! lease. A first question without an answer has all machines of its zone asked at once: unless
+//! half of them are heard then, the network is at fault, and ending them would help nobody.
 
 use crate::machine::Machine;
 use crate::share::Share;
@@ -17,7 +17,6 @@
 const ALARMED: Span = Span(400);
 /// How long an alarm lasts, and how long it takes until most have answered who will.
 const ALARM: Span = Span(6_000);
-const ANSWERED: Span = Span(1_400);
 /// Pause between a question without an answer and the next.
 const AGAIN: Span = Span(250);
 /// Questions without an answer after which a machine is lost.
@@ -36,11 +35,11 @@
     at: Moment,
 }
 
-/// Machines of one zone that were asked, and those that did not answer.
+/// Machines of one zone that run something, and those heard since the zone's alarm.
 #[derive(Debug, Default)]
 struct Tally {
     asked: usize,
-    missed: usize,
+    heard: usize,
 }
 
 impl Share {
@@ -89,28 +88,29 @@
         }
     }
 
-    /// Machines with tasks that did not answer, while most of their zone did.
+    /// Machines with tasks that did not answer, while most of their zone have been heard since the
+    /// first of them did not.
     pub fn lost(&self, now: Moment) -> Vec<MachineName> {
         if !self.machines.values().any(|m| m.asked.missed >= LOST) {
             return Vec::new();
         }
-        let mut zones: BTreeMap<&ZoneName, Tally> = BTreeMap::new();
         // Nobody asks those that run nothing; one whose lease has lapsed meanwhile was asked.
         let was_asked = |m: &&Machine| !m.tasks.is_empty() || m.asked.missed > 0;
+        let mut zones: BTreeMap<&ZoneName, Tally> = BTreeMap::new();
         for machine in self.machines.values().filter(was_asked) {
+            let Some(alarm) = self.alarms.get(&machine.zone) else { continue };
             let tally = zones.entry(&machine.zone).or_default();
             tally.asked += 1;
-            tally.missed += usize::from(machine.asked.missed > 0);
+            tally.heard += usize::from(machine.heard_at.is_some_and(|at| at >= *alarm));
         }
-        let settled =
-            |zone: &ZoneName| self.alarms.get(zone).is_some_and(|at| now.since(*at) >= ANSWERED);
         let mostly_there = |zone: &ZoneName| {
-            zones.get(zone).is_some_and(|tally| tally.missed * 2 < tally.asked.max(3))
+            let fresh = self.alarms.get(zone).is_some_and(|at| now.since(*at) < ALARM);
+            fresh && zones.get(zone).is_some_and(|tally| tally.heard * 2 >= tally.asked)
         };
         self.machines
             .values()
             .filter(|m| !m.tasks.is_empty() && m.asked.missed >= LOST && !m.leaving)
-            .filter(|m| settled(&m.zone) && mostly_there(&m.zone))
+            .filter(|m| mostly_there(&m.zone))
             .map(|m| m.name.clone())
             .collect()
     }
