--- a/crates/coordination/src/node/leader.rs
+++ b/crates/coordination/src/node/leader.rs
@@ -1,7 +1,7 @@
 //! The leader: whoever holds the first partition makes the calls to the cloud.
 
 use super::machines::MachineChange;
-use super::{Node, Purpose};
+use super::{Node, Purpose, LEAD};
 use crate::budget::{Bucket, Importance};
 use crate::records::{DemandRecord, MachineRecord, TYPES};
 use fleet::{FleetAction, FleetMachine, Offer, PartitionNeed};
@@ -13,8 +13,6 @@
 use wire::mesh::{MeshMessage, PartitionLoad};
 use wire::state::{StateRequest, Txn, Write};
 
-/// The partition whose holder is the leader.
-pub(crate) const LEAD: PartitionId = PartitionId(0);
 /// How long an offer that was refused is left alone.
 const REFUSED: Span = Span(6_000);
 
--- a/crates/coordination/src/node/machines.rs
+++ b/crates/coordination/src/node/machines.rs
@@ -1,8 +1,7 @@
 //! Changes of machines' records: what is wanted is gathered and written together, many
 //! machines to a put.
 
-use super::leader::LEAD;
-use super::{Node, Purpose};
+use super::{Node, Purpose, LEAD};
 use crate::budget::Importance;
 use crate::pipe::{Outcome, Pipe};
 use crate::records::{
--- a/crates/coordination/src/node/mod.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -301,6 +301,8 @@
 const CALL_TIMEOUT: Span = Span(1_500);
 /// Launches need changes read not longer ago than this.
 const LAUNCH_CONTACT: Span = Span(4_500);
+/// The partition whose holder is the leader.
+pub(crate) const LEAD: PartitionId = PartitionId(0);
 /// Final states that are kept in memory.
 const FINALS: usize = 200_000;
 
--- a/crates/scheduler/src/blame.rs
+++ b/crates/scheduler/src/blame.rs
@@ -7,7 +7,7 @@
 
 use crate::job::Job;
 use crate::machine::Machine;
-use crate::share::{rank_of, EntryKey, Share};
+use crate::share::{rank_of, EntryKey, Probing, Share};
 use model::{JobId, JobKind, MachineName, Moment, Span, TaskId};
 use std::collections::BTreeMap;
 
@@ -19,13 +19,6 @@
 /// A task that has run for so much longer than twice the time in which others failed is sound.
 const SOUND: Span = Span(5_000);
 
-/// How a suspect job is probed.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Probing {
-    next: Moment,
-    pause: Span,
-}
-
 impl Job {
     /// Whether it failed on several machines and never succeeded: then it says nothing about them.
     pub fn suspect(&self) -> bool {
--- a/crates/scheduler/src/consolidate.rs
+++ b/crates/scheduler/src/consolidate.rs
@@ -5,8 +5,7 @@
 //! beside others that have their image, so that the machines they leave can be used or returned.
 
 use crate::machine::Machine;
-use crate::promises::Promise;
-use crate::share::{EntryKey, Share};
+use crate::share::{EntryKey, Promise, Share};
 use model::{JobKind, MachineName, Moment, Resources, Span, TaskId};
 use wire::workers::TaskState;
 
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -1,7 +1,5 @@
 //! A machine of the share, as its newest report and our own doings show it.
 
-use crate::rooms::Place;
-use crate::silence::Asked;
 use model::{
     Attempt, JobId, JobKind, JobSpec, MachineName, Moment, PartitionId, Resources, Seq, Session,
     Span, TaskId, Token, ZoneName,
@@ -28,6 +26,33 @@
     pub until: Moment,
 }
 
+/// Where a machine stands in the index.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Place {
+    pub class: u32,
+    pub pinned: u64,
+    pub milli_gpus: u64,
+    pub milli_cpus: u64,
+}
+
+impl Place {
+    /// Whether machines in other places differ from those here in free CPUs only.
+    pub fn same_level(&self, other: &Place) -> bool {
+        (self.class, self.pinned, self.milli_gpus) == (other.class, other.pinned, other.milli_gpus)
+    }
+}
+
+/// What came of asking a machine.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Asked {
+    /// A question is under way.
+    pub pending: bool,
+    /// Questions without an answer since it was heard last.
+    pub missed: u32,
+    /// When the last of them was given up.
+    pub at: Moment,
+}
+
 /// A machine.
 #[derive(Debug)]
 pub struct Machine {
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -6,8 +6,7 @@
 use crate::cycle::{fetch_time, zone_allowed, Unplaced};
 use crate::job::{Job, Placement};
 use crate::machine::Machine;
-use crate::promises::Promise;
-use crate::share::{EntryKey, Share, TeamUse};
+use crate::share::{EntryKey, Promise, Share, TeamUse};
 use model::{JobKind, MachineName, Moment, Resources, Span, TaskId, ZoneName};
 use std::collections::{BTreeMap, HashSet};
 
--- a/crates/scheduler/src/promises.rs
+++ b/crates/scheduler/src/promises.rs
@@ -4,17 +4,9 @@
 //! same however many promises there are.
 
 use crate::machine::Machine;
-use crate::share::{EntryKey, Share};
+use crate::share::{EntryKey, Promise, Share};
 use model::{JobId, MachineName, Moment, Resources};
 
-/// Room kept for an entry.
-#[derive(Debug, Clone)]
-pub(crate) struct Promise {
-    pub machine: MachineName,
-    pub needs: Resources,
-    pub until: Moment,
-}
-
 impl Share {
     /// Keeps room on a machine for an entry, instead of what was kept for it before.
     pub(crate) fn promise(&mut self, entry: EntryKey, promise: Promise) {
--- a/crates/scheduler/src/rooms.rs
+++ b/crates/scheduler/src/rooms.rs
@@ -10,7 +10,7 @@
 //! that had fallen silent or may take nothing for another reason when they were last looked at are
 //! not in the index: after a cut hundreds of them have room, and each cycle would pass them by.
 
-use crate::machine::Machine;
+use crate::machine::{Machine, Place};
 use model::{JobSpec, MachineName, Resources, ZoneName};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Bound;
@@ -27,22 +27,6 @@
     spot: bool,
 }
 
-/// Where a machine stands in the index.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Place {
-    class: u32,
-    pinned: u64,
-    milli_gpus: u64,
-    milli_cpus: u64,
-}
-
-impl Place {
-    /// Whether machines in other places differ from those here in free CPUs only.
-    fn same_level(&self, other: &Place) -> bool {
-        (self.class, self.pinned, self.milli_gpus) == (other.class, other.pinned, other.milli_gpus)
-    }
-}
-
 type Rooms = BTreeMap<Place, BTreeSet<MachineName>>;
 
 /// The index.
@@ -259,7 +243,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::cycle::score;
     use crate::job::Job;
     use model::{JobId, Moment, TaskId, Token};
     use rand::rngs::SmallRng;
@@ -311,6 +294,14 @@
         Machine::new(name, &kind, zone, rng.random_bool(0.4), Token(1))
     }
 
+    /// Less is better: the order in which levels, and the machines within them, stand.
+    fn score(job: &Job, machine: &Machine) -> (bool, bool, u64, u64, u64) {
+        let pinned = MOST_PINNED - machine.pinned.min(MOST_PINNED);
+        let free = machine.free();
+        let cached = machine.has_image(&job.spec.image);
+        (!cached, !machine.spot, pinned, free.milli_gpus, free.milli_cpus)
+    }
+
     /// Whatever has come and gone, the index names the machine that a look at all would.
     #[test]
     fn the_best_is_the_one_that_a_scan_finds() {
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -1,9 +1,7 @@
 //! The partition's share: its jobs, machines, teams and queue.
 
-use crate::blame::Probing;
 use crate::job::{ChunkBody, Job, Placement, Stop, CHUNK};
 use crate::machine::Machine;
-use crate::promises::Promise;
 use crate::rooms::RoomIndex;
 use crate::victims::Victims;
 use model::{
@@ -106,6 +104,21 @@
     pub until: Moment,
 }
 
+/// Room kept for an entry.
+#[derive(Debug, Clone)]
+pub(crate) struct Promise {
+    pub machine: MachineName,
+    pub needs: Resources,
+    pub until: Moment,
+}
+
+/// How a suspect job is probed.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Probing {
+    pub next: Moment,
+    pub pause: Span,
+}
+
 /// What a ledger round holds, to be confirmed when it is durable.
 #[derive(Debug, Clone, Default)]
 pub struct Written {
--- a/crates/scheduler/src/silence.rs
+++ b/crates/scheduler/src/silence.rs
@@ -24,17 +24,6 @@
 /// Machines asked in one look.
 const MOST_ASKED: usize = 100;
 
-/// What came of asking a machine.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Asked {
-    /// A question is under way.
-    pending: bool,
-    /// Questions without an answer since it was heard last.
-    pub(crate) missed: u32,
-    /// When the last of them was given up.
-    at: Moment,
-}
-
 /// Machines of one zone that run something, and those heard since the zone's alarm.
 #[derive(Debug, Default)]
 struct Tally {
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -15,6 +15,8 @@
 /// What users were told and what has run.
 #[derive(Debug, Default)]
 pub struct Rules {
+    /// Time for a cancellation, in ms.
+    cancel: u64,
     pub broken: Vec<Broken>,
     pub started: u64,
     pub accepted: BTreeMap<String, u64>,
@@ -25,6 +27,11 @@
 }
 
 impl Rules {
+    /// Nothing has happened yet; a cancelled job's tasks must be gone after so many ms.
+    pub fn new(cancel: u64) -> Self {
+        Rules { cancel, ..Rules::default() }
+    }
+
     fn broke(&mut self, rule: &'static str, what: impl Into<String>, at: u64) {
         self.broken.push(Broken { rule, what: what.into(), at });
     }
@@ -35,7 +42,7 @@
         task: &str,
         on: &Worker,
         workers: &BTreeMap<String, Worker>,
-        jobs: &BTreeMap<String, JobRequest>,
+        jobs: &HashMap<String, JobRequest>,
         now: u64,
     ) {
         self.started += 1;
@@ -73,13 +80,13 @@
         if job.spread && zones.get(on.zone.as_str()).is_some_and(|n| *n > limit) {
             self.broke("wrong_place", format!("{task}: spread in {zones:?}"), now);
         }
-        self.check_cancelled(task, now, 30_000);
+        self.check_cancelled(task, now);
     }
 
-    fn check_cancelled(&mut self, task: &str, now: u64, cancel: u64) {
+    fn check_cancelled(&mut self, task: &str, now: u64) {
         let id = task.split('/').next().unwrap_or_default();
         if let Some(told) = self.cancelled_told.get(id) {
-            if now > told + cancel {
+            if now > told + self.cancel {
                 self.broke("ran_cancelled", task, now);
             }
         }
@@ -89,9 +96,8 @@
     pub fn check(
         &mut self,
         workers: &BTreeMap<String, Worker>,
-        jobs: &BTreeMap<String, JobRequest>,
+        jobs: &HashMap<String, JobRequest>,
         limits: &BTreeMap<String, f64>,
-        cancel: u64,
         now: u64,
     ) {
         let mut used: BTreeMap<&str, f64> = BTreeMap::new();
@@ -104,7 +110,7 @@
                     continue;
                 };
                 *used.entry(&job.team).or_default() += job.cpus;
-                self.check_cancelled(task, now, cancel);
+                self.check_cancelled(task, now);
             }
         }
         for (team, cpus) in used {
@@ -119,7 +125,7 @@
         &mut self,
         id: &str,
         state: JobState,
-        jobs: &BTreeMap<String, JobRequest>,
+        jobs: &HashMap<String, JobRequest>,
         asked: u64,
         now: u64,
     ) {
--- a/crates/testkit/src/solo.rs
+++ b/crates/testkit/src/solo.rs
@@ -7,7 +7,7 @@
 use coordination::records::{machines_key, MachineRecord, MachinesPage, PackedMachine};
 use coordination::{Effect, Event, Node, ReportReply, UserReply, UserRequest};
 use model::{CallId, MachineName, Moment, PartitionId, Settings};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 use wire::cloud::{CloudReply, CloudRequest, MachineType, MachineTypes};
 use wire::state::{StateReply, StateRequest, Txn, Write};
@@ -27,7 +27,7 @@
     state: StateService,
     now: u64,
     workers: Vec<Worker>,
-    jobs: BTreeMap<String, JobRequest>,
+    jobs: HashMap<String, JobRequest>,
     next_job: u64,
     watch: Option<(CallId, String, u64)>,
     events: VecDeque<Event>,
@@ -109,7 +109,7 @@
             state,
             now: 10,
             workers: workers.collect(),
-            jobs: BTreeMap::new(),
+            jobs: HashMap::new(),
             next_job: 0,
             watch: None,
             events: VecDeque::new(),
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -1,6 +1,6 @@
 //! Stand-in of a worker.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use wire::users::{JobKind, JobRequest};
 use wire::workers::{Command, ExitCause, Report, ReportAnswer, TaskReport, TaskState};
 
@@ -59,6 +59,8 @@
     results: BTreeSet<String>,
     pub fails_everything: bool,
     gang_wait: u64,
+    /// Tasks that it has killed since its lease had run out.
+    pub lapsed_tasks: u64,
     gangs: BTreeMap<Key, u64>,
 }
 
@@ -86,6 +88,7 @@
             results: BTreeSet::new(),
             fails_everything: false,
             gang_wait: 45_000,
+            lapsed_tasks: 0,
             gangs: BTreeMap::new(),
         }
     }
@@ -121,6 +124,7 @@
     pub fn check_lease(&mut self, now: u64, lease: u64) {
         if now > self.lease_from + lease {
             self.session += 1;
+            self.lapsed_tasks += self.tasks.values().filter(|held| held.present()).count() as u64;
             self.tasks.clear();
             self.gangs.clear();
             self.lease_from = now;
@@ -134,7 +138,7 @@
         number: u64,
         answer: &ReportAnswer,
         now: u64,
-        jobs: &BTreeMap<String, JobRequest>,
+        jobs: &HashMap<String, JobRequest>,
     ) -> bool {
         let Some((current, sent, session)) = self.in_flight else { return false };
         if current != number {
@@ -166,7 +170,7 @@
         session: u64,
         commands: &[Command],
         now: u64,
-        jobs: &BTreeMap<String, JobRequest>,
+        jobs: &HashMap<String, JobRequest>,
     ) -> bool {
         if token < self.token || session != self.session {
             return false;
@@ -178,7 +182,7 @@
         true
     }
 
-    fn execute(&mut self, command: &Command, now: u64, jobs: &BTreeMap<String, JobRequest>) {
+    fn execute(&mut self, command: &Command, now: u64, jobs: &HashMap<String, JobRequest>) {
         match command {
             Command::Start { task, attempt } => {
                 let key = (task.clone(), *attempt);
@@ -251,7 +255,7 @@
     pub fn advance(
         &mut self,
         now: u64,
-        jobs: &BTreeMap<String, JobRequest>,
+        jobs: &HashMap<String, JobRequest>,
         run_ms: impl Fn(&str) -> u64,
     ) -> Vec<Happened> {
         let mut happened = Vec::new();
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -22,40 +22,108 @@
 #[derive(Debug, Clone)]
 pub enum Fault {
     /// Ends a node without a word; it is back after `back` ms.
-    Crash { node: usize, back: u64 },
+    Crash {
+        node: usize,
+        back: u64,
+    },
     /// Cuts a node from the state service.
-    CutState { node: usize, ms: u64 },
+    CutState {
+        node: usize,
+        ms: u64,
+    },
     /// The state service refuses one node, or all.
-    Refuse { node: Option<usize>, ms: u64 },
+    Refuse {
+        node: Option<usize>,
+        ms: u64,
+    },
     /// Cuts a node from workers.
-    CutWorkers { node: usize, ms: u64 },
+    CutWorkers {
+        node: usize,
+        ms: u64,
+    },
     /// Cuts a node from the other nodes.
-    CutMesh { node: usize, ms: u64 },
+    CutMesh {
+        node: usize,
+        ms: u64,
+    },
     /// Cuts two zones from each other.
-    CutZones { ms: u64 },
+    CutZones {
+        ms: u64,
+    },
     /// A machine loses the network.
-    CutMachine { nth: usize, ms: u64 },
+    CutMachine {
+        nth: usize,
+        ms: u64,
+    },
     /// A machine hangs.
-    Hang { nth: usize, ms: u64 },
+    Hang {
+        nth: usize,
+        ms: u64,
+    },
     /// A machine ends.
-    Kill { nth: usize },
+    Kill {
+        nth: usize,
+    },
     /// A machine fails every task.
-    Sick { nth: usize },
+    Sick {
+        nth: usize,
+    },
     /// The cloud's interface is down.
-    CloudOutage { ms: u64 },
+    CloudOutage {
+        ms: u64,
+    },
     /// A node stands still while its clock runs on: what it has decided last is sent afterwards,
     /// and all that has come meanwhile is there at once.
-    Freeze { node: usize, ms: u64 },
+    Freeze {
+        node: usize,
+        ms: u64,
+    },
     /// A node loses the network altogether; users' connections to it as well.
-    Isolate { node: usize, ms: u64 },
+    Isolate {
+        node: usize,
+        ms: u64,
+    },
     /// Machines come up early, late or never.
-    Boots { how: Boots, ms: u64 },
+    Boots {
+        how: Boots,
+        ms: u64,
+    },
     /// Many jobs are submitted with a mistake, and cancelled much later.
-    Mistakes { ms: u64 },
+    Mistakes {
+        ms: u64,
+    },
     /// Users ask many times as often.
-    Questions { ms: u64 },
+    Questions {
+        ms: u64,
+    },
     /// A team without guarantee and limit submits so many arrays of low priority.
-    Guests { jobs: u64 },
+    Guests {
+        jobs: u64,
+    },
+    /// So many jobs come at once.
+    Burst {
+        jobs: usize,
+    },
+    /// So many machines end, hang, or fail every task at once.
+    KillMany {
+        count: usize,
+    },
+    HangMany {
+        count: usize,
+        ms: u64,
+    },
+    SickMany {
+        count: usize,
+    },
+    /// Zone b, its node and machines, is cut off from everything.
+    CutZone {
+        ms: u64,
+    },
+    /// The state service answers so many times slower.
+    SlowState {
+        times: u64,
+        ms: u64,
+    },
 }
 
 /// A safety step that is deliberately broken, to show that the checker would tell.
@@ -140,6 +208,8 @@
     Boots,
     Mistakes,
     Questions,
+    Zone,
+    Slow(u64),
 }
 
 struct Running {
@@ -186,17 +256,60 @@
 /// A gang's task: its machine, its name, its state and when it completes.
 type Member = (String, String, TaskState, Option<u64>);
 
-/// The workers' true lease and the true time for a cancellation.
-const LEASE: u64 = 10_000;
-const CANCEL: u64 = 30_000;
 const NODES: usize = 3;
+/// From this size on a site has a fleet's allowances and times.
+const FLEET: u64 = 100;
+
+/// Times of the workers, in ms, and what the state service takes a second.
+#[derive(Debug, Clone, Copy)]
+struct Terms {
+    report: u64,
+    lease: u64,
+    cancel: u64,
+    rps: f64,
+    write_rps: f64,
+    /// Time between two looks at the workers.
+    step: u64,
+    /// How many times the shortest site's an array task's run is.
+    longer: u64,
+}
+
+impl Terms {
+    fn of(size: u64) -> Self {
+        let small = Terms {
+            report: 2_000,
+            lease: 10_000,
+            cancel: 30_000,
+            rps: 400.0,
+            write_rps: SMALL_WRITES,
+            step: 50,
+            longer: 1,
+        };
+        match size {
+            0..=1 => small,
+            // A grown site is allowed no more than a small one.
+            2..FLEET => Terms { write_rps: GROWN_WRITES, ..small },
+            _ => Terms {
+                report: 5_000,
+                lease: 26_500,
+                cancel: 56_500,
+                rps: 700.0,
+                write_rps: FLEET_WRITES,
+                step: 200,
+                longer: 4,
+            },
+        }
+    }
+}
 /// Puts and deletes a second that the state service takes, by the size of the site.
 const SMALL_WRITES: f64 = 40.0;
 const GROWN_WRITES: f64 = 20.0;
+const FLEET_WRITES: f64 = 70.0;
 
 /// The world.
 pub struct World {
     plan: Plan,
+    terms: Terms,
     rng: SmallRng,
     now: u64,
     order: u64,
@@ -213,7 +326,7 @@
     tickets: HashMap<(usize, u64, u64), Asked>,
     report_tickets: HashMap<(usize, u64, u64), (String, u64)>,
     next_ticket: u64,
-    jobs: BTreeMap<String, JobRequest>,
+    jobs: HashMap<String, JobRequest>,
     next_job: u64,
     limits: BTreeMap<String, f64>,
     settled: BTreeSet<String>,
@@ -252,17 +365,19 @@
         })
         .chain(["[[settings.teams]]\nname = \"guest\"\ncpus = 0.0\ncpus_max = 0.0\n".to_owned()])
         .collect();
-    // A grown site is allowed no more than a small one.
-    let (write_rps, value_kb) = if size > 1 { (GROWN_WRITES, 4) } else { (SMALL_WRITES, 1) };
-    let lease = if sabotage == Some(Sabotage::ShortLease) { 1.0 } else { 10.0 };
-    let cancel = if sabotage == Some(Sabotage::LongCancel) { 300.0 } else { 30.0 };
+    let Terms { report, lease, cancel, rps, write_rps, .. } = Terms::of(size);
+    let value_kb = if size > 1 { 4 } else { 1 };
+    let seconds = |ms: u64| ms as f64 / 1_000.0;
+    let report = seconds(report);
+    let lease = if sabotage == Some(Sabotage::ShortLease) { 1.0 } else { seconds(lease) };
+    let cancel = if sabotage == Some(Sabotage::LongCancel) { 300.0 } else { seconds(cancel) };
     format!(
         "member = \"n{node}\"\nzone = \"{}\"\nserve_on = \"10.0.0.{node}:80\"\n\
          mesh_addr = \"10.0.0.{node}:81\"\n{peers}\n\
          [endpoints]\ncloud = \"10.1.0.1:1\"\nstate = \"10.1.0.2:1\"\n\
-         {teams}\n[settings.workers]\nreport_s = 2.0\nlease_s = {lease:.1}\n\
+         {teams}\n[settings.workers]\nreport_s = {report:.1}\nlease_s = {lease:.1}\n\
          gang_wait_s = 45.0\ngang_peer_s = 8.0\ncancel_s = {cancel:.1}\n\
-         [settings.state]\nrps = 400.0\nwrite_rps = {write_rps:.1}\nvalue_kb = {value_kb}.0\ntxn_ops = 6\n\
+         [settings.state]\nrps = {rps:.1}\nwrite_rps = {write_rps:.1}\nvalue_kb = {value_kb}.0\ntxn_ops = 6\n\
          [settings.cloud]\nrps = 10.0\nlist_lag_s = 6.0\n",
         zone(node)
     )
@@ -278,7 +393,7 @@
             queue: BinaryHeap::new(),
             nodes: (0..NODES).map(|_| None).collect(),
             lives: 0,
-            state: StateService::new(if plan.size > 1 { GROWN_WRITES } else { SMALL_WRITES }),
+            state: StateService::new(Terms::of(plan.size).write_rps),
             watches: Vec::new(),
             cloud: Cloud::new(&["a", "b"], 5 * plan.size as u32, 2 * plan.size as u32),
             workers: BTreeMap::new(),
@@ -288,7 +403,7 @@
             tickets: HashMap::new(),
             report_tickets: HashMap::new(),
             next_ticket: 0,
-            jobs: BTreeMap::new(),
+            jobs: HashMap::new(),
             next_job: 0,
             limits: (0..6).map(|t| (format!("t{t}"), 6.0 * plan.size as f64)).collect(),
             settled: BTreeSet::new(),
@@ -296,7 +411,8 @@
             requests: 0,
             turned_away: 0,
             accept_ms: Vec::new(),
-            rules: Rules::default(),
+            rules: Rules::new(Terms::of(plan.size).cancel),
+            terms: Terms::of(plan.size),
             plan,
         };
         for node in 0..NODES {
@@ -356,7 +472,7 @@
             if !look {
                 continue;
             }
-            self.rules.check(&self.workers, &self.jobs, &self.limits, CANCEL, self.now);
+            self.rules.check(&self.workers, &self.jobs, &self.limits, self.now);
         }
     }
 
@@ -379,6 +495,11 @@
         self.jobs.get(id)
     }
 
+    /// Tasks that workers have killed since their lease had run out.
+    pub fn killed_by_lease(&self) -> u64 {
+        self.workers.values().map(|w| w.lapsed_tasks).sum()
+    }
+
     /// Jobs that were accepted and are neither done nor cancelled by now.
     pub fn unfinished(&self) -> Vec<String> {
         self.rules
@@ -431,7 +552,11 @@
                 let place = self.machine(name);
                 from == place || to == place
             }
-            Cut::Refuse(_) | Cut::Cloud | Cut::Users(_) => false,
+            Cut::Zone => {
+                let inside = |place| self.zone_of(place).is_some_and(|zone| zone == "b");
+                inside(from) != inside(to)
+            }
+            Cut::Refuse(_) | Cut::Cloud | Cut::Users(_) | Cut::Slow(_) => false,
             Cut::Boots | Cut::Mistakes | Cut::Questions => false,
         })
     }
@@ -446,6 +571,13 @@
         if self.rng.random_bool(0.004) {
             delay += self.rng.random_range(50..600);
         }
+        let slow = self.cuts.iter().find_map(|cut| match cut {
+            Cut::Slow(times) => Some(*times),
+            _ => None,
+        });
+        if let (Some(times), true) = (slow, from == Place::State || to == Place::State) {
+            delay *= times;
+        }
         self.at(self.now + delay, Happening::Deliver(Box::new(message)));
     }
 
@@ -567,7 +699,7 @@
             }
             Happening::Workers => {
                 self.step_workers();
-                self.at(self.now + 50, Happening::Workers);
+                self.at(self.now + self.terms.step, Happening::Workers);
             }
             Happening::Submit => self.submit(),
             Happening::Burst(count) => {
@@ -697,6 +829,38 @@
                 }
                 return;
             }
+            Fault::Burst { jobs } => {
+                (0..jobs).for_each(|_| self.new_job());
+                return;
+            }
+            Fault::KillMany { count } => {
+                self.some(&names, count).iter().for_each(|name| self.end_machine(name));
+                return;
+            }
+            Fault::SickMany { count } => {
+                for name in self.some(&names, count) {
+                    if let Some(worker) = self.workers.get_mut(&name) {
+                        worker.fails_everything = true;
+                    }
+                }
+                return;
+            }
+            Fault::HangMany { count, ms } => {
+                for name in self.some(&names, count) {
+                    if let Some(worker) = self.workers.get_mut(&name) {
+                        worker.hangs_until = self.now + ms;
+                    }
+                    self.cuts.push(Cut::Machine(name.clone()));
+                    self.at(self.now + ms, Happening::Heal(Cut::Machine(name)));
+                }
+                return;
+            }
+            Fault::CutZone { ms } => {
+                self.cuts.push(Cut::Users(1));
+                self.at(self.now + ms, Happening::Heal(Cut::Users(1)));
+                (Cut::Zone, ms)
+            }
+            Fault::SlowState { times, ms } => (Cut::Slow(times), ms),
             Fault::CutState { node, ms } => (Cut::State(node), ms),
             Fault::Refuse { node, ms } => (Cut::Refuse(node), ms),
             Fault::CutWorkers { node, ms } => (Cut::Workers(node), ms),
@@ -737,6 +901,14 @@
         self.at(self.now + ms, Happening::Heal(cut));
     }
 
+    /// Some of the machines, spread over all.
+    fn some(&mut self, names: &[String], count: usize) -> Vec<String> {
+        let mut names = names.to_vec();
+        names.shuffle(&mut self.rng);
+        names.truncate(count);
+        names
+    }
+
     fn end_machine(&mut self, name: &str) {
         if let Some(machine) = self.cloud.machines.get_mut(name) {
             machine.gone_at.get_or_insert(self.now);
@@ -801,7 +973,7 @@
                 if worker.dead {
                     return;
                 }
-                worker.check_lease(now, LEASE);
+                worker.check_lease(now, self.terms.lease);
                 worker.direct(body.token, body.session, &body.commands, now, &self.jobs);
                 let report = Box::new(worker.report());
                 let event = Event::Worker { call, reply: DirectReply::Answered(report) };
@@ -887,7 +1059,7 @@
         if worker.dead || worker.in_flight.map(|f| f.0) != Some(number) {
             return;
         }
-        worker.check_lease(now, LEASE);
+        worker.check_lease(now, self.terms.lease);
         match reply {
             ReportReply::Answer(mut answer) => {
                 if ignore_tokens {
@@ -950,11 +1122,12 @@
                 continue;
             }
             // A machine that hangs does not outlive its lease either.
-            worker.check_lease(now, LEASE);
+            worker.check_lease(now, self.terms.lease);
             if worker.hangs_until > now {
                 continue;
             }
-            let happened = worker.advance(now, &self.jobs, |task| Self::run_ms(seed, task));
+            let run = |task: &str| Self::run_ms(seed, task) * self.terms.longer;
+            let happened = worker.advance(now, &self.jobs, run);
             for event in happened {
                 match event {
                     Happened::Started(task) => {
@@ -975,7 +1148,8 @@
     fn step_report(&mut self, name: &str) {
         let now = self.now;
         let from = self.machine(name);
-        let wait = self.rng.random_range(1_500..2_500);
+        let report = self.terms.report;
+        let wait = self.rng.random_range(report * 3 / 4..report * 5 / 4);
         let Some(worker) = self.workers.get_mut(name) else { return };
         if let Some((_, sent, _)) = worker.in_flight {
             if now >= sent + 4_000 {
@@ -1058,7 +1232,8 @@
             return;
         }
         self.new_job();
-        let pause = self.rng.random_range(700..2_800) / self.plan.size.min(4);
+        let pause = self.rng.random_range(700..2_800)
+            / self.plan.size.min(if self.plan.size < FLEET { 4 } else { 8 });
         self.at(self.now + pause, Happening::Submit);
     }
 
@@ -1073,7 +1248,10 @@
         let tasks = match kind {
             JobKind::Service => self.rng.random_range(1..3),
             JobKind::Gang => self.rng.random_range(2..5),
-            JobKind::Array => self.rng.random_range(1..10) * self.plan.size.min(8),
+            JobKind::Array => {
+                let large = if self.plan.size < FLEET { 8 } else { 16 };
+                self.rng.random_range(1..10) * self.plan.size.min(large)
+            }
         };
         let zone = self.rng.random_bool(0.15).then(|| "a".to_owned());
         let together = zone.is_none() && self.rng.random_bool(0.2);
@@ -1099,7 +1277,11 @@
             zone,
             one_zone: together,
             spot: self.rng.random_bool(0.5),
-            estimate_s: if kind == JobKind::Service { 0.0 } else { 6.0 },
+            estimate_s: match kind {
+                JobKind::Service => 0.0,
+                JobKind::Gang => 6.0,
+                JobKind::Array => 6.0 * self.terms.longer as f64,
+            },
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: None,
--- /dev/null
+++ b/crates/testkit/tests/fleet.rs
@@ -0,0 +1,102 @@
+//! The hard cases of a fleet: a site of up to 1,500 machines under a fleet's allowances and times,
+//! with the rules checked as it goes. Each case states how soon work goes on, and that no task is
+//! killed by its lease for want of an answer.
+
+use testkit::{Fault, Plan, World};
+
+/// A site with seven to nine hundred machines up by 45 s, and more to come.
+fn fleet(seed: u64, ms: u64, faults: Vec<(u64, Fault)>) -> World {
+    let mut faults = faults;
+    faults.push((25_000, Fault::Burst { jobs: 400 }));
+    let plan = Plan {
+        seed,
+        ms,
+        faults,
+        sabotage: None,
+        submit_ms: 60_000,
+        size: 107,
+        burst: Some((1_000, 900)),
+    };
+    let mut world = World::new(plan);
+    world.run_to(45_000);
+    assert!(world.machines_up() > 700, "seed {seed}: {} machines", world.machines_up());
+    world
+}
+
+/// Runs on until so many tasks have started since; how long that took.
+fn until_started(world: &mut World, from: u64, tasks: u64) -> u64 {
+    let before = world.rules.started;
+    for at in (from..from + 60_000).step_by(250) {
+        world.run_to(at);
+        if world.rules.started >= before + tasks {
+            return at - from;
+        }
+    }
+    panic!("{} tasks have started within 60 s", world.rules.started - before);
+}
+
+#[test]
+fn all_controllers_crash_at_once_and_come_back_into_a_full_fleet() {
+    let crash = |node| (46_000, Fault::Crash { node, back: 8_000 });
+    let mut world = fleet(1, 80_000, (0..3).map(crash).collect());
+    world.run_to(54_000);
+    let took = until_started(&mut world, 54_000, 50);
+    assert!(took <= 8_000, "the first starts came {took} ms after the controllers");
+    world.run();
+    assert_eq!(world.rules.broken, []);
+    assert_eq!(world.killed_by_lease(), 0, "tasks killed for want of an answer");
+}
+
+#[test]
+fn controllers_are_rolled_while_a_burst_comes_and_the_state_service_is_out() {
+    let mut faults: Vec<(u64, Fault)> = (0..3)
+        .map(|n| (46_000 + n * 20_000, Fault::Crash { node: n as usize, back: 6_000 }))
+        .collect();
+    faults.push((50_000, Fault::Burst { jobs: 250 }));
+    faults.push((58_000, Fault::Refuse { node: None, ms: 25_000 }));
+    let mut world = fleet(2, 120_000, faults);
+    world.run();
+    assert_eq!(world.rules.broken, []);
+    // A controller that ends within the outage has no successor before its end, 17 s later: that and
+    // the time since their last report leave some workers less than a second of their lease.
+    assert!(world.killed_by_lease() <= 10, "{} tasks killed", world.killed_by_lease());
+}
+
+/// Half of the machines and a controller are away for longer than every lease, the state service is
+/// slow and another controller stands still. Tasks in the zone lose their leases; nothing else may.
+#[test]
+fn a_zone_is_away_while_the_state_service_is_slow_and_a_controller_stands_still() {
+    let faults = vec![
+        (46_000, Fault::CutZone { ms: 45_000 }),
+        (55_000, Fault::SlowState { times: 30, ms: 30_000 }),
+        (60_000, Fault::Freeze { node: 2, ms: 9_000 }),
+    ];
+    let mut world = fleet(3, 115_000, faults);
+    world.run_to(91_000);
+    until_started(&mut world, 91_000, 50);
+    world.run();
+    assert_eq!(world.rules.broken, []);
+}
+
+#[test]
+fn machines_hang_end_and_fail_by_the_hundred() {
+    let faults = vec![
+        (46_000, Fault::HangMany { count: 150, ms: 35_000 }),
+        (55_000, Fault::KillMany { count: 150 }),
+        (62_000, Fault::SickMany { count: 100 }),
+    ];
+    let mut world = fleet(4, 100_000, faults);
+    world.run();
+    assert_eq!(world.rules.broken, []);
+}
+
+#[test]
+fn a_leader_without_its_peers_rents_for_all_of_them() {
+    let cut = |node| (0, Fault::CutMesh { node, ms: 60_000 });
+    let mut world = fleet(5, 80_000, (0..3).map(cut).collect());
+    for partition in 0..3 {
+        assert!(world.machines_of(partition) > 200, "partition {partition}");
+    }
+    world.run();
+    assert_eq!(world.rules.broken, []);
+}
--- a/crates/trackcrank/src/main.rs
+++ b/crates/trackcrank/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod clients;
+mod inbound;
 mod mesh;
 mod metrics;
 mod runtime;
--- a/crates/trackcrank/src/runtime.rs
+++ b/crates/trackcrank/src/runtime.rs
@@ -1,10 +1,11 @@
 //! The process around the node: one loop that feeds it events and carries out its effects.
 
 use crate::clients::HttpClient;
+use crate::inbound::{Inbound, Shared};
 use crate::metrics::Metrics;
 use crate::{mesh, server};
 use coordination::node::Ticket;
-use coordination::{AdminReply, AdminRequest, Effect, Event, Node, ReportReply, UserReply};
+use coordination::{AdminReply, Effect, Event, Node, ReportReply, UserReply};
 use model::{Moment, NodeName, Settings};
 use rand::Rng;
 use std::collections::HashMap;
@@ -15,21 +16,6 @@
 use tokio::time::Instant;
 use wire::mesh::MeshMessage;
 
-/// What the server hands to the loop.
-pub enum Inbound {
-    User(coordination::UserRequest, oneshot::Sender<UserReply>),
-    Report(Box<wire::workers::Report>, oneshot::Sender<ReportReply>),
-    Admin(AdminRequest, oneshot::Sender<AdminReply>),
-}
-
-/// What the server may ask without going through the loop.
-#[derive(Clone)]
-pub struct Shared {
-    pub inbound: mpsc::Sender<Inbound>,
-    pub healthy: Arc<AtomicBool>,
-    pub metrics: Arc<Metrics>,
-}
-
 /// Serves until killed.
 pub fn serve(settings: Settings) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/trackcrank/src/server.rs
+++ b/crates/trackcrank/src/server.rs
@@ -1,6 +1,6 @@
 //! The HTTP server for users, workers and health checks.
 
-use crate::runtime::{Inbound, Shared};
+use crate::inbound::{Inbound, Shared};
 use coordination::{AdminReply, AdminRequest, ReportReply, UserReply, UserRequest};
 use model::JobId;
 use poem::http::StatusCode;
