A machine is lost when its zone is heard after its own first missed answer, not after an alarm

A machine of the zone had been missed for a moment; 3 s later the controller lost its workers, and those heard between the two counted as there, so the first machines that did not answer were given up. What was heard before one's own question was in vain proves nothing.

The test of quiet machines has that case.

--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -625,7 +625,7 @@
             return;
         }
         let Some(loaded) = holding.loaded.as_mut() else { return };
-        let mut silent = loaded.share.lost(now);
+        let mut silent = loaded.share.lost();
         if now.since(since) >= patience + Span(1_500) {
             silent.extend(loaded.share.silent_with_replicas(since, now, late, patience));
         }
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -49,7 +49,8 @@
     pub pending: bool,
     /// Questions without an answer since it was heard last.
     pub missed: u32,
-    /// When the last of them was given up.
+    /// When the first and the last of them were given up.
+    pub first: Moment,
     pub at: Moment,
 }
 
--- a/crates/scheduler/src/silence.rs
+++ b/crates/scheduler/src/silence.rs
@@ -24,13 +24,6 @@
 /// Machines asked in one look.
 const MOST_ASKED: usize = 100;
 
-/// Machines of one zone that run something, and those heard since the zone's alarm.
-#[derive(Debug, Default)]
-struct Tally {
-    asked: usize,
-    heard: usize,
-}
-
 impl Share {
     /// Machines to be asked whether they are there, with their addresses. `since` is when workers
     /// had time to find us.
@@ -71,35 +64,40 @@
         }
         machine.asked.missed += 1;
         machine.asked.at = now;
+        if machine.asked.missed == 1 {
+            machine.asked.first = now;
+        }
         let alarm = self.alarms.entry(machine.zone.clone()).or_insert(now);
         if now.since(*alarm) >= ALARM {
             *alarm = now;
         }
     }
 
-    /// Machines with tasks that did not answer, while most of their zone have been heard since the
-    /// first of them did not.
-    pub fn lost(&self, now: Moment) -> Vec<MachineName> {
+    /// Machines with tasks that did not answer, while most of their zone have been heard since
+    /// their own first question was in vain. What was heard before that proves nothing: we may
+    /// have been cut off meanwhile.
+    pub fn lost(&self) -> Vec<MachineName> {
         if !self.machines.values().any(|m| m.asked.missed >= LOST) {
             return Vec::new();
         }
         // Nobody asks those that run nothing; one whose lease has lapsed meanwhile was asked.
         let was_asked = |m: &&Machine| !m.tasks.is_empty() || m.asked.missed > 0;
-        let mut zones: BTreeMap<&ZoneName, Tally> = BTreeMap::new();
+        let mut zones: BTreeMap<&ZoneName, Vec<Moment>> = BTreeMap::new();
         for machine in self.machines.values().filter(was_asked) {
-            let Some(alarm) = self.alarms.get(&machine.zone) else { continue };
-            let tally = zones.entry(&machine.zone).or_default();
-            tally.asked += 1;
-            tally.heard += usize::from(machine.heard_at.is_some_and(|at| at >= *alarm));
+            let heard = machine.heard_at.unwrap_or_default();
+            zones.entry(&machine.zone).or_default().push(heard);
         }
-        let mostly_there = |zone: &ZoneName| {
-            let fresh = self.alarms.get(zone).is_some_and(|at| now.since(*at) < ALARM);
-            fresh && zones.get(zone).is_some_and(|tally| tally.heard * 2 >= tally.asked)
+        zones.values_mut().for_each(|heard| heard.sort_unstable());
+        let mostly_there = |machine: &Machine| {
+            zones.get(&machine.zone).is_some_and(|heard| {
+                let before = heard.partition_point(|at| *at < machine.asked.first);
+                before * 2 <= heard.len()
+            })
         };
         self.machines
             .values()
             .filter(|m| !m.tasks.is_empty() && m.asked.missed >= LOST && !m.leaving)
-            .filter(|m| mostly_there(&m.zone))
+            .filter(|m| mostly_there(m))
             .map(|m| m.name.clone())
             .collect()
     }
--- a/crates/scheduler/tests/share.rs
+++ b/crates/scheduler/tests/share.rs
@@ -490,7 +490,7 @@
 /// half of its zone is quiet too: then the network is at fault.
 #[test]
 fn a_quiet_machine_is_asked_and_lost_unless_its_zone_is_quiet_too() {
-    let asked = |zone_is_quiet: bool| -> Vec<MachineName> {
+    let asked = |zone_is_quiet: bool, alarm_before: bool| -> Vec<MachineName> {
         let mut share = share();
         share.report = Span(5_000);
         for n in 2..=8 {
@@ -515,6 +515,11 @@
             .collect();
         assert!(busy.len() >= 2, "{busy:?}");
         assert_eq!(share.to_be_asked(Moment(0), Moment(2_000)), [], "it was heard just now");
+        if alarm_before {
+            // One is missed for a moment, all are heard, and only then we are cut off.
+            share.was_asked(&busy[1], false, Moment(2_000));
+            (1..=8).for_each(|n| hear(&mut share, n, 2, 2_100));
+        }
         for at in [3_200, 4_400, 5_700] {
             let names = share.to_be_asked(Moment(0), Moment(at));
             for (asked, _) in names {
@@ -524,8 +529,9 @@
                 number.iter().for_each(|n| hear(&mut share, *n, at, at + 5));
             }
         }
-        share.lost(Moment(6_900))
+        share.lost()
     };
-    assert_eq!(asked(false).len(), 1);
-    assert_eq!(asked(true), []);
+    assert_eq!(asked(false, false).len(), 1);
+    assert_eq!(asked(true, false), []);
+    assert_eq!(asked(true, true), [], "they were heard before we were cut off");
 }
