Read again: placements are counted in one place, one question to a worker, one bench fleet

- A placement's counts (team, machine, index, victims, unrecorded) stood in four places; now count_in and count_out.
A job's description is shared, not copied, from the mirror to the share.
- The empty command list that asks a worker for a report stood in two: ask_worker.
Two constants named CALL_TIMEOUT in one crate: the workers' is WORKER_TIMEOUT.
- rooms: the index's search is one function, losing an image another; Place::same_level compared a place with itself. preempt: a test that what may be stopped already implies is gone.
- A job is open for its team before its orphans are dropped: before, one that ended by that was entered among the open ones afterwards.
- The comment of Share::silence claimed what the measurement had not shown.

--- a/crates/coordination/src/mirror.rs
+++ b/crates/coordination/src/mirror.rs
@@ -300,12 +300,13 @@
                 new.filled += size;
             }
         }
-        let old = self.machine_pages.insert(page, Versioned { record: new, version });
-        let Some(new) = self.machine_pages.get(&page) else { return };
-        let gone = old.iter().flat_map(|old| &old.record.names);
-        for name in gone.filter(|name| !new.record.names.contains(*name)) {
-            self.machines.remove(name);
-            changed.push(Changed::Machine(name.clone()));
+        let old = self.machine_pages.get(&page).map(|old| &old.record.names);
+        let gone: Vec<MachineName> =
+            old.into_iter().flat_map(|old| old.difference(&new.names)).cloned().collect();
+        self.machine_pages.insert(page, Versioned { record: new, version });
+        for name in gone {
+            self.machines.remove(&name);
+            changed.push(Changed::Machine(name));
         }
     }
 
--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -2,7 +2,7 @@
 
 use super::ends::Ending;
 use super::machines::MachineChange;
-use super::{Effect, Node, Purpose};
+use super::{Node, Purpose};
 use crate::budget::Importance;
 use crate::ledger::{Ledger, Round};
 use crate::records::{demand_key, DemandRecord, MachineRecord};
@@ -11,7 +11,7 @@
 use std::collections::HashMap;
 use wire::mesh::{MeshMessage, PartitionLoad};
 use wire::state::{Item, StateReply, StateRequest, Txn, Write};
-use wire::workers::{Command, DirectCommands, Report};
+use wire::workers::{Command, Report};
 
 /// Pause between rounds that carry placements.
 const ROUND_GAP: Span = Span(60);
@@ -293,7 +293,7 @@
         for (id, open) in &self.mirror.jobs {
             if self.partition_of_team(&open.spec.team) == Some(partition) {
                 let chunks = ledger.chunks_of(*id);
-                share.add_job((*open.spec).clone(), open.order(), &chunks, self.now);
+                share.add_job(open.spec.clone(), open.order(), &chunks, self.now);
                 if self.mirror.is_cancelled(*id) {
                     share.cancel_job(*id, self.now);
                 }
@@ -370,7 +370,7 @@
             return;
         };
         if !share.jobs.contains_key(&id) {
-            share.add_job((*open.spec).clone(), open.order(), &[], now);
+            share.add_job(open.spec.clone(), open.order(), &[], now);
         }
         if cancelled {
             share.cancel_job(id, now);
@@ -447,12 +447,12 @@
         if look {
             holding.looked_at = now;
             loaded.share.drain_noticed(now);
-        }
-        if contact {
-            if look {
+            if contact {
                 // Without contact a successor may be answering them.
                 loaded.share.expire_leases(now);
             }
+        }
+        if contact {
             loaded.more_cycles = loaded.share.run_cycles(now, CYCLES);
             loaded.share.consolidate(now);
         }
@@ -597,17 +597,14 @@
         now.since(since) >= silence + Span(3_000) && all >= 2 && silent * 10 >= all * 9
     }
 
-    /// Asks machines that have been quiet whether they are there. The question bears no token and
-    /// no commands, so it changes nothing: the answer is a report.
+    /// Asks machines that have been quiet whether they are there.
     fn ask_quiet(&mut self, partition: PartitionId) {
         let now = self.now;
         let Some(holding) = self.holdings.get_mut(&partition) else { return };
         let since = holding.since;
         let Some(share) = holding.share_mut() else { return };
         for (machine, address) in share.to_be_asked(since, now) {
-            let call = self.call(Purpose::Ask { partition, machine });
-            let body = DirectCommands { token: 0, session: 0, commands: Vec::new() };
-            self.effects.push(Effect::Worker { call, address, body, timeout: ASK_TIMEOUT });
+            self.ask_worker(address, Purpose::Ask { partition, machine }, ASK_TIMEOUT);
         }
     }
 
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -1,13 +1,13 @@
 //! Who holds which partition: taking vacant ones, handing them home, word from peers.
 
 use super::holder::Holding;
-use super::{Effect, Node, PeerView, Purpose};
+use super::workers::WORKER_TIMEOUT;
+use super::{Node, PeerView, Purpose};
 use crate::budget::Importance;
 use crate::records::{partition_key, wish_key, PartitionRecord, WishRecord, COUNTER};
 use model::{Moment, NodeName, PartitionId, Span, Token};
 use wire::mesh::MeshMessage;
 use wire::state::{StateReply, StateRequest, Txn, Write};
-use wire::workers::DirectCommands;
 
 /// Time between signs of life.
 const ALIVE: Span = Span(400);
@@ -108,11 +108,7 @@
             }
         }
         for (partition, address) in due {
-            let call = self.call(Purpose::Probe(partition));
-            // Under no token nothing is executed: the answer is a report.
-            let body = DirectCommands { token: 0, session: 0, commands: Vec::new() };
-            let timeout = super::workers::CALL_TIMEOUT;
-            self.effects.push(Effect::Worker { call, address, body, timeout });
+            self.ask_worker(address, Purpose::Probe(partition), WORKER_TIMEOUT);
         }
     }
 
--- a/crates/coordination/src/node/workers.rs
+++ b/crates/coordination/src/node/workers.rs
@@ -6,7 +6,7 @@
 use wire::workers::{Command, DirectCommands, Report, ReportAnswer};
 
 /// Patience with a direct call that carries commands, and with one to a partition given up.
-pub(super) const CALL_TIMEOUT: Span = Span(2_500);
+pub(super) const WORKER_TIMEOUT: Span = Span(2_500);
 
 impl Node {
     pub(super) fn on_report(&mut self, ticket: Ticket, report: Report) {
@@ -95,10 +95,17 @@
                 .collect();
             let call = self.call(Purpose::Direct { partition, machine, launches });
             let body = DirectCommands { token: token.0, session: session.0, commands };
-            self.effects.push(Effect::Worker { call, address, body, timeout: CALL_TIMEOUT });
+            self.effects.push(Effect::Worker { call, address, body, timeout: WORKER_TIMEOUT });
         }
     }
 
+    /// Asks a worker for a report. Under no token nothing is executed, and nothing changes.
+    pub(super) fn ask_worker(&mut self, address: String, purpose: Purpose, timeout: Span) {
+        let call = self.call(purpose);
+        let body = DirectCommands { token: 0, session: 0, commands: Vec::new() };
+        self.effects.push(Effect::Worker { call, address, body, timeout });
+    }
+
     /// A machine was asked whether it is there.
     fn on_asked(&mut self, partition: PartitionId, machine: &MachineName, reply: DirectReply) {
         let now = self.now;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -327,8 +327,8 @@
                 && want.shape.suits(&m.machine_type, m.zone.as_str(), m.spot)
                 && self.kind(&m.machine_type).is_some_and(|t| want.per.fits(&size_of(t)))
         };
-        let lends = |m: &&FleetMachine| of_use(m);
-        let lent = (!want.nothing_lent).then(|| self.lent.iter().position(lends)).flatten();
+        let lend = || self.lent.iter().position(|m| of_use(m));
+        let lent = (!want.nothing_lent).then(lend).flatten();
         let spares = |m: &&FleetMachine| {
             of_use(m)
                 && m.idle >= self.policy.shift_idle
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -121,15 +121,8 @@
                 && !self.left_to_others(job, m, now)
         };
         let find = |name: &MachineName| self.machines.get(name);
-        let scored = |m: &Machine| score(job, m);
-        let machine = match promised {
-            Some(machine) => self
-                .rooms
-                .best_with_image(&job.spec, find, fit, scored)
-                .or(Some(machine).filter(|m| fit(m))),
-            None => self.rooms.best(&job.spec, find, fit, scored),
-        }
-        .ok_or(Unplaced::Room)?;
+        let best = self.rooms.best(&job.spec, promised.is_some(), find, fit, |m| score(job, m));
+        let machine = best.or(promised.filter(|m| fit(m))).ok_or(Unplaced::Room)?;
         let fetch = fetch_time(job, machine);
         let name = machine.name.clone();
         if fetch > Span::ZERO && job.spec.kind == JobKind::Array && self.sooner(job, fetch, now) {
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -3,6 +3,7 @@
 use model::{Attempt, JobKind, JobSpec, MachineName, Moment, Session, Span, Token};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use wire::workers::TaskState;
 
 /// Tasks whose progress is recorded together.
@@ -41,7 +42,7 @@
 /// A job that is neither done nor cleared away.
 #[derive(Debug)]
 pub struct Job {
-    pub spec: JobSpec,
+    pub spec: Arc<JobSpec>,
     /// When it was submitted, in ms on a clock that all holders share.
     pub order: u64,
     pub seen_at: Moment,
@@ -117,7 +118,8 @@
 
 impl Job {
     /// A job of which nothing has run.
-    pub fn new(spec: JobSpec, order: u64, now: Moment) -> Self {
+    pub fn new(spec: impl Into<Arc<JobSpec>>, order: u64, now: Moment) -> Self {
+        let spec = spec.into();
         let words = spec.tasks.div_ceil(CHUNK) as usize;
         Job {
             spec,
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -35,13 +35,6 @@
     pub milli_cpus: u64,
 }
 
-impl Place {
-    /// Whether machines in other places differ from those here in free CPUs only.
-    pub fn same_level(&self, other: &Place) -> bool {
-        (self.class, self.pinned, self.milli_gpus) == (other.class, other.pinned, other.milli_gpus)
-    }
-}
-
 /// What came of asking a machine.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Asked {
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -128,10 +128,7 @@
     /// The cheapest stops on a machine that let the entry in, if there are any.
     fn stops_on(&self, search: &Search<'_>, machine: &Machine) -> Option<Stops> {
         let Search { entry, job, why, now, .. } = *search;
-        if (search.only_cheap && machine.best_effort == 0)
-            || !self.admits(job, machine, now)
-            || !zone_allowed(job, &machine.zone, &search.zones)
-        {
+        if !self.admits(job, machine, now) || !zone_allowed(job, &machine.zone, &search.zones) {
             return None;
         }
         let mut victims: Vec<(u64, TaskId, Resources)> = machine
--- a/crates/scheduler/src/rooms.rs
+++ b/crates/scheduler/src/rooms.rs
@@ -120,12 +120,7 @@
         };
         let new = !machine.has_image(image);
         for lost in machine.touch_image(image, gb) {
-            if let Some(rooms) = self.by_image.get_mut(&lost) {
-                take(rooms, place, &machine.name);
-                if rooms.is_empty() {
-                    self.by_image.remove(&lost);
-                }
-            }
+            self.lose_image(&lost, place, &machine.name);
         }
         if new {
             put(self.by_image.entry(image.clone()).or_default(), place, &machine.name);
@@ -137,11 +132,15 @@
         let Some(place) = machine.place.take() else { return };
         take(&mut self.all, place, &machine.name);
         for (image, _) in &machine.images {
-            if let Some(rooms) = self.by_image.get_mut(image) {
-                take(rooms, place, &machine.name);
-                if rooms.is_empty() {
-                    self.by_image.remove(image);
-                }
+            self.lose_image(image, place, &machine.name);
+        }
+    }
+
+    fn lose_image(&mut self, image: &str, place: Place, name: &MachineName) {
+        if let Some(rooms) = self.by_image.get_mut(image) {
+            take(rooms, place, name);
+            if rooms.is_empty() {
+                self.by_image.remove(image);
             }
         }
     }
@@ -162,41 +161,23 @@
 
     /// The best of the machines that have room for a task: of each level the first that is
     /// `fit`, and of those the one of the least score and name. Only machines with the task's
-    /// image are looked at while one of them is fit.
+    /// image are looked at while one of them is fit, and no others at all if `cached`.
     pub(crate) fn best<'a, S: Ord>(
         &self,
         spec: &JobSpec,
+        cached: bool,
         find: impl Fn(&MachineName) -> Option<&'a Machine>,
         fit: impl Fn(&Machine) -> bool,
         score: impl Fn(&Machine) -> S,
     ) -> Option<&'a Machine> {
-        self.best_with_image(spec, &find, &fit, &score)
-            .or_else(|| self.best_among(&self.all, spec, find, fit, score))
-    }
-
-    /// As `best`, among the machines that have the task's image.
-    pub(crate) fn best_with_image<'a, S: Ord>(
-        &self,
-        spec: &JobSpec,
-        find: impl Fn(&MachineName) -> Option<&'a Machine>,
-        fit: impl Fn(&Machine) -> bool,
-        score: impl Fn(&Machine) -> S,
-    ) -> Option<&'a Machine> {
-        self.best_among(self.by_image.get(&spec.image)?, spec, find, fit, score)
-    }
-
-    fn best_among<'a, S: Ord>(
-        &self,
-        rooms: &Rooms,
-        spec: &JobSpec,
-        find: impl Fn(&MachineName) -> Option<&'a Machine>,
-        fit: impl Fn(&Machine) -> bool,
-        score: impl Fn(&Machine) -> S,
-    ) -> Option<&'a Machine> {
-        let firsts = Levels::new(rooms, &self.classes, spec).filter_map(|mut level| {
-            level.find_map(|(_, names)| names.iter().filter_map(&find).find(|m| fit(m)))
-        });
-        firsts.min_by(|a, b| (score(a), &a.name).cmp(&(score(b), &b.name)))
+        let among = |rooms: &Rooms| {
+            let firsts = Levels::new(rooms, &self.classes, spec).filter_map(|mut level| {
+                level.find_map(|(_, names)| names.iter().filter_map(&find).find(|m| fit(m)))
+            });
+            firsts.min_by(|a, b| (score(a), &a.name).cmp(&(score(b), &b.name)))
+        };
+        let with_image = self.by_image.get(&spec.image).and_then(among);
+        with_image.or_else(|| if cached { None } else { among(&self.all) })
     }
 }
 
@@ -233,7 +214,6 @@
             if first.milli_gpus < self.needs.milli_gpus {
                 continue;
             }
-            debug_assert!(first.same_level(&last));
             let least = Place { milli_cpus: self.needs.milli_cpus, ..*first };
             return Some(self.rooms.range(least..=last));
         }
@@ -310,7 +290,7 @@
             let mut rng = SmallRng::seed_from_u64(seed);
             let mut index = RoomIndex::default();
             let mut machines: BTreeMap<MachineName, Machine> = BTreeMap::new();
-            let mut held: Vec<(MachineName, TaskId, JobSpec)> = Vec::new();
+            let mut held: Vec<(MachineName, TaskId, Arc<JobSpec>)> = Vec::new();
             for step in 0..400u64 {
                 let some = rng.random_range(0..machines.len().max(1));
                 let some = machines.keys().nth(some).cloned();
@@ -358,7 +338,8 @@
                     .filter(|m| m.place.is_some() && fit(m))
                     .filter(|m| job.spec.allows(&m.machine_type, &m.zone, m.spot))
                     .min_by_key(|m| score(&job, m));
-                let best = index.best(&job.spec, |n| machines.get(n), fit, |m| score(&job, m));
+                let best =
+                    index.best(&job.spec, false, |n| machines.get(n), fit, |m| score(&job, m));
                 assert_eq!(best.map(|m| &m.name), scan.map(|m| &m.name), "seed {seed}, {step}");
                 found += u32::from(best.is_some());
             }
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -10,6 +10,7 @@
 };
 use queue::{QueueConfig, SchedulingQueue};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
 
 /// An entry of the queue: a task, or a whole gang.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -219,9 +220,9 @@
         }
     }
 
-    /// A machine that has been silent for longer gets no new tasks. Found on the fleet sites,
-    /// whose workers report every 5 and 6 s: with a fixed 4 s a quarter of all machines counted as
-    /// silent at any time, and others were rented beside them.
+    /// A machine that has been silent for longer gets no new tasks. Workers report every 2 s on
+    /// some sites and every 6 s on others: by a fixed 4 s, idle machines of the latter took nothing
+    /// for a part of the time.
     pub(crate) fn silence(&self) -> Span {
         Span(self.report.0 * 5 / 4) + self.policy.silence
     }
@@ -233,7 +234,14 @@
     }
 
     /// Adds an open job, with what the ledger knows of it.
-    pub fn add_job(&mut self, spec: JobSpec, order: u64, chunks: &[(u32, ChunkBody)], now: Moment) {
+    pub fn add_job(
+        &mut self,
+        spec: impl Into<Arc<JobSpec>>,
+        order: u64,
+        chunks: &[(u32, ChunkBody)],
+        now: Moment,
+    ) {
+        let spec = spec.into();
         let id = spec.id;
         if self.jobs.contains_key(&id) || !self.teams.contains_key(&spec.team) {
             return;
@@ -244,15 +252,10 @@
             job.restore(*chunk, body, now);
         }
         for (index, placement) in &job.placed {
-            let task = TaskId { job: id, index: *index };
-            if let Some(team) = self.teams.get_mut(&job.spec.team) {
-                team.used += job.spec.needs;
-            }
-            if let Some(machine) = self.machines.get_mut(&placement.machine) {
-                machine.hold(task, &job.spec);
-                self.rooms.update(machine);
-            }
-            self.victims.add(task, &job, placement);
+            self.count_in(TaskId { job: id, index: *index }, &job.spec, placement);
+        }
+        if let Some(team) = self.teams.get_mut(&job.spec.team) {
+            team.opened(&job);
         }
         let orphans: Vec<TaskId> = job
             .placed
@@ -277,11 +280,6 @@
         for task in orphans {
             self.drop_placement(task, now, false);
         }
-        if let Some(job) = self.jobs.get(&id) {
-            if let Some(team) = self.teams.get_mut(&job.spec.team) {
-                team.opened(job);
-            }
-        }
         if self.jobs.get(&id).is_some_and(|job| job.all_done()) {
             self.stop_gang(id, now);
         }
@@ -390,22 +388,41 @@
         }
     }
 
-    /// Removes a placement whose task is proven gone or was never launched, and queues the
-    /// task again unless the job is over.
-    pub(crate) fn drop_placement(&mut self, task: TaskId, now: Moment, requeue: bool) {
-        let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        let Some(placement) = job.placed.remove(&task.index) else { return };
-        let needs = job.spec.needs;
-        self.victims.remove(task, job.spec.priority, placement.placed_at);
-        if let Some(team) = self.teams.get_mut(&job.spec.team) {
-            team.used -= needs;
+    /// Counts a placement wherever placements count.
+    fn count_in(&mut self, task: TaskId, spec: &JobSpec, placement: &Placement) {
+        if let Some(team) = self.teams.get_mut(&spec.team) {
+            team.used += spec.needs;
+        }
+        if let Some(machine) = self.machines.get_mut(&placement.machine) {
+            machine.hold(task, spec);
+            self.rooms.update(machine);
+        }
+        self.victims.add(task, spec, placement);
+        self.unrecorded += usize::from(!placement.recorded);
+    }
+
+    /// Takes a placement out of every count.
+    fn count_out(&mut self, task: TaskId, spec: &JobSpec, placement: &Placement, now: Moment) {
+        if let Some(team) = self.teams.get_mut(&spec.team) {
+            team.used -= spec.needs;
         }
         if let Some(machine) = self.machines.get_mut(&placement.machine) {
-            machine.let_go(task, &job.spec, now);
+            machine.let_go(task, spec, now);
             self.rooms.update(machine);
         }
+        self.victims.remove(task, spec.priority, placement.placed_at);
         self.unrecorded -= usize::from(!placement.recorded);
-        self.dirty.insert((task.job, task.index / CHUNK));
+    }
+
+    /// Removes a placement whose task is proven gone or was never launched, and queues the
+    /// task again unless the job is over.
+    pub(crate) fn drop_placement(&mut self, task: TaskId, now: Moment, requeue: bool) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(placement) = job.placed.remove(&task.index) else { return };
+        let spec = job.spec.clone();
+        self.count_out(task, &spec, &placement, now);
+        self.touch(task);
+        let Some(job) = self.jobs.get(&task.job) else { return };
         if job.spec.kind == JobKind::Gang {
             self.gang_lost_member(task.job, now);
         } else if requeue && !job.cancelled && !job.is_done(task.index) && task.index < job.cursor {
@@ -483,28 +500,17 @@
 
     /// The job's end is durable, which settles the outcomes of all its tasks.
     pub fn remove_job(&mut self, id: JobId, now: Moment) {
+        self.close(id);
         let Some(job) = self.jobs.remove(&id) else { return };
         tracing::debug!(job = %id, took_ms = now.since(job.seen_at).0, "job over");
         self.unqueue(id, job.cursor);
         for (index, placement) in &job.placed {
-            let task = TaskId { job: id, index: *index };
-            if let Some(team) = self.teams.get_mut(&job.spec.team) {
-                team.used -= job.spec.needs;
-            }
-            if let Some(machine) = self.machines.get_mut(&placement.machine) {
-                machine.let_go(task, &job.spec, now);
-                self.rooms.update(machine);
-            }
-            self.unrecorded -= usize::from(!placement.recorded);
-            self.victims.remove(task, job.spec.priority, placement.placed_at);
+            self.count_out(TaskId { job: id, index: *index }, &job.spec, placement, now);
         }
         self.unsaved.retain(|(task, _)| task.job != id);
         for chunk in 0..job.spec.tasks.div_ceil(CHUNK) {
             self.dirty.remove(&(id, chunk));
         }
-        if let Some(team) = self.teams.get_mut(&job.spec.team) {
-            team.closed(&job);
-        }
     }
 
     /// Takes a job's entries, of which `handed_out` tasks have been queued, out of the queue.
@@ -658,17 +664,9 @@
         let cached = self.machines.get(machine).is_some_and(|m| m.has_image(&job.spec.image));
         tracing::debug!(%task, %machine, class = job.spec.class, waited, cached, guaranteed = job.guaranteed, "placed");
         self.waits.push(waited);
-        self.victims.add(task, job, &placement);
-        job.placed.insert(task.index, placement);
-        let needs = job.spec.needs;
-        if let Some(team) = self.teams.get_mut(&job.spec.team) {
-            team.used += needs;
-        }
-        if let Some(machine) = self.machines.get_mut(machine) {
-            machine.hold(task, &job.spec);
-            self.rooms.update(machine);
-        }
-        self.unrecorded += 1;
+        job.placed.insert(task.index, placement.clone());
+        let spec = job.spec.clone();
+        self.count_in(task, &spec, &placement);
         self.touch(task);
     }
 }
--- a/crates/scheduler/src/silence.rs
+++ b/crates/scheduler/src/silence.rs
@@ -15,7 +15,7 @@
 const QUIET: Span = Span(3_000);
 /// One in whose zone another has just not answered.
 const ALARMED: Span = Span(400);
-/// How long an alarm lasts, and how long it takes until most have answered who will.
+/// How long an alarm lasts.
 const ALARM: Span = Span(6_000);
 /// Pause between a question without an answer and the next.
 const AGAIN: Span = Span(250);
--- a/crates/scheduler/src/victims.rs
+++ b/crates/scheduler/src/victims.rs
@@ -4,8 +4,8 @@
 //! for the cheapest stops begins with the newest and may end as soon as what is left has run for
 //! longer than the best that was found costs.
 
-use crate::job::{Job, Placement};
-use model::{Moment, Priority, Span, TaskId};
+use crate::job::Placement;
+use model::{JobKind, JobSpec, Moment, Priority, Span, TaskId};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -21,17 +21,17 @@
 
 impl Victims {
     /// A task has been placed.
-    pub(crate) fn add(&mut self, task: TaskId, job: &Job, placement: &Placement) {
-        if job.spec.kind == model::JobKind::Gang || placement.stop.is_some() {
+    pub(crate) fn add(&mut self, task: TaskId, spec: &JobSpec, placement: &Placement) {
+        if spec.kind == JobKind::Gang || placement.stop.is_some() {
             return;
         }
-        let new = if job.spec.checkpoint > Span::ZERO {
+        let new = if spec.checkpoint > Span::ZERO {
             self.saving.insert(task)
         } else {
             self.newest.insert((Reverse(placement.placed_at), task))
         };
         if new {
-            *self.by_priority.entry(job.spec.priority).or_default() += 1;
+            *self.by_priority.entry(spec.priority).or_default() += 1;
         }
     }
 
--- a/crates/testkit/benches/scale.rs
+++ b/crates/testkit/benches/scale.rs
@@ -14,11 +14,9 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
-use testkit::Solo;
-use wire::cloud::MachineType;
+use testkit::{solo, Solo};
 use wire::mesh::DemandShape;
 use wire::users::{JobKind, JobRequest, Priority};
-use wire::workers::Report;
 
 const SIZES: [usize; 4] = [300, 1_000, 3_000, 10_000];
 
@@ -63,54 +61,14 @@
             });
         });
         group.bench_function(BenchmarkId::new("takeover", size), |b| {
-            b.iter_custom(|iters| solo(iters, Box::new(|solo, _| solo.take_over().0)));
+            b.iter_custom(|iters| solo(iters, Box::new(|solo, _| solo.take_over())));
         });
     }
     group.finish();
 }
 
-fn kind() -> MachineType {
-    MachineType {
-        name: "m4".into(),
-        cpus: 4.0,
-        gpus: 0.0,
-        memory_gb: 16.0,
-        cache_gb: 80.0,
-        fetch_gb_per_s: 1.0,
-        price: 0.2,
-        spot_price: 0.06,
-        boot_s: 15.0,
-        zones: vec!["a".into(), "b".into()],
-    }
-}
-
-fn name(nth: usize) -> MachineName {
-    MachineName::from(format!("host-{nth:06}").as_str())
-}
-
-fn job(id: u64, tasks: u64, cpus: f64) -> JobSpec {
-    let request = JobRequest {
-        id: format!("j-{id:06}"),
-        class: "c".into(),
-        team: "t".into(),
-        kind: JobKind::Array,
-        priority: Priority::Normal,
-        tasks,
-        cpus,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: format!("img-{}", id % 11),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        estimate_s: 10.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    };
+fn spec(id: u64, tasks: u64, cpus: f64) -> JobSpec {
+    let request = JobRequest { team: "t".into(), cpus, ..solo::job(id, JobKind::Array, tasks) };
     match JobSpec::try_from(&request) {
         Ok(spec) => spec,
         Err(error) => panic!("a job of the bench: {error}"),
@@ -124,24 +82,12 @@
     // Time goes on by seconds here without another report.
     let policy = Policy { silence: Span(u64::MAX / 2), ..Policy::default() };
     let mut share = Share::new(teams, Span(600_000), policy, QueueConfig::default(), Token(5));
-    for nth in 0..size {
-        let zone = if nth.is_multiple_of(2) { "a" } else { "b" };
-        let machine =
-            Machine::new(name(nth), &kind(), ZoneName::from(zone), nth.is_multiple_of(3), Token(5));
+    for mut worker in (0..size).map(solo::worker) {
+        let name = MachineName::from(worker.name.as_str());
+        let zone = ZoneName::from(worker.zone.as_str());
+        let machine = Machine::new(name, &solo::machine_type(), zone, worker.spot, Token(5));
         share.add_machine(machine, Moment(0));
-        let report = Report {
-            machine: name(nth).to_string(),
-            address: "10.1.0.1:9000".into(),
-            machine_type: "m4".into(),
-            zone: zone.into(),
-            spot: nth.is_multiple_of(3),
-            session: 1,
-            seq: 1,
-            token: 5,
-            notice_s: None,
-            tasks: Vec::new(),
-        };
-        share.observe(&report, Source::Report, Moment(1));
+        share.observe(&worker.report(), Source::Report, Moment(1));
     }
     share
 }
@@ -158,7 +104,7 @@
         let mut one = |share: &mut Share, cpus: f64| {
             (time, id) = (time + 2_000, id + 1);
             let now = Moment(time);
-            share.add_job(job(id, 1, cpus), id, &[], now);
+            share.add_job(spec(id, 1, cpus), id, &[], now);
             let start = Instant::now();
             share.run_cycles(now, 10);
             let spent = start.elapsed();
@@ -170,7 +116,7 @@
             b.iter_custom(|iters| (0..iters).map(|_| one(&mut empty, 1.0)).sum());
         });
         let mut full = share(size);
-        full.add_job(job(1, size as u64, 4.0), 1, &[], Moment(2));
+        full.add_job(spec(1, size as u64, 4.0), 1, &[], Moment(2));
         while full.run_cycles(Moment(2), 10_000) {}
         group.bench_function(BenchmarkId::new("no_room", size), |b| {
             b.iter_custom(|iters| (0..iters).map(|_| one(&mut full, 1.0)).sum());
@@ -185,11 +131,12 @@
     group.sample_size(10);
     for size in SIZES {
         let machines: Vec<FleetMachine> = (0..size)
-            .map(|nth| FleetMachine {
-                name: name(nth),
-                machine_type: "m4".into(),
-                zone: ZoneName::from(if nth.is_multiple_of(2) { "a" } else { "b" }),
-                spot: nth.is_multiple_of(3),
+            .map(|nth| (nth, solo::worker(nth)))
+            .map(|(nth, worker)| FleetMachine {
+                name: MachineName::from(worker.name.as_str()),
+                machine_type: worker.machine_type,
+                zone: ZoneName::from(worker.zone.as_str()),
+                spot: worker.spot,
                 partition: PartitionId(nth as u32 % 3),
                 up: nth % 20 != 1,
                 tasks: u32::from(nth % 20 != 0) * 4,
@@ -227,7 +174,9 @@
             .collect();
         let policy = FleetPolicy::default();
         group.bench_function(BenchmarkId::new("made", size), |b| {
-            b.iter(|| fleet::plan(&policy, &[kind()], &machines, &needs, &HashMap::new()));
+            b.iter(|| {
+                fleet::plan(&policy, &[solo::machine_type()], &machines, &needs, &HashMap::new())
+            });
         });
     }
     group.finish();
--- a/crates/testkit/src/solo.rs
+++ b/crates/testkit/src/solo.rs
@@ -5,7 +5,7 @@
 use crate::worker::Worker;
 use coordination::node::DirectReply;
 use coordination::records::{machines_key, MachineRecord, MachinesPage, PackedMachine};
-use coordination::{Effect, Event, Node, ReportReply, UserReply, UserRequest};
+use coordination::{Effect, Event, Node, ReportReply, UserRequest};
 use model::{CallId, MachineName, Moment, PartitionId, Settings};
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -18,7 +18,8 @@
 const SLOTS: u64 = 4;
 /// Machines on one page of their records.
 const PAGE: usize = 40;
-/// The longest that a worker's lease lasts here; time passes only as events are fed.
+/// A worker's lease, in ms as in the settings: none ends here, since time passes only as events are
+/// fed.
 const LEASE: u64 = 600_000;
 
 /// The node and what surrounds it.
@@ -32,7 +33,6 @@
     watch: Option<(CallId, String, u64)>,
     events: VecDeque<Event>,
     tickets: u64,
-    accepted: usize,
     answered: usize,
     machines: usize,
 }
@@ -60,8 +60,9 @@
     }
 }
 
-fn types() -> MachineTypes {
-    let kind = MachineType {
+/// The only type of machine.
+pub fn machine_type() -> MachineType {
+    MachineType {
         name: "m4".into(),
         cpus: SLOTS as f64,
         gpus: 0.0,
@@ -72,49 +73,74 @@
         spot_price: 0.06,
         boot_s: 15.0,
         zones: vec!["a".into(), "b".into()],
-    };
-    MachineTypes { types: vec![kind] }
+    }
 }
 
-fn name(nth: usize) -> String {
-    format!("host-{nth:06}")
+/// The worker of a machine: every other one is in zone b, every third is cheap.
+pub fn worker(nth: usize) -> Worker {
+    let zone = if nth.is_multiple_of(2) { "a" } else { "b" };
+    let name = format!("host-{nth:06}");
+    Worker::new(&name, &machine_type().name, zone, nth.is_multiple_of(3), 0)
+}
+
+/// A job of small tasks: replicas of high priority, or an array that may use cheap machines.
+pub fn job(number: u64, kind: JobKind, tasks: u64) -> JobRequest {
+    let service = kind == JobKind::Service;
+    JobRequest {
+        id: format!("j-{number:06}"),
+        class: "c".into(),
+        team: format!("t{}", number % 12),
+        kind,
+        priority: if service { Priority::High } else { Priority::Normal },
+        tasks,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 3.0,
+        image: format!("img-{}", number % 11),
+        image_gb: 2.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: !service,
+        estimate_s: if service { 0.0 } else { 20.0 },
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
 }
 
 impl Solo {
     /// A node that holds so many machines, all of them idle and known to it.
     pub fn new(machines: usize) -> Self {
         let mut state = StateService::new(1e9);
-        for (page, from) in (0..machines).step_by(PAGE).enumerate() {
-            let records = (from..machines.min(from + PAGE)).map(|nth| {
+        let workers: Vec<Worker> = (0..machines).map(worker).collect();
+        for (page, workers) in workers.chunks(PAGE).enumerate() {
+            let records = workers.iter().map(|worker| {
                 let record = MachineRecord {
-                    machine_type: "m4".into(),
-                    zone: if nth % 2 == 0 { "a" } else { "b" }.into(),
-                    spot: nth % 3 == 0,
+                    machine_type: worker.machine_type.clone(),
+                    zone: worker.zone.clone(),
+                    spot: worker.spot,
                     partition: PartitionId(0),
                     token: 0,
                     leaving: false,
                 };
-                PackedMachine::new(&MachineName::from(name(nth).as_str()), &record)
+                PackedMachine::new(&MachineName::from(worker.name.as_str()), &record)
             });
             let value = serde_json::to_value(MachinesPage { machines: records.collect() });
             let write = Write::put(machines_key(page as u32), value.unwrap_or_default());
             state.execute(1, &StateRequest::Txn(Txn::default().write(write)));
         }
-        let workers = (0..machines).map(|nth| {
-            let zone = if nth % 2 == 0 { "a" } else { "b" };
-            Worker::new(&name(nth), "m4", zone, nth % 3 == 0, 0)
-        });
         let mut solo = Solo {
             node: Node::new(settings(machines), 1 << 20),
             state,
             now: 10,
-            workers: workers.collect(),
+            workers,
             jobs: HashMap::new(),
             next_job: 0,
             watch: None,
             events: VecDeque::new(),
             tickets: 0,
-            accepted: 0,
             answered: 0,
             machines,
         };
@@ -168,42 +194,17 @@
     }
 
     /// Submits a job.
-    pub fn submit(&mut self, kind: JobKind, tasks: u64) -> String {
+    pub fn submit(&mut self, kind: JobKind, tasks: u64) {
         self.next_job += 1;
-        let number = self.next_job;
-        let id = format!("j-{number:06}");
-        let service = kind == JobKind::Service;
-        let job = JobRequest {
-            id: id.clone(),
-            class: "c".into(),
-            team: format!("t{}", number % 12),
-            kind,
-            priority: if service { Priority::High } else { Priority::Normal },
-            tasks,
-            cpus: 1.0,
-            gpus: 0.0,
-            memory_gb: 3.0,
-            image: format!("img-{}", number % 11),
-            image_gb: 2.0,
-            types: None,
-            zone: None,
-            one_zone: false,
-            spread: false,
-            spot: !service,
-            estimate_s: if service { 0.0 } else { 20.0 },
-            checkpoint_s: 0.0,
-            save_s: 0.0,
-            deadline_s: None,
-        };
-        self.jobs.insert(id.clone(), job.clone());
+        let job = job(self.next_job, kind, tasks);
+        self.jobs.insert(job.id.clone(), job.clone());
         self.tickets += 1;
         let request = UserRequest::Submit(Box::new(job));
         self.feed(Event::User { ticket: self.tickets, request });
         // A few at a time, as users come.
-        if number.is_multiple_of(50) {
+        if self.next_job.is_multiple_of(50) {
             self.tick(70);
         }
-        id
     }
 
     /// Lets time pass and turns the loop once; returns what that cost.
@@ -256,28 +257,26 @@
     }
 
     /// Another incarnation of the node starts on the same state: what all its events cost until
-    /// it has answered the first report with its partition read, and the longest of them.
-    pub fn take_over(&mut self) -> (Duration, Duration) {
+    /// it has answered the first report with its partition read.
+    pub fn take_over(&mut self) -> Duration {
         self.node = Node::new(settings(self.machines), (2 + self.now) << 20);
         self.watch = None;
         self.events.clear();
         self.now += 10_000;
         self.state.expire(self.now);
-        let (mut all, mut longest) = (Duration::ZERO, Duration::ZERO);
+        let mut all = Duration::ZERO;
         let before = self.answered;
         for round in 0..400 {
-            let mut cost = self.tick(20);
+            all += self.tick(20);
             if round % 10 == 9 {
-                cost += self.report(0);
+                all += self.report(0);
             }
-            all += cost;
-            longest = longest.max(cost);
             if self.answered > before {
                 break;
             }
         }
         assert!(self.answered > before, "the next incarnation answers");
-        (all, longest)
+        all
     }
 
     /// Feeds an event and all that follows from it; returns what the node itself took.
@@ -300,7 +299,9 @@
             Effect::State { call, request, .. } => self.state_call(call, request),
             Effect::Cloud { call, request } => {
                 let reply = match request {
-                    CloudRequest::Types => CloudReply::Types(types()),
+                    CloudRequest::Types => {
+                        CloudReply::Types(MachineTypes { types: vec![machine_type()] })
+                    }
                     CloudRequest::Rent(_) => CloudReply::NoCapacity,
                     _ => CloudReply::Refused,
                 };
@@ -316,11 +317,9 @@
                 let reply = DirectReply::Answered(report);
                 self.events.push_back(Event::Worker { call, reply });
             }
-            Effect::User { reply, .. } => {
-                self.accepted += usize::from(matches!(reply, UserReply::Created(_)));
-            }
             Effect::Report { reply: ReportReply::Answer(_), .. } => self.answered += 1,
-            Effect::Report { .. } | Effect::Mesh { .. } | Effect::Admin { .. } => {}
+            Effect::User { .. } | Effect::Report { .. } => {}
+            Effect::Mesh { .. } | Effect::Admin { .. } => {}
         }
     }
 
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -22,108 +22,52 @@
 #[derive(Debug, Clone)]
 pub enum Fault {
     /// Ends a node without a word; it is back after `back` ms.
-    Crash {
-        node: usize,
-        back: u64,
-    },
+    Crash { node: usize, back: u64 },
     /// Cuts a node from the state service.
-    CutState {
-        node: usize,
-        ms: u64,
-    },
+    CutState { node: usize, ms: u64 },
     /// The state service refuses one node, or all.
-    Refuse {
-        node: Option<usize>,
-        ms: u64,
-    },
+    Refuse { node: Option<usize>, ms: u64 },
     /// Cuts a node from workers.
-    CutWorkers {
-        node: usize,
-        ms: u64,
-    },
+    CutWorkers { node: usize, ms: u64 },
     /// Cuts a node from the other nodes.
-    CutMesh {
-        node: usize,
-        ms: u64,
-    },
+    CutMesh { node: usize, ms: u64 },
     /// Cuts two zones from each other.
-    CutZones {
-        ms: u64,
-    },
+    CutZones { ms: u64 },
     /// A machine loses the network.
-    CutMachine {
-        nth: usize,
-        ms: u64,
-    },
+    CutMachine { nth: usize, ms: u64 },
     /// A machine hangs.
-    Hang {
-        nth: usize,
-        ms: u64,
-    },
+    Hang { nth: usize, ms: u64 },
     /// A machine ends.
-    Kill {
-        nth: usize,
-    },
+    Kill { nth: usize },
     /// A machine fails every task.
-    Sick {
-        nth: usize,
-    },
+    Sick { nth: usize },
     /// The cloud's interface is down.
-    CloudOutage {
-        ms: u64,
-    },
+    CloudOutage { ms: u64 },
     /// A node stands still while its clock runs on: what it has decided last is sent afterwards,
     /// and all that has come meanwhile is there at once.
-    Freeze {
-        node: usize,
-        ms: u64,
-    },
+    Freeze { node: usize, ms: u64 },
     /// A node loses the network altogether; users' connections to it as well.
-    Isolate {
-        node: usize,
-        ms: u64,
-    },
+    Isolate { node: usize, ms: u64 },
     /// Machines come up early, late or never.
-    Boots {
-        how: Boots,
-        ms: u64,
-    },
+    Boots { how: Boots, ms: u64 },
     /// Many jobs are submitted with a mistake, and cancelled much later.
-    Mistakes {
-        ms: u64,
-    },
+    Mistakes { ms: u64 },
     /// Users ask many times as often.
-    Questions {
-        ms: u64,
-    },
+    Questions { ms: u64 },
     /// A team without guarantee and limit submits so many arrays of low priority.
-    Guests {
-        jobs: u64,
-    },
+    Guests { jobs: u64 },
     /// So many jobs come at once.
-    Burst {
-        jobs: usize,
-    },
-    /// So many machines end, hang, or fail every task at once.
-    KillMany {
-        count: usize,
-    },
-    HangMany {
-        count: usize,
-        ms: u64,
-    },
-    SickMany {
-        count: usize,
-    },
+    Burst { jobs: usize },
+    /// So many machines end at once.
+    KillMany { count: usize },
+    /// So many hang at once.
+    HangMany { count: usize, ms: u64 },
+    /// So many fail every task from one moment on.
+    SickMany { count: usize },
     /// Zone b, its node and machines, is cut off from everything.
-    CutZone {
-        ms: u64,
-    },
+    CutZone { ms: u64 },
     /// The state service answers so many times slower.
-    SlowState {
-        times: u64,
-        ms: u64,
-    },
+    SlowState { times: u64, ms: u64 },
 }
 
 /// A safety step that is deliberately broken, to show that the checker would tell.
@@ -154,8 +98,6 @@
     pub submit_ms: u64,
     /// How many times the smallest site this one is: teams, machines and jobs.
     pub size: u64,
-    /// So many jobs come at once at a time.
-    pub burst: Option<(u64, usize)>,
 }
 
 #[derive(Debug, Clone)]
@@ -184,7 +126,6 @@
     WatchEnds { node: usize, life: u64, call: CallId },
     Workers,
     Submit,
-    Burst(usize),
     Poll { id: String },
     Cancel { id: String },
     Boot { node: usize },
@@ -257,6 +198,10 @@
 type Member = (String, String, TaskState, Option<u64>);
 
 const NODES: usize = 3;
+/// Puts and deletes a second that the state service takes, by the size of the site.
+const SMALL_WRITES: f64 = 40.0;
+const GROWN_WRITES: f64 = 20.0;
+const FLEET_WRITES: f64 = 70.0;
 /// From this size on a site has a fleet's allowances and times.
 const FLEET: u64 = 100;
 
@@ -272,6 +217,9 @@
     step: u64,
     /// How many times the shortest site's an array task's run is.
     longer: u64,
+    /// Up to how many times as often jobs come, and as large arrays are.
+    often: u64,
+    large: u64,
 }
 
 impl Terms {
@@ -284,6 +232,8 @@
             write_rps: SMALL_WRITES,
             step: 50,
             longer: 1,
+            often: 4,
+            large: 8,
         };
         match size {
             0..=1 => small,
@@ -297,14 +247,12 @@
                 write_rps: FLEET_WRITES,
                 step: 200,
                 longer: 4,
+                often: 8,
+                large: 16,
             },
         }
     }
 }
-/// Puts and deletes a second that the state service takes, by the size of the site.
-const SMALL_WRITES: f64 = 40.0;
-const GROWN_WRITES: f64 = 20.0;
-const FLEET_WRITES: f64 = 70.0;
 
 /// The world.
 pub struct World {
@@ -386,6 +334,7 @@
 impl World {
     /// A world in which nothing has happened yet.
     pub fn new(plan: Plan) -> Self {
+        let terms = Terms::of(plan.size);
         let mut world = World {
             rng: SmallRng::seed_from_u64(plan.seed),
             now: 0,
@@ -393,7 +342,7 @@
             queue: BinaryHeap::new(),
             nodes: (0..NODES).map(|_| None).collect(),
             lives: 0,
-            state: StateService::new(Terms::of(plan.size).write_rps),
+            state: StateService::new(terms.write_rps),
             watches: Vec::new(),
             cloud: Cloud::new(&["a", "b"], 5 * plan.size as u32, 2 * plan.size as u32),
             workers: BTreeMap::new(),
@@ -411,8 +360,8 @@
             requests: 0,
             turned_away: 0,
             accept_ms: Vec::new(),
-            rules: Rules::new(Terms::of(plan.size).cancel),
-            terms: Terms::of(plan.size),
+            rules: Rules::new(terms.cancel),
+            terms,
             plan,
         };
         for node in 0..NODES {
@@ -420,9 +369,6 @@
         }
         world.at(0, Happening::Workers);
         world.at(1_500, Happening::Submit);
-        if let Some((at, count)) = world.plan.burst {
-            world.at(at, Happening::Burst(count));
-        }
         for (at, fault) in world.plan.faults.clone() {
             world.at(at, Happening::Fault(fault));
         }
@@ -702,11 +648,6 @@
                 self.at(self.now + self.terms.step, Happening::Workers);
             }
             Happening::Submit => self.submit(),
-            Happening::Burst(count) => {
-                for _ in 0..count {
-                    self.new_job();
-                }
-            }
             Happening::Poll { id } => {
                 if !self.settled.contains(&id) {
                     if let Some(job) = JobId::parse(&id) {
@@ -807,15 +748,10 @@
                 return;
             }
             Fault::Hang { nth, ms } => {
-                let until = self.now + ms;
-                if let Some(worker) = pick(nth).and_then(|n| self.workers.get_mut(&n)) {
-                    worker.hangs_until = until;
-                }
-                // What is sent to it meanwhile waits.
-                match pick(nth) {
-                    Some(name) => (Cut::Machine(name), ms),
-                    None => return,
+                if let Some(name) = pick(nth) {
+                    self.hang(name, ms);
                 }
+                return;
             }
             Fault::Kill { nth } => {
                 if let Some(name) = pick(nth) {
@@ -824,8 +760,8 @@
                 return;
             }
             Fault::Sick { nth } => {
-                if let Some(worker) = pick(nth).and_then(|n| self.workers.get_mut(&n)) {
-                    worker.fails_everything = true;
+                if let Some(name) = pick(nth) {
+                    self.sicken(&name);
                 }
                 return;
             }
@@ -838,26 +774,17 @@
                 return;
             }
             Fault::SickMany { count } => {
-                for name in self.some(&names, count) {
-                    if let Some(worker) = self.workers.get_mut(&name) {
-                        worker.fails_everything = true;
-                    }
-                }
+                self.some(&names, count).iter().for_each(|name| self.sicken(name));
                 return;
             }
             Fault::HangMany { count, ms } => {
                 for name in self.some(&names, count) {
-                    if let Some(worker) = self.workers.get_mut(&name) {
-                        worker.hangs_until = self.now + ms;
-                    }
-                    self.cuts.push(Cut::Machine(name.clone()));
-                    self.at(self.now + ms, Happening::Heal(Cut::Machine(name)));
+                    self.hang(name, ms);
                 }
                 return;
             }
             Fault::CutZone { ms } => {
-                self.cuts.push(Cut::Users(1));
-                self.at(self.now + ms, Happening::Heal(Cut::Users(1)));
+                self.cut(Cut::Users(1), ms);
                 (Cut::Zone, ms)
             }
             Fault::SlowState { times, ms } => (Cut::Slow(times), ms),
@@ -881,8 +808,7 @@
             }
             Fault::Isolate { node, ms } => {
                 for cut in [Cut::State(node), Cut::Workers(node), Cut::Mesh(node)] {
-                    self.cuts.push(cut.clone());
-                    self.at(self.now + ms, Happening::Heal(cut));
+                    self.cut(cut, ms);
                 }
                 (Cut::Users(node), ms)
             }
@@ -897,10 +823,31 @@
             Fault::Mistakes { ms } => (Cut::Mistakes, ms),
             Fault::Questions { ms } => (Cut::Questions, ms),
         };
+        self.cut(cut, ms);
+    }
+
+    /// Cuts something for a time.
+    fn cut(&mut self, cut: Cut, ms: u64) {
         self.cuts.push(cut.clone());
         self.at(self.now + ms, Happening::Heal(cut));
     }
 
+    /// A machine hangs: what is sent to it meanwhile waits.
+    fn hang(&mut self, name: String, ms: u64) {
+        let until = self.now + ms;
+        if let Some(worker) = self.workers.get_mut(&name) {
+            worker.hangs_until = until;
+        }
+        self.cut(Cut::Machine(name), ms);
+    }
+
+    /// A machine fails every task from now on.
+    fn sicken(&mut self, name: &str) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.fails_everything = true;
+        }
+    }
+
     /// Some of the machines, spread over all.
     fn some(&mut self, names: &[String], count: usize) -> Vec<String> {
         let mut names = names.to_vec();
@@ -1232,8 +1179,7 @@
             return;
         }
         self.new_job();
-        let pause = self.rng.random_range(700..2_800)
-            / self.plan.size.min(if self.plan.size < FLEET { 4 } else { 8 });
+        let pause = self.rng.random_range(700..2_800) / self.plan.size.min(self.terms.often);
         self.at(self.now + pause, Happening::Submit);
     }
 
@@ -1248,10 +1194,7 @@
         let tasks = match kind {
             JobKind::Service => self.rng.random_range(1..3),
             JobKind::Gang => self.rng.random_range(2..5),
-            JobKind::Array => {
-                let large = if self.plan.size < FLEET { 8 } else { 16 };
-                self.rng.random_range(1..10) * self.plan.size.min(large)
-            }
+            JobKind::Array => self.rng.random_range(1..10) * self.plan.size.min(self.terms.large),
         };
         let zone = self.rng.random_bool(0.15).then(|| "a".to_owned());
         let together = zone.is_none() && self.rng.random_bool(0.2);
--- a/crates/testkit/tests/fleet.rs
+++ b/crates/testkit/tests/fleet.rs
@@ -5,18 +5,10 @@
 use testkit::{Fault, Plan, World};
 
 /// A site with seven to nine hundred machines up by 45 s, and more to come.
-fn fleet(seed: u64, ms: u64, faults: Vec<(u64, Fault)>) -> World {
-    let mut faults = faults;
+fn fleet(seed: u64, ms: u64, mut faults: Vec<(u64, Fault)>) -> World {
+    faults.insert(0, (1_000, Fault::Burst { jobs: 900 }));
     faults.push((25_000, Fault::Burst { jobs: 400 }));
-    let plan = Plan {
-        seed,
-        ms,
-        faults,
-        sabotage: None,
-        submit_ms: 60_000,
-        size: 107,
-        burst: Some((1_000, 900)),
-    };
+    let plan = Plan { seed, ms, faults, sabotage: None, submit_ms: 60_000, size: 107 };
     let mut world = World::new(plan);
     world.run_to(45_000);
     assert!(world.machines_up() > 700, "seed {seed}: {} machines", world.machines_up());
--- a/crates/testkit/tests/rules.rs
+++ b/crates/testkit/tests/rules.rs
@@ -62,7 +62,7 @@
 }
 
 fn plan(seed: u64, faults: Vec<(u64, Fault)>) -> Plan {
-    Plan { seed, ms: 260_000, faults, sabotage: None, submit_ms: 150_000, size: 1, burst: None }
+    Plan { seed, ms: 260_000, faults, sabotage: None, submit_ms: 150_000, size: 1 }
 }
 
 #[test]
@@ -254,14 +254,14 @@
 fn a_grown_site_keeps_the_rules_and_its_write_allowance() {
     for seed in 1..=2 {
         let faults = vec![
+            (1_000, Fault::Burst { jobs: 400 }),
             (40_000, Fault::Crash { node: 1, back: 6_000 }),
             (55_000, Fault::CutMachine { nth: 7, ms: 20_000 }),
             (60_000, Fault::Refuse { node: None, ms: 12_000 }),
             (80_000, Fault::Crash { node: 0, back: 6_000 }),
             (80_000, Fault::Crash { node: 2, back: 6_000 }),
         ];
-        let plan =
-            Plan { submit_ms: 100_000, size: 30, burst: Some((1_000, 400)), ..plan(seed, faults) };
+        let plan = Plan { submit_ms: 100_000, size: 30, ..plan(seed, faults) };
         let mut world = World::new(plan);
         world.run_to(35_000);
         assert!(world.machines_up() >= 100, "seed {seed}: {} machines", world.machines_up());
