A warm standby: holders are followed, their machines asked at once, ended ones noticed by signs

Change: crates/standby. Each partition has one standby, worked out by all nodes alike; it follows the holder's hints (machines with address, session, images, idle time; jobs with failures) by numbered parts over the mesh, and so does a node whose home another holds. After a takeover the machines of the copy are asked at once under the new token. A partition whose record stands is taken early, on its version and under a higher term, when several signs agree: its holder is silent on the mesh for us and for every other node, its own workers come to us, we were in step, in contact and awake. A node takes its home at once from its own former incarnation. Nothing is stopped or moved for room before most machines have been heard. What was not heard counts against a machine only for as long as its holder could have heard it.

--- a/crates/coordination/src/node/admin.rs
+++ b/crates/coordination/src/node/admin.rs
@@ -17,6 +17,7 @@
     Settings,
     ChangeSettings { version: u64, settings: Value },
     Partitions,
+    Standby,
     Machines,
     Queues,
     Job(String),
@@ -163,6 +164,7 @@
             _ if !self.synced => AdminReply::error(503, "not in step with the state service yet"),
             AdminRequest::Settings => AdminReply::new(200, self.settings_view()),
             AdminRequest::Partitions => AdminReply::new(200, self.partitions_view()),
+            AdminRequest::Standby => AdminReply::new(200, self.standby_view()),
             AdminRequest::Machines => AdminReply::new(200, self.machines_view()),
             AdminRequest::Queues => AdminReply::new(200, self.queues_view()),
             AdminRequest::Job(id) => {
@@ -323,6 +325,8 @@
             "counters": {
                 "takeovers": c.takeovers,
                 "hand_overs": c.hand_overs,
+                "early_takeovers": c.early_takeovers,
+                "wrong_takeovers": c.wrong_takeovers,
                 "stood_still": c.stood_still,
                 "state_calls": c.state_calls,
                 "state_writes": c.state_writes,
@@ -334,6 +338,7 @@
                 "open_jobs": self.mirror.jobs.len(),
                 "machines": self.mirror.machines.len(),
                 "partitions_held": self.holdings.len(),
+                "partitions_in_step": self.partitions_in_step(),
             },
         })
     }
--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -7,7 +7,7 @@
 use crate::ledger::{Ledger, Round};
 use crate::records::{demand_key, DemandRecord, MachineRecord};
 use model::{JobId, MachineName, Moment, NodeName, PartitionId, Span, Token, Version, ZoneName};
-use scheduler::{Machine, Route, Share, Source, Written};
+use scheduler::{Machine, Question, Route, Share, Source, Written};
 use std::collections::HashMap;
 use wire::mesh::{MeshMessage, PartitionLoad};
 use wire::state::{Item, StateReply, StateRequest, Txn, Write};
@@ -277,6 +277,7 @@
         );
         share.report = workers.report;
         share.entitled_until = holding.entitled_until;
+        share.held_since = holding.since;
         share.zones = self.zones_near(partition);
         for (name, record) in &self.mirror.machines {
             if record.record.partition == partition {
@@ -299,6 +300,7 @@
                 }
             }
         }
+        let followed = self.take_hints(partition, &mut share);
         for (name, (report, at)) in holding.early.drain() {
             if let Some(machine) = share.machines.get_mut(&name) {
                 machine.answered_at = at;
@@ -309,6 +311,7 @@
             %partition,
             jobs = share.jobs.len(),
             machines = share.machines.len(),
+            followed,
             "partition ready"
         );
         holding.loaded = Some(Box::new(Loaded {
@@ -603,8 +606,10 @@
         let Some(holding) = self.holdings.get_mut(&partition) else { return };
         let since = holding.since;
         let Some(share) = holding.share_mut() else { return };
-        for (machine, address) in share.to_be_asked(since, now) {
-            self.ask_worker(address, Purpose::Ask { partition, machine }, ASK_TIMEOUT);
+        for question in share.to_be_asked(since, now) {
+            let Question { machine, address, token, session } = question;
+            let purpose = Purpose::Ask { partition, machine };
+            self.ask_worker(address, token, session, purpose, ASK_TIMEOUT);
         }
     }
 
--- a/crates/coordination/src/node/leader.rs
+++ b/crates/coordination/src/node/leader.rs
@@ -39,6 +39,8 @@
     listed: HashMap<MachineName, (ListedMachine, Moment)>,
     /// Since when each machine has been in its partition, as far as this leader knows.
     first_seen: HashMap<MachineName, (PartitionId, Moment)>,
+    /// Under which term each partition is held, and since when its holder has told us so.
+    held: HashMap<PartitionId, (u64, Moment)>,
     unrecorded: BTreeMap<MachineName, MachineRecord>,
     refused: HashMap<Offer, Moment>,
     renting: HashMap<CallId, (RentRequest, PartitionId)>,
@@ -63,6 +65,7 @@
             loads: HashMap::new(),
             listed: HashMap::new(),
             first_seen: HashMap::new(),
+            held: HashMap::new(),
             unrecorded: BTreeMap::new(),
             refused: HashMap::new(),
             renting: HashMap::new(),
@@ -124,6 +127,10 @@
         let partition = PartitionId(load.partition);
         let newer = self.leader.loads.get(&partition).is_none_or(|(old, _)| old.term <= load.term);
         if newer {
+            let held = self.leader.held.entry(partition).or_insert((load.term, self.now));
+            if held.0 != load.term {
+                *held = (load.term, self.now);
+            }
             self.leader.loads.insert(partition, (load, self.now));
         }
     }
@@ -366,7 +373,8 @@
             if seen.0 != r.partition {
                 *seen = (r.partition, now);
             }
-            let since = now.since(seen.1);
+            let (there, held) = (seen.1, self.leader.held.get(&r.partition).map(|held| held.1));
+            let since = now.since(held.map_or(there, |held| held.max(there)));
             let load = self.leader.loads.get(&r.partition).and_then(|(load, at)| {
                 let fresh = now.since(*at) <= Span(2_500);
                 // A holder tells of its machines in the order of their names.
@@ -386,7 +394,7 @@
                 idle: load.map_or(Span::ZERO, |(m, _)| Span(m.idle_ms)),
                 faulty: load.is_some_and(|(m, _)| m.faulty),
                 leaving: r.leaving,
-                age: age.max(since),
+                age: age.max(now.since(there)),
                 since,
                 silent: load.map_or(Span::ZERO, |(m, _)| Span(m.silent_ms)),
                 failed: listed.is_some_and(|m| m.state == MachineState::Failed),
--- a/crates/coordination/src/node/mod.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod machines;
 mod partitions;
 mod questions;
+mod standby;
 mod sync;
 mod users;
 mod workers;
@@ -210,8 +211,11 @@
 #[derive(Debug, Clone)]
 pub(crate) struct PeerView {
     heard_at: Moment,
+    boot: u64,
     state_contact: bool,
     ready: bool,
+    /// How long before that it had heard others.
+    heard: Vec<(NodeName, Span)>,
 }
 
 /// Counts for the metrics.
@@ -219,6 +223,9 @@
 pub struct Counters {
     pub takeovers: u64,
     pub hand_overs: u64,
+    /// Partitions taken from holders whose records stood, and those of them whose holders lived.
+    pub early_takeovers: u64,
+    pub wrong_takeovers: u64,
     pub stood_still: u64,
     pub state_calls: u64,
     pub state_writes: u64,
@@ -285,6 +292,7 @@
     intake: Intake,
     machine_changes: MachineChanges,
     leader: Leader,
+    standby: standby::Standby,
     effects: Vec<Effect>,
     pub counters: Counters,
 }
@@ -357,6 +365,7 @@
             intake: Intake::default(),
             machine_changes: MachineChanges::default(),
             leader: Leader::new(settings.cloud_rps),
+            standby: standby::Standby::default(),
             effects: Vec::new(),
             counters: Counters::default(),
             settings,
@@ -411,6 +420,7 @@
         self.step_holdings();
         self.step_leader();
         self.step_mesh();
+        self.step_standby();
         self.step_machines();
         self.step_intake();
         self.step_questions();
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -1,11 +1,12 @@
 //! Who holds which partition: taking vacant ones, handing them home, word from peers.
 
 use super::holder::Holding;
+use super::standby::WARMING;
 use super::workers::WORKER_TIMEOUT;
 use super::{Node, PeerView, Purpose};
 use crate::budget::Importance;
 use crate::records::{partition_key, wish_key, PartitionRecord, WishRecord, COUNTER};
-use model::{Moment, NodeName, PartitionId, Span, Token};
+use model::{Moment, NodeName, PartitionId, Session, Span, Token};
 use wire::mesh::MeshMessage;
 use wire::state::{StateReply, StateRequest, Txn, Write};
 
@@ -29,6 +30,8 @@
 /// A partition that we have given up and nobody has taken for so long is ours again: better a
 /// holder that few reach than none.
 const NOBODY: Span = Span(5_000);
+/// Time between two tries to take a partition whose record stands.
+const EARLY_PACE: Span = Span(300);
 /// How long a vacant partition is left to each node that is before us in line.
 const LINE: Span = Span(250);
 
@@ -72,6 +75,9 @@
                 if ours && !self.holdings.contains_key(&partition) {
                     self.partition_changed(partition);
                 }
+                if !ours {
+                    self.take_early(partition);
+                }
                 continue;
             }
             let now = self.now;
@@ -81,13 +87,47 @@
             if self.acquiring.contains(&partition) || in_line || shunned {
                 continue;
             }
-            self.acquire(partition);
+            self.acquire(partition, 0);
         }
         self.probe_workers();
         self.ask_for_home();
         self.grant_wishes();
     }
 
+    /// Takes a partition whose record stands, if its holder is known to be over or several signs say
+    /// so.
+    fn take_early(&mut self, partition: PartitionId) {
+        let Some(held) = self.mirror.partitions.get(&partition) else { return };
+        let (holder, boot, version) =
+            (held.record.holder.clone(), held.record.boot, held.version.0);
+        let soon = self.now.since(self.standby.tried_at) < EARLY_PACE;
+        if self.acquiring.contains(&partition) || self.shuns(partition) || soon {
+            return;
+        }
+        let me = self.me().clone();
+        if self.surely_ended(&(holder.clone(), boot)) {
+            // A later incarnation has announced itself: its own partition is left to it.
+            if self.home_of(partition) == Some(&me)
+                || self.standbys().get(&partition) == Some(&me) && !self.home_lives(partition)
+            {
+                self.standby.tried_at = self.now;
+                self.acquire(partition, version);
+            }
+            return;
+        }
+        let stands_by = self.standbys().get(&partition) == Some(&me);
+        if stands_by && self.doubts(partition).is_empty() {
+            tracing::info!(%partition, %holder, "its holder has ended by several signs");
+            self.standby.tried_at = self.now;
+            self.note_taken(partition, holder, boot);
+            self.acquire(partition, version);
+        }
+    }
+
+    fn home_lives(&self, partition: PartitionId) -> bool {
+        self.home_of(partition).is_some_and(|home| self.peer_lives(home))
+    }
+
     fn shuns(&self, partition: PartitionId) -> bool {
         self.shunned.get(&partition).is_some_and(|shun| {
             let for_good = shun.until + LONGEST_SHUN;
@@ -108,7 +148,8 @@
             }
         }
         for (partition, address) in due {
-            self.ask_worker(address, Purpose::Probe(partition), WORKER_TIMEOUT);
+            let purpose = Purpose::Probe(partition);
+            self.ask_worker(address, Token(0), Session(0), purpose, WORKER_TIMEOUT);
         }
     }
 
@@ -239,7 +280,8 @@
             .write(Write::put(COUNTER, count))
     }
 
-    fn acquire(&mut self, partition: PartitionId) {
+    /// Writes our name into a partition's record, which must still have this version (0: none).
+    fn acquire(&mut self, partition: PartitionId, version: u64) {
         let Some(lease) = self.lease else { return };
         let record = PartitionRecord {
             holder: self.me().clone(),
@@ -248,7 +290,7 @@
             // Those who may still answer, to be waited out by whoever comes after them.
             suspects: self.suspects_of(partition),
         };
-        let txn = self.partition_txn(partition, 0, &record, lease.0);
+        let txn = self.partition_txn(partition, version, &record, lease.0);
         self.acquiring.insert(partition);
         self.state(Importance::Lease, StateRequest::Txn(txn), Purpose::Acquire(partition));
     }
@@ -347,7 +389,9 @@
         }
         let homeless = self.now.since(*self.homeless_since.get_or_insert(self.now));
         let known = self.mirror.wishes.get(&partition).is_some_and(|w| w.lease == lease.0);
-        if homeless >= HOMELESS && !known && !self.wishing {
+        // Whoever hears the holder is handed it once it is warm.
+        let unheard = !self.peer_lives(&held.record.holder) || homeless >= HOMELESS + WARMING;
+        if homeless >= HOMELESS && unheard && !known && !self.wishing {
             self.wishing = true;
             let wish = WishRecord { node: self.me().clone(), boot: self.boot, lease: lease.0 };
             let value = serde_json::to_value(wish).unwrap_or_default();
@@ -358,7 +402,7 @@
         let Some(held) = self.mirror.partitions.get(&partition) else { return };
         let holder = held.record.holder.clone();
         let due = self.home_asked_at.is_none_or(|at| self.now.since(at) >= Span(1_000));
-        if due && self.peer_lives(&holder) {
+        if due && self.peer_lives(&holder) && self.is_warm(partition, homeless) {
             self.home_asked_at = Some(self.now);
             let message =
                 MeshMessage::WantHome { partition: partition.0, lease: lease.0, boot: self.boot };
@@ -425,7 +469,12 @@
             return;
         }
         self.alive_at = self.now;
+        let heard = self
+            .peers
+            .iter()
+            .map(|(name, peer)| (name.to_string(), self.now.since(peer.heard_at).0));
         let message = MeshMessage::Alive {
+            heard: heard.collect(),
             boot: self.boot,
             revision: if self.synced { self.mirror.revision.0 } else { 0 },
             state_contact: self.synced && self.in_contact(Span(3_000)),
@@ -439,8 +488,12 @@
             return;
         }
         match message {
-            MeshMessage::Alive { boot, revision, state_contact, ready } => {
-                let view = PeerView { heard_at: self.now, state_contact, ready };
+            MeshMessage::Alive { boot, revision, state_contact, ready, heard } => {
+                let heard =
+                    heard.iter().map(|(name, ago)| (NodeName::from(name.as_str()), Span(*ago)));
+                let heard = heard.collect();
+                let view = PeerView { heard_at: self.now, boot, state_contact, ready, heard };
+                self.note_living(&from, boot);
                 self.peers.insert(from.clone(), view);
                 let now = self.now;
                 for holding in self.holdings.values_mut() {
@@ -448,6 +501,10 @@
                 }
             }
             MeshMessage::Load(load) => self.on_load(load),
+            MeshMessage::Follow { partition, boot, term, have } => {
+                self.on_follow(&from, partition, boot, term, have);
+            }
+            MeshMessage::Hints(part) => self.on_hints(&from, part),
             MeshMessage::Release { machine, to } => self.on_release_asked(&machine, to),
             MeshMessage::Cede { .. } => self.on_cede_asked(&message),
             MeshMessage::Taken { partition, term, holder } => {
--- a/crates/coordination/src/node/workers.rs
+++ b/crates/coordination/src/node/workers.rs
@@ -1,7 +1,7 @@
 //! Reports of workers and direct calls to them.
 
 use super::{DirectReply, Effect, Node, Purpose, ReportReply, Ticket, LAUNCH_CONTACT};
-use model::{CallId, MachineName, PartitionId, Span, TaskId, Token};
+use model::{CallId, MachineName, PartitionId, Session, Span, TaskId, Token};
 use scheduler::{Route, Source};
 use wire::workers::{Command, DirectCommands, Report, ReportAnswer};
 
@@ -29,9 +29,11 @@
         let entitled = self.in_contact(self.settings.blind_span());
         let launches = self.in_contact(LAUNCH_CONTACT);
         let Some(holding) = self.holdings.get_mut(&partition) else {
-            return match self.mirror.partitions.get(&partition) {
-                Some(p) if p.record.holder != self.settings.name => {
-                    ReportReply::Redirect(Some(p.record.holder.clone()))
+            let holder = self.mirror.partitions.get(&partition).map(|p| p.record.holder.clone());
+            return match holder {
+                Some(holder) if holder != self.settings.name => {
+                    self.note_comer(partition, &name);
+                    ReportReply::Redirect(Some(holder))
                 }
                 _ => ReportReply::Unavailable,
             };
@@ -99,10 +101,18 @@
         }
     }
 
-    /// Asks a worker for a report. Under no token nothing is executed, and nothing changes.
-    pub(super) fn ask_worker(&mut self, address: String, purpose: Purpose, timeout: Span) {
+    /// Asks a worker for a report. Nothing is executed, since there are no commands; a token that is
+    /// not 0 is raised where the session is the one named.
+    pub(super) fn ask_worker(
+        &mut self,
+        address: String,
+        token: Token,
+        session: Session,
+        purpose: Purpose,
+        timeout: Span,
+    ) {
         let call = self.call(purpose);
-        let body = DirectCommands { token: 0, session: 0, commands: Vec::new() };
+        let body = DirectCommands { token: token.0, session: session.0, commands: Vec::new() };
         self.effects.push(Effect::Worker { call, address, body, timeout });
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -59,8 +59,8 @@
     pub faulty: bool,
     pub leaving: bool,
     pub age: Span,
-    /// How long it has been in its partition. A machine that has just been handed over is not
-    /// up for its new holder, which says nothing against it.
+    /// How long its holder could have heard it: since it came into the partition, or the holder
+    /// took that over. Until then that it is not up says nothing against it.
     pub since: Span,
     /// How long it has been silent, once it has reported.
     pub silent: Span,
@@ -275,7 +275,8 @@
                 let kind = self.kind(&m.machine_type)?;
                 // A machine that is late may never come: work must not wait for it.
                 let trusted = Span::from_secs(kind.boot_s * self.policy.boot_trust) + Span(2_000);
-                let boots = m.partition == partition && !m.up && m.since <= trusted;
+                // What runs there takes room that we know nothing of.
+                let boots = m.partition == partition && !m.up && m.tasks == 0 && m.since <= trusted;
                 (boots || m.ceding == Some(partition)).then(|| coming_from(self.policy, m, kind))
             })
             .collect()
--- a/crates/scheduler/src/blame.rs
+++ b/crates/scheduler/src/blame.rs
@@ -13,6 +13,8 @@
 
 /// Machines on which a job must have failed to be suspect.
 const DIFFERENT: usize = 3;
+/// Machines that are remembered of one job.
+pub(crate) const MOST_FAILED_ON: usize = 2 * DIFFERENT;
 /// Time between the first two probes of a suspect job, which doubles up to a limit.
 const FIRST_PROBE: Span = Span(1_000);
 const LONGEST_PROBE: Span = Span(30_000);
@@ -46,7 +48,7 @@
             job.failed_on.push(name.clone());
         }
         let suspect = job.suspect();
-        if job.failed_on.len() > 2 * DIFFERENT {
+        if job.failed_on.len() > MOST_FAILED_ON {
             job.failed_on.remove(0);
         }
         if let Some(machine) = self.machines.get_mut(name) {
@@ -88,7 +90,7 @@
     }
 
     /// Takes a suspect job out of the queue, so that it takes no room from sound work.
-    fn begin_probing(&mut self, id: JobId, now: Moment) {
+    pub(crate) fn begin_probing(&mut self, id: JobId, now: Moment) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         tracing::info!(job = %id, "fails on every machine: probed from now on");
         let queued = std::mem::take(&mut job.cursor);
--- a/crates/scheduler/src/consolidate.rs
+++ b/crates/scheduler/src/consolidate.rs
@@ -22,6 +22,7 @@
     /// Starts to empty one machine if its replicas have better places.
     pub fn consolidate(&mut self, now: Moment) {
         if !self.policy.move_replicas
+            || !self.picture_stands(now)
             || now.since(self.consolidated_at) < PACE
             || self.queue.has_active()
         {
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -35,6 +35,7 @@
     /// have been tried. True if entries are left.
     pub fn run_cycles(&mut self, now: Moment, most: usize) -> bool {
         self.sort_out(now);
+        let preempt = self.policy.preempt && self.picture_stands(now);
         self.refresh_guarantees();
         self.queue.flush(now);
         self.queue_probes(now);
@@ -70,7 +71,7 @@
                         self.note_roomless(entry.job(), now);
                     }
                     let tried = helpless.contains(&entry.job()) || why == Unplaced::Image;
-                    if self.policy.preempt && !tried && !self.make_room(entry, why, now) {
+                    if preempt && !tried && !self.make_room(entry, why, now) {
                         helpless.insert(entry.job());
                     }
                     self.queue.failed(entry, now);
@@ -128,7 +129,7 @@
         if fetch > Span::ZERO && job.spec.kind == JobKind::Array && self.sooner(job, fetch, now) {
             return Err(Unplaced::Image);
         }
-        let stops = self.policy.preempt && self.stops_for(job).is_some();
+        let stops = self.policy.preempt && self.picture && self.stops_for(job).is_some();
         if fetch >= WORTH_STOPPING && promised.is_none() && stops {
             let stops = self.cheapest_stops(entry, job, Unplaced::Room, Some(fetch.0), now);
             if let Some(stops) = stops {
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -317,9 +317,15 @@
                 machine: m.name.to_string(),
                 tasks: m.tasks.len() as u32,
                 idle_ms: if m.tasks.is_empty() { now.since(m.idle_since).0 } else { 0 },
-                up: m.heard_at.is_some(),
+                up: m.is_up(),
                 faulty: m.faulty,
-                silent_ms: m.heard_at.map_or(0, |at| now.since(at.max(self.awake_since)).0),
+                silent_ms: match m.heard_at {
+                    Some(at) => now.since(at.max(self.awake_since)).0,
+                    None if m.followed.is_some() => {
+                        now.since(self.held_since.max(self.awake_since)).0
+                    }
+                    None => 0,
+                },
                 cedable: self.cedable(m),
                 best_effort: self.only_best_effort(m, now),
                 ceding: m.ceding.map(|c| c.to.0),
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -19,6 +19,7 @@
 mod rooms;
 pub mod share;
 mod silence;
+mod takeover;
 mod victims;
 
 pub use commands::Route;
@@ -26,3 +27,4 @@
 pub use machine::Machine;
 pub use observe::Source;
 pub use share::{ChunkKey, EntryKey, Policy, Share, Written};
+pub use takeover::Question;
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -1,5 +1,6 @@
 //! A machine of the share, as its newest report and our own doings show it.
 
+use crate::takeover::Followed;
 use model::{
     Attempt, JobId, JobKind, JobSpec, MachineName, Moment, PartitionId, Resources, Seq, Session,
     Span, TaskId, Token, ZoneName,
@@ -80,6 +81,8 @@
     pub seen_token: Token,
     /// When the newest report came in; none: not heard since we hold the share.
     pub heard_at: Option<Moment>,
+    /// What a predecessor said of it, until it is heard.
+    pub(crate) followed: Option<Followed>,
     /// What came of asking it directly whether it is there.
     pub(crate) asked: Asked,
     /// When we answered it last.
@@ -179,6 +182,7 @@
             seq: Seq(0),
             seen_token: Token(0),
             heard_at: None,
+            followed: None,
             asked: Asked::default(),
             answered_at: Moment::default(),
             direct_at: Moment::default(),
--- a/crates/scheduler/src/observe.rs
+++ b/crates/scheduler/src/observe.rs
@@ -42,6 +42,12 @@
             machine.answer_launches.clear();
         }
         machine.address = Some(report.address.clone());
+        if let Some(followed) = machine.followed.take() {
+            // It reported to our predecessor until just now, and has an interval to come to us.
+            if followed.reporting && followed.session == session {
+                machine.reported_at.get_or_insert(now);
+            }
+        }
         machine.notice = report.notice_s.map(|s| now + Span::from_secs(s));
         if first && machine.tasks.is_empty() {
             machine.idle_since = now;
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -136,6 +136,10 @@
     pub report: Span,
     /// Since when we have been running without a stop. Silence before that was our own.
     pub awake_since: Moment,
+    /// Since when we have held it.
+    pub held_since: Moment,
+    /// Most of the machines have been heard since then, or had the time to be.
+    pub(crate) picture: bool,
     /// Until when a predecessor may have answered any machine.
     pub entitled_until: Moment,
     /// Zones in which machines can be had, the nearest first.
@@ -189,6 +193,8 @@
             lease,
             report: Span::ZERO,
             awake_since: Moment::default(),
+            held_since: Moment::default(),
+            picture: false,
             entitled_until: Moment::default(),
             zones: Vec::new(),
             gang_hold: None,
--- a/crates/scheduler/src/silence.rs
+++ b/crates/scheduler/src/silence.rs
@@ -8,7 +8,8 @@
 
 use crate::machine::Machine;
 use crate::share::Share;
-use model::{MachineName, Moment, Span, ZoneName};
+use crate::takeover::Question;
+use model::{MachineName, Moment, Session, Span, Token, ZoneName};
 use std::collections::BTreeMap;
 
 /// A machine with replicas that has been quiet for so long is asked.
@@ -23,15 +24,33 @@
 const LOST: u32 = 2;
 /// Machines asked in one look.
 const MOST_ASKED: usize = 100;
+/// Machines of a predecessor that are asked for the first time in one look: each costs a connection.
+const FIRST_ASKED: usize = 50;
 
 impl Share {
-    /// Machines to be asked whether they are there, with their addresses. `since` is when workers
-    /// had time to find us.
-    pub fn to_be_asked(&mut self, since: Moment, now: Moment) -> Vec<(MachineName, String)> {
+    /// Machines to be asked whether they are there. `since` is when workers had time to find us.
+    /// Those that only a predecessor has heard are asked at once, under our token: a new holder need
+    /// not wait until each has found it, and one that ended with its holder is missed like any other.
+    pub fn to_be_asked(&mut self, since: Moment, now: Moment) -> Vec<Question> {
         let since = since.max(self.awake_since);
         let overdue = Span(self.report.0 * 5 / 4) + Span(300);
         let mut list = Vec::new();
+        let mut first = 0;
         for machine in self.machines.values_mut() {
+            if let Some(followed) = &machine.followed {
+                let due = machine.asked.missed == 0 || now.since(machine.asked.at) >= AGAIN;
+                if due && !machine.asked.pending && !machine.leaving && first < FIRST_ASKED {
+                    first += 1;
+                    machine.asked.pending = true;
+                    list.push(Question {
+                        machine: machine.name.clone(),
+                        address: followed.address.clone(),
+                        token: machine.token,
+                        session: followed.session,
+                    });
+                }
+                continue;
+            }
             if machine.tasks.is_empty() || machine.asked.pending || machine.leaving {
                 continue;
             }
@@ -48,7 +67,12 @@
             if now.since(heard.max(since).max(machine.asked.at)) >= quiet && list.len() < MOST_ASKED
             {
                 machine.asked.pending = true;
-                list.push((machine.name.clone(), address.clone()));
+                list.push(Question {
+                    machine: machine.name.clone(),
+                    address: address.clone(),
+                    token: Token(0),
+                    session: Session(0),
+                });
             }
         }
         list
@@ -67,6 +91,10 @@
         if machine.asked.missed == 1 {
             machine.asked.first = now;
         }
+        if machine.asked.missed >= LOST && machine.tasks.is_empty() {
+            // Nobody waits for it: it is heard of when it comes by itself.
+            machine.followed = None;
+        }
         let alarm = self.alarms.entry(machine.zone.clone()).or_insert(now);
         if now.since(*alarm) >= ALARM {
             *alarm = now;
--- /dev/null
+++ b/crates/scheduler/src/takeover.rs
@@ -0,0 +1,137 @@
+//! Going on where a predecessor stopped.
+//!
+//! What a predecessor knew beyond the records comes as hints, which prove nothing: they say whom to
+//! ask at once, and what to think of machines and jobs until they show it themselves. Only a machine's
+//! own answer makes it heard; until then nothing is launched on it and nothing of it is gone.
+
+use crate::machine::Machine;
+use crate::share::Share;
+use model::{JobId, MachineName, Moment, Session, Span, Token};
+use std::sync::Arc;
+use wire::mesh::{Hint, JobHint, MachineHint};
+
+/// Idle time that is worth telling of: shorter times change too often.
+const IDLE: Span = Span(2_000);
+/// Failures of single tasks that are told of one job.
+const FAILURES: usize = 64;
+/// Time beyond their longest report interval that workers may need to find a new holder: a report
+/// that is not answered, and the pause before the next node is tried.
+const FINDING: Span = Span(6_000);
+
+/// What a predecessor said of a machine that has not been heard yet.
+#[derive(Debug, Clone)]
+pub(crate) struct Followed {
+    pub address: String,
+    pub session: Session,
+    /// It reported to the predecessor.
+    pub reporting: bool,
+}
+
+/// A question to a machine: is it there? Asked under our token it also learns who holds it now, after
+/// which nothing that a predecessor has sent is executed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Question {
+    pub machine: MachineName,
+    pub address: String,
+    pub token: Token,
+    pub session: Session,
+}
+
+impl Machine {
+    /// Whether it is known to be up: by its own word, or by that of a predecessor which it has not
+    /// had time to belie.
+    pub fn is_up(&self) -> bool {
+        self.heard_at.is_some() || self.followed.is_some()
+    }
+
+    fn hint(&self, now: Moment, silence: Span) -> Option<Hint> {
+        let (address, _) = (self.address.as_ref()?, self.heard_at?);
+        let idle = self.tasks.is_empty() && now.since(self.idle_since) >= IDLE;
+        let mut images: Vec<(String, f64)> =
+            self.images.iter().map(|(name, gb)| (name.to_string(), *gb)).collect();
+        // In the order of their names, so that a mere use changes nothing.
+        images.sort_by(|a, b| a.0.cmp(&b.0));
+        Some(Hint::Machine(MachineHint {
+            machine: self.name.to_string(),
+            address: address.clone(),
+            session: self.session.0,
+            reporting: self.reported_at.is_some_and(|at| now.since(at) <= silence),
+            faulty: self.faulty,
+            idle_at: idle.then_some(self.idle_since.0),
+            images,
+        }))
+    }
+}
+
+impl Share {
+    /// What a successor could not read from the records.
+    pub fn hints(&self, now: Moment) -> Vec<Hint> {
+        let silence = self.silence();
+        let machines = self.machines.values().filter_map(|m| m.hint(now, silence));
+        let failed = self.jobs.values().filter(|j| !j.failed_on.is_empty() && !j.finishing);
+        let jobs = failed.map(|job| {
+            Hint::Job(JobHint {
+                job: job.spec.id.0,
+                failures: job.failures.iter().take(FAILURES).map(|(i, n)| (*i, *n)).collect(),
+                failed_on: job.failed_on.iter().map(ToString::to_string).collect(),
+                successes: job.successes,
+                fails_within_ms: job.fails_within.0,
+            })
+        });
+        machines.chain(jobs).collect()
+    }
+
+    /// Takes a predecessor's word on a machine that we have not heard ourselves.
+    pub fn follow_machine(&mut self, hint: &MachineHint, idle_since: Option<Moment>) {
+        let name = MachineName::from(hint.machine.as_str());
+        let Some(machine) = self.machines.get_mut(&name) else { return };
+        for (image, gb) in &hint.images {
+            let image: Arc<str> = image.as_str().into();
+            if !machine.has_image(&image) && gb.is_finite() {
+                self.rooms.touch_image(machine, &image, gb.max(0.0));
+            }
+        }
+        machine.faulty |= hint.faulty;
+        if let (true, Some(since)) = (machine.tasks.is_empty(), idle_since) {
+            machine.idle_since = machine.idle_since.min(since);
+        }
+        if machine.heard_at.is_none() && !hint.address.is_empty() {
+            machine.followed = Some(Followed {
+                address: hint.address.clone(),
+                session: Session(hint.session),
+                reporting: hint.reporting,
+            });
+        }
+    }
+
+    /// Takes a predecessor's word on how a job has failed.
+    pub fn follow_job(&mut self, hint: &JobHint, now: Moment) {
+        let id = JobId(hint.job);
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let tasks = job.spec.tasks;
+        for (index, failures) in hint.failures.iter().filter(|(index, _)| *index < tasks) {
+            if !job.is_done(*index) {
+                job.failures.insert(*index, (*failures).min(64));
+            }
+        }
+        job.failed_on = hint.failed_on.iter().map(|n| MachineName::from(n.as_str())).collect();
+        job.failed_on.truncate(crate::blame::MOST_FAILED_ON);
+        job.successes = job.successes.max(hint.successes);
+        job.fails_within = Span(hint.fails_within_ms.min(3_600_000));
+        if job.suspect() && !job.cancelled && !job.finishing {
+            self.begin_probing(id, now);
+        }
+    }
+
+    /// Whether enough of the machines have been heard, or had the time to be, for stopping and moving
+    /// work: what looks like want of room before that is want of reports. Once it stands it stays.
+    pub(crate) fn picture_stands(&mut self, now: Moment) -> bool {
+        if !self.picture {
+            let heard = self.machines.values().filter(|m| m.reported_at.is_some()).count();
+            let most = heard * 10 >= self.machines.len() * 9;
+            let had_time = Span(self.report.0 * 5 / 4) + FINDING;
+            self.picture = most || now.since(self.held_since.max(self.awake_since)) >= had_time;
+        }
+        self.picture
+    }
+}
--- a/crates/scheduler/tests/share.rs
+++ b/crates/scheduler/tests/share.rs
@@ -522,7 +522,7 @@
         }
         for at in [3_200, 4_400, 5_700] {
             let names = share.to_be_asked(Moment(0), Moment(at));
-            for (asked, _) in names {
+            for asked in names.into_iter().map(|question| question.machine) {
                 let answers = !zone_is_quiet && asked != busy[0];
                 share.was_asked(&asked, answers, Moment(at + if answers { 5 } else { 900 }));
                 let number = (1..=8).find(|n| answers && name(*n) == asked);
--- /dev/null
+++ b/crates/standby/src/lib.rs
@@ -0,0 +1,19 @@
+//! Standing by for a partition: following its holder, telling that it has ended, going on where it
+//! stopped.
+//!
+//! Deciding code without I/O: time and messages in, messages and verdicts out. What is followed
+//! here are *hints*, sent by the holder over the mesh ([`Feed`], [`Follower`]). They may be lost,
+//! late or wrong: they choose whom to ask and what to try first, and prove nothing. Durable facts are
+//! read from the state service by whoever takes the partition.
+//!
+//! [`signs`] judges whether a holder whose record still stands has ended; [`assign`] says who stands
+//! by for whom. `docs/standby.md` weighs the ways and argues why no rule hangs on any of it.
+
+mod assign;
+mod feed;
+mod follower;
+pub mod signs;
+
+pub use assign::assign;
+pub use feed::Feed;
+pub use follower::{Copy, Follower, Source};
--- /dev/null
+++ b/crates/standby/tests/stream.rs
@@ -0,0 +1,176 @@
+//! Seeded runs of one holder and its followers over a mesh that loses, repeats and delays: after each
+//! step a copy shows nothing that its source never said, and once the mesh is well it is equal.
+
+use model::{MachineName, Moment, NodeName, PartitionId};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use standby::{Feed, Follower, Source};
+use std::collections::{BTreeMap, BTreeSet};
+use wire::mesh::{Hint, HintPart, JobHint, MachineHint, MeshMessage};
+
+const P: PartitionId = PartitionId(2);
+
+fn machine(n: u32, session: u64) -> Hint {
+    Hint::Machine(MachineHint {
+        machine: format!("host-{n:04}"),
+        address: format!("10.0.0.{n}:9000"),
+        session,
+        reporting: !session.is_multiple_of(3),
+        faulty: false,
+        idle_at: None,
+        images: vec![(format!("img-{}", session % 4), 1.5)],
+    })
+}
+
+fn job(n: u64, failures: u32) -> Hint {
+    let failed_on = vec!["host-0001".to_owned()];
+    let (successes, fails_within_ms) = (0, 900);
+    Hint::Job(JobHint {
+        job: n,
+        failures: vec![(0, failures)],
+        failed_on,
+        successes,
+        fails_within_ms,
+    })
+}
+
+/// The holder's side, its incarnation and its truth.
+struct Holder {
+    feed: Feed,
+    boot: u64,
+    truth: BTreeMap<u32, u64>,
+    jobs: BTreeMap<u64, u32>,
+}
+
+impl Holder {
+    fn new(boot: u64) -> Self {
+        Holder { feed: Feed::default(), boot, truth: BTreeMap::new(), jobs: BTreeMap::new() }
+    }
+
+    fn change(&mut self, rng: &mut SmallRng, said: &mut BTreeSet<(String, u64)>) {
+        for _ in 0..rng.random_range(0..60) {
+            let n = rng.random_range(0..900);
+            if rng.random_bool(0.2) {
+                self.truth.remove(&n);
+            } else {
+                let session = rng.random_range(1..1_000);
+                self.truth.insert(n, session);
+                said.insert((format!("host-{n:04}"), session));
+            }
+        }
+        self.jobs.insert(rng.random_range(0..40), rng.random_range(1..9));
+        let machines = self.truth.iter().map(|(n, session)| machine(*n, *session));
+        let jobs = self.jobs.iter().map(|(n, failures)| job(*n, *failures));
+        self.feed.refresh(machines.chain(jobs));
+    }
+
+    fn part(&self, now: Moment) -> HintPart {
+        let (boot, at_ms) = (self.boot, now.0);
+        HintPart { partition: P.0, boot, term: 7, at_ms, ..HintPart::default() }
+    }
+}
+
+#[test]
+fn copies_say_only_what_was_said_and_end_up_equal() {
+    let (holder_name, me) = (NodeName::from("n0"), NodeName::from("n1"));
+    for seed in 0..40 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut said = BTreeSet::new();
+        let mut holder = Holder::new(1);
+        let mut follower = Follower::default();
+        let mut on_way: Vec<(Moment, HintPart)> = Vec::new();
+        let (well_from, ends) = (20_000, 32_000);
+        for at in (0..ends).step_by(250) {
+            let now = Moment(at);
+            if at < well_from {
+                holder.change(&mut rng, &mut said);
+                if rng.random_bool(0.03) {
+                    // It ends, and its next incarnation knows nothing of what it has said.
+                    holder = Holder::new(holder.boot + 1);
+                    holder.change(&mut rng, &mut said);
+                }
+            }
+            let loss = if at < well_from { 0.2 } else { 0.0 };
+            let source = Source { holder: holder_name.clone(), boot: holder.boot, term: 7 };
+            let mut words = follower.follow(&BTreeMap::from([(P, source)]), now);
+            on_way.sort_by_key(|(at, _)| *at);
+            let due: Vec<_> = on_way.extract_if(.., |(at, _)| *at <= now).collect();
+            for (_, part) in due {
+                words.extend(follower.take_in(&holder_name, part, now).map(|m| (me.clone(), m)));
+            }
+            for (_, word) in words {
+                if let MeshMessage::Follow { boot, have, .. } = word {
+                    if boot == holder.boot && !rng.random_bool(loss) {
+                        holder.feed.asked(&me, have, now);
+                    }
+                }
+            }
+            for (_, part) in holder.feed.parts(&holder.part(now), now) {
+                let bytes: usize = part.hints.iter().map(Hint::weight).sum();
+                assert!(bytes < 20 * 1024, "seed {seed}: a part of {bytes} bytes");
+                if rng.random_bool(loss) {
+                    continue;
+                }
+                let delay = if at < well_from { rng.random_range(0..3_000) } else { 1 };
+                on_way.push((Moment(at + delay), part.clone()));
+                if rng.random_bool(loss) {
+                    on_way.push((Moment(at + delay + 900), part));
+                }
+            }
+            for (name, (hint, _)) in follower.copy(P).into_iter().flat_map(|c| &c.machines) {
+                let known = (name.to_string(), hint.session);
+                assert!(said.contains(&known), "seed {seed}: {known:?} was never said");
+            }
+        }
+        assert!(follower.in_step(P, Moment(ends)), "seed {seed}");
+        let Some(copy) = follower.take(P) else { panic!("seed {seed}: no copy") };
+        let machines: BTreeMap<MachineName, u64> =
+            copy.machines.iter().map(|(name, (hint, _))| (name.clone(), hint.session)).collect();
+        let truth: BTreeMap<MachineName, u64> = holder
+            .truth
+            .iter()
+            .map(|(n, session)| (MachineName::from(format!("host-{n:04}").as_str()), *session))
+            .collect();
+        assert!(machines == truth, "seed {seed}: {} and {} differ", machines.len(), truth.len());
+        let jobs: BTreeMap<u64, u32> =
+            copy.jobs.iter().map(|(id, hint)| (*id, hint.failures[0].1)).collect();
+        assert_eq!(jobs, holder.jobs, "seed {seed}");
+    }
+}
+
+/// Nothing of an earlier holder, of another partition or from a third node is taken for the source's
+/// word, and what a copy holds stays until the new holder speaks.
+#[test]
+fn words_of_others_are_not_used() {
+    let (old, new) = (NodeName::from("n0"), NodeName::from("n1"));
+    let mut follower = Follower::default();
+    let source = |holder: &NodeName, boot, term| Source { holder: holder.clone(), boot, term };
+    let part = |boot, term, session| HintPart {
+        partition: P.0,
+        boot,
+        term,
+        after: 0,
+        upto: 1,
+        newest: 1,
+        floor: 0,
+        at_ms: 10,
+        hints: vec![machine(1, session)],
+    };
+    let session = |follower: &Follower| {
+        let copy = follower.copy(P).expect("a copy");
+        copy.machines.values().next().map(|(hint, _)| hint.session)
+    };
+    follower.follow(&BTreeMap::from([(P, source(&old, 5, 3))]), Moment(10));
+    assert_eq!(follower.take_in(&old, part(5, 3, 11), Moment(20)), None);
+    assert_eq!(session(&follower), Some(11));
+    follower.follow(&BTreeMap::from([(P, source(&new, 6, 4))]), Moment(30));
+    assert!(!follower.in_step(P, Moment(30)), "the new holder has said nothing yet");
+    follower.take_in(&old, part(5, 3, 12), Moment(40));
+    follower.take_in(&old, part(6, 4, 13), Moment(40));
+    follower.take_in(&new, part(6, 3, 14), Moment(40));
+    follower.take_in(&new, part(9, 4, 15), Moment(40));
+    assert_eq!(session(&follower), Some(11));
+    follower.take_in(&new, part(6, 4, 16), Moment(50));
+    assert_eq!(session(&follower), Some(16));
+    assert!(follower.in_step(P, Moment(50)));
+}
--- a/crates/trackcrank/src/cli.rs
+++ b/crates/trackcrank/src/cli.rs
@@ -50,6 +50,8 @@
     },
     /// Who holds which partition.
     Partitions,
+    /// Who stands by for whom, and how far behind.
+    Standby,
     /// The machines and what runs on them.
     Machines,
     /// The scheduling queues.
@@ -68,6 +70,7 @@
             (Method::PUT, "settings".to_owned(), Some(body.to_string().into_bytes()))
         }
         Admin::Partitions => (Method::GET, "partitions".to_owned(), None),
+        Admin::Standby => (Method::GET, "standby".to_owned(), None),
         Admin::Machines => (Method::GET, "machines".to_owned(), None),
         Admin::Queues => (Method::GET, "queues".to_owned(), None),
         Admin::Job { id } => (Method::GET, format!("jobs/{id}"), None),
--- a/crates/trackcrank/src/server.rs
+++ b/crates/trackcrank/src/server.rs
@@ -28,6 +28,7 @@
         .at("/metrics", get(metrics))
         .at("/admin/v1/settings", get(show_settings).put(change_settings))
         .at("/admin/v1/partitions", get(partitions))
+        .at("/admin/v1/standby", get(standby))
         .at("/admin/v1/machines", get(machines))
         .at("/admin/v1/queues", get(queues))
         .at("/admin/v1/jobs/:id", get(explain))
@@ -178,6 +179,11 @@
     admin_response(&shared, AdminRequest::Partitions).await
 }
 
+#[handler]
+async fn standby(shared: Data<&Shared>) -> Response {
+    admin_response(&shared, AdminRequest::Standby).await
+}
+
 #[handler]
 async fn machines(shared: Data<&Shared>) -> Response {
     admin_response(&shared, AdminRequest::Machines).await
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the mesh protocol; frames of another version are refused.
-pub const MESH_VERSION: u16 = 3;
+pub const MESH_VERSION: u16 = 4;
 /// Largest frame that is read.
 pub const MAX_FRAME: usize = 256 * 1024;
 
@@ -81,6 +81,8 @@
         revision: u64,
         state_contact: bool,
         ready: bool,
+        /// How long ago the sender heard each other node, in ms.
+        heard: Vec<(String, u64)>,
     },
     /// Holder to leader.
     Load(PartitionLoad),
@@ -97,6 +99,98 @@
     WantHome { partition: u32, lease: u64, boot: u64 },
     /// Holder to everybody: done and running tasks of jobs, for display.
     Progress { jobs: Vec<(u64, u64, u64)> },
+    /// To a holder: the sender follows what it knows of a partition under this term, and has what
+    /// was numbered up to `have`. Repeated for as long as it follows.
+    Follow { partition: u32, boot: u64, term: u64, have: u64 },
+    /// A holder's hints to whoever follows.
+    Hints(HintPart),
+}
+
+/// What a holder knows of one of its machines beyond the records. Hints prove nothing: whoever takes
+/// the partition on asks the machine before it relies on any.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineHint {
+    pub machine: String,
+    pub address: String,
+    pub session: u64,
+    /// It reports to the holder, and lately did.
+    pub reporting: bool,
+    /// Quarantined.
+    pub faulty: bool,
+    /// Since when it has been idle, on the sender's steady clock.
+    pub idle_at: Option<u64>,
+    /// Images it holds, with their sizes in GB, by name.
+    pub images: Vec<(String, f64)>,
+}
+
+/// What a holder has learned of a job by its failures.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobHint {
+    pub job: u64,
+    /// Failures in a row of single tasks, of a few at most.
+    pub failures: Vec<(u32, u32)>,
+    pub failed_on: Vec<String>,
+    pub successes: u32,
+    pub fails_within_ms: u64,
+}
+
+/// What a hint is about.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum HintKey {
+    Machine(String),
+    Job(u64),
+}
+
+/// One hint.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Hint {
+    Machine(MachineHint),
+    Job(JobHint),
+    /// There is nothing to be said of it any more.
+    Gone(HintKey),
+}
+
+impl Hint {
+    /// What it is about.
+    pub fn key(&self) -> HintKey {
+        match self {
+            Hint::Machine(hint) => HintKey::Machine(hint.machine.clone()),
+            Hint::Job(hint) => HintKey::Job(hint.job),
+            Hint::Gone(key) => key.clone(),
+        }
+    }
+
+    /// Bytes that it takes in a frame, roughly.
+    pub fn weight(&self) -> usize {
+        match self {
+            Hint::Machine(hint) => {
+                let images: usize = hint.images.iter().map(|(name, _)| name.len() + 10).sum();
+                hint.machine.len() + hint.address.len() + 24 + images
+            }
+            Hint::Job(hint) => {
+                let machines: usize = hint.failed_on.iter().map(|name| name.len() + 1).sum();
+                24 + hint.failures.len() * 6 + machines
+            }
+            Hint::Gone(_) => 24,
+        }
+    }
+}
+
+/// Hints that changed after one number up to another.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct HintPart {
+    pub partition: u32,
+    pub boot: u64,
+    pub term: u64,
+    pub after: u64,
+    pub upto: u64,
+    /// The number of the newest change.
+    pub newest: u64,
+    /// Ends of hints up to this number are forgotten: whoever has less starts anew.
+    pub floor: u64,
+    /// The sender's steady clock.
+    pub at_ms: u64,
+    pub hints: Vec<Hint>,
 }
 
 /// A frame.
