--- /dev/null
+++ b/crates/testkit/examples/takeovers.rs
@@ -0,0 +1,144 @@
+//! How long takeovers take, over many seeds in simulated time.
+//!
+//! `cargo run --release -p testkit --example takeovers -- --size 107 --seeds 50`
+
+use clap::Parser;
+use serde_json::json;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use testkit::{Fault, Plan, Takeover, World};
+
+/// Measures takeovers in the simulated world.
+#[derive(Parser)]
+struct Arguments {
+    /// How many times the smallest site: 107 has about 900 machines.
+    #[arg(long, default_value_t = 22)]
+    size: u64,
+    #[arg(long, default_value_t = 50)]
+    seeds: u64,
+    #[arg(long, default_value_t = 8)]
+    threads: usize,
+    /// What happens to the holder.
+    #[arg(long, value_enum, default_value_t = Case::Ends)]
+    case: Case,
+    /// One JSON object instead of a table.
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Clone, Copy, Debug, clap::ValueEnum)]
+enum Case {
+    /// The holder of a partition ends.
+    Ends,
+    /// It stands still for 15 s.
+    StandsStill,
+    /// It and the node that stands by for it end at once.
+    TwoEnd,
+    /// It ends with a tenth of the machines.
+    WithMachines,
+}
+
+const AT: u64 = 60_000;
+
+fn takeovers(seed: u64, size: u64, case: Case) -> (usize, Vec<Takeover>, (u64, u64)) {
+    let back = 8_000;
+    // Work waits when the holder ends, so that the first launch shows when it decides.
+    let burst = |at, jobs| (at, Fault::Burst { jobs: jobs * size as usize });
+    let mut faults = vec![burst(1_000, 8), burst(AT - 6_000, 4)];
+    faults.extend(match case {
+        Case::Ends => vec![(AT, Fault::Crash { node: 1, back })],
+        Case::StandsStill => vec![(AT, Fault::Freeze { node: 1, ms: 15_000 })],
+        Case::TwoEnd => {
+            vec![(AT, Fault::Crash { node: 1, back }), (AT, Fault::Crash { node: 2, back })]
+        }
+        Case::WithMachines => vec![
+            (AT, Fault::Crash { node: 1, back }),
+            (AT + 1, Fault::KillMany { count: size as usize }),
+        ],
+    });
+    let plan = Plan { seed, ms: 85_000, faults, sabotage: None, submit_ms: 85_000, size };
+    let mut world = World::new(plan);
+    world.run_to(AT - 1);
+    let machines = world.machines_up();
+    world.run();
+    assert_eq!(world.rules.broken, [], "seed {seed}");
+    let list = world.takeovers.list.iter().filter(|t| t.ended_at >= AT).cloned().collect();
+    (machines, list, world.early_takeovers())
+}
+
+/// Median, 99th percentile and the most, in ms.
+fn spread(mut values: Vec<u64>) -> [u64; 3] {
+    values.sort_unstable();
+    let at = |share: f64| {
+        values.get(((values.len() as f64 * share) as usize).min(values.len().max(1) - 1)).copied()
+    };
+    [at(0.5), at(0.99), values.last().copied()].map(Option::unwrap_or_default)
+}
+
+fn main() {
+    let arguments = Arguments::parse();
+    let next = AtomicU64::new(1);
+    let found = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..arguments.threads {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed > arguments.seeds {
+                    return;
+                }
+                let run = takeovers(seed, arguments.size, arguments.case);
+                found.lock().expect("no thread fails").push(run);
+            });
+        }
+    });
+    let runs = found.into_inner().expect("no thread fails");
+    let machines = runs.iter().map(|r| r.0).sum::<usize>() / runs.len().max(1);
+    let early: u64 = runs.iter().map(|r| r.2 .0).sum();
+    let wrong: u64 = runs.iter().map(|r| r.2 .1).sum();
+    let mut rows = Vec::new();
+    for handed in [false, true] {
+        let list: Vec<&Takeover> =
+            runs.iter().flat_map(|r| &r.1).filter(|t| t.handed == handed).collect();
+        let steps: [(&str, fn(&Takeover) -> Option<u64>); 4] = [
+            ("taken", |t| t.taken_at),
+            ("first machine told", |t| t.first_told),
+            ("last machine told", |t| t.last_told),
+            ("first launch", |t| t.first_launch),
+        ];
+        for (step, at) in steps {
+            let after = list.iter().filter_map(|t| Some(at(t)? - t.ended_at)).collect();
+            rows.push((
+                if handed { "handed home" } else { "taken over" },
+                step,
+                list.len(),
+                spread(after),
+            ));
+        }
+    }
+    if arguments.json {
+        let rows: Vec<_> = rows
+            .iter()
+            .map(|(how, step, count, [p50, p99, most])| {
+                json!({ "how": how, "step": step, "takeovers": count,
+                        "p50_ms": p50, "p99_ms": p99, "most_ms": most })
+            })
+            .collect();
+        println!(
+            "{}",
+            json!({ "case": format!("{:?}", arguments.case), "machines": machines,
+            "seeds": arguments.seeds, "early": early, "wrong": wrong, "rows": rows })
+        );
+        return;
+    }
+    println!(
+        "{:?}, {} seeds, {machines} machines, simulated; {early} taken early, {wrong} wrongly",
+        arguments.case, arguments.seeds
+    );
+    println!(
+        "{:<12} {:<20} {:>6} {:>8} {:>8} {:>8}",
+        "", "ms since the end", "count", "p50", "p99", "most"
+    );
+    for (how, step, count, [p50, p99, most]) in rows {
+        println!("{how:<12} {step:<20} {count:>6} {p50:>8} {p99:>8} {most:>8}");
+    }
+}
