--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod cloud;
 pub mod rules;
+pub mod served;
 pub mod solo;
 pub mod state;
 pub mod takeovers;
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -2,6 +2,7 @@
 
 use crate::cloud::{Boots, Cloud};
 use crate::rules::Rules;
+use crate::served::{Served, Share};
 use crate::state::StateService;
 use crate::takeovers::Takeovers;
 use crate::worker::{Happened, Worker, MISTAKEN};
@@ -69,6 +70,9 @@
     CutZone { ms: u64 },
     /// The state service answers so many times slower.
     SlowState { times: u64, ms: u64 },
+    /// Ends a node as it is about to do the nth thing that others would see: a write, an order, a
+    /// rental, a message, an answer. It is back after 6 s.
+    CrashAt { node: usize, nth: u64 },
     /// Garbage stands on a ledger page of a partition for a time.
     SpoilPage { partition: u32, ms: u64 },
 }
@@ -330,6 +334,10 @@
     pub accept_ms: Vec<u64>,
     pub rules: Rules,
     pub takeovers: Takeovers,
+    served: Served,
+    /// Nodes that end as they are about to do something: what they have done so far, and at which
+    /// deed they end.
+    ends_at: HashMap<usize, (u64, u64)>,
     /// Machines that lived when the controllers gave them back.
     pub released_alive: u64,
     /// Early takeovers, and those of them whose holders lived, of nodes that have ended.
@@ -412,6 +420,8 @@
             accept_ms: Vec::new(),
             rules: Rules::new(terms.cancel),
             takeovers: Takeovers::default(),
+            served: Served::default(),
+            ends_at: HashMap::new(),
             released_alive: 0,
             early: (0, 0),
             terms,
@@ -465,6 +475,14 @@
         names.filter(|name| self.workers.get(*name).is_some_and(|w| w.dead)).count()
     }
 
+    /// How much of what is due has been served, by kind of work and by team. What came within the last
+    /// `patience` ms need not be done.
+    pub fn served(&self, patience: u64) -> Vec<Share> {
+        let Rules { accepted, cancel_asked, done_told, .. } = &self.rules;
+        let until = self.now.saturating_sub(patience);
+        self.served.shares(&self.jobs, accepted, cancel_asked, done_told, until)
+    }
+
     /// Names of the machines recorded for a partition that live.
     fn living_of(&self, partition: u32) -> BTreeSet<String> {
         let ours = self.records().filter(|m| m.get(4).is_some_and(|p| *p == partition));
@@ -644,10 +662,33 @@
             self.at(at, Happening::Tick { node, life });
         }
         for effect in effects {
+            if self.ends_here(node, &effect) {
+                return;
+            }
             self.carry_out(node, life, effect);
         }
     }
 
+    /// Ends a node that has come to the deed at which it is to end.
+    fn ends_here(&mut self, node: usize, effect: &Effect) -> bool {
+        let Some((done, last)) = self.ends_at.get_mut(&node) else { return false };
+        let changes = match effect {
+            Effect::State { request, .. } => matches!(request, StateRequest::Txn(_)),
+            Effect::Cloud { request, .. } => !matches!(request, CloudRequest::List { .. }),
+            Effect::Worker { body, .. } => !body.commands.is_empty(),
+            Effect::Mesh { message, .. } => !matches!(message, MeshMessage::Alive { .. }),
+            Effect::User { .. } => true,
+            Effect::Report { .. } | Effect::Admin { .. } => false,
+        };
+        *done += u64::from(changes);
+        if !changes || done < last {
+            return false;
+        }
+        self.ends_at.remove(&node);
+        self.fault(Fault::Crash { node, back: 6_000 });
+        true
+    }
+
     fn carry_out(&mut self, node: usize, life: u64, effect: Effect) {
         match effect {
             Effect::State { call, request, timeout } => {
@@ -786,6 +827,8 @@
                     self.older = self.state.clone();
                 }
                 self.step_workers();
+                let (accepted, asked) = (&self.rules.accepted, &self.rules.cancel_asked);
+                self.served.look(&self.workers, &self.jobs, accepted, asked, self.now);
                 self.at(self.now + self.terms.step, Happening::Workers);
             }
             Happening::Submit => self.submit(),
@@ -933,6 +976,10 @@
                 (Cut::Zone, ms)
             }
             Fault::SlowState { times, ms } => (Cut::Slow(times), ms),
+            Fault::CrashAt { node, nth } => {
+                self.ends_at.insert(node, (0, nth));
+                return;
+            }
             Fault::SpoilPage { partition, ms } => {
                 let key = format!("l/{partition}/0000");
                 if let Some(value) = self.state.value(&key).cloned() {
