--- a/crates/testkit/benches/scale.rs
+++ b/crates/testkit/benches/scale.rs
@@ -104,6 +104,7 @@
     for size in SIZES {
         let mut share = share(size);
         let mut feed = Feed::default();
+        feed.refresh(share.hints(Moment(2)));
         feed.asked(&follower, 0, Moment(2));
         group.bench_function(BenchmarkId::new("look", size), |b| {
             b.iter(|| {
@@ -111,16 +112,13 @@
                 feed.parts(&part, Moment(2)).len()
             });
         });
-        let whole = |feed: &mut Feed| {
-            feed.asked(&follower, 0, Moment(3));
-            let mut parts = Vec::new();
-            for step in 0.. {
-                let sent = feed.parts(&part, Moment(10_000 + step * 1_000));
-                let last = sent.iter().all(|(_, part)| part.upto == part.newest);
-                parts.extend(sent.into_iter().map(|(_, part)| part));
-                if last {
-                    return parts;
-                }
+        let mut clock = 10_000;
+        let mut whole = |feed: &mut Feed| {
+            feed.asked(&follower, 0, Moment(clock));
+            let mut parts: Vec<HintPart> = Vec::new();
+            while parts.last().is_none_or(|part| part.upto < part.newest) {
+                clock += 1_000;
+                parts.extend(feed.parts(&part, Moment(clock)).into_iter().map(|(_, part)| part));
             }
             parts
         };
