Dead machines are given up although rounds take every put; few nodes follow everybody

Cause (simulated, a holder ends with 91 machines): the node that took its partition holds two, its rounds took each put as it came free, and the write that gives machines up waited for 10 s and was lost when the partition went home; the home had never been told of machines that nobody had heard since.

Change: rounds let a machines' write pass that has waited 250 ms; hints of machines not heard yet are passed on; up to four nodes each follows all partitions, so that a holder may end with its standby; who stood by takes a vacant partition first. A mesh frame of another version is told apart before its body is read.

--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -364,7 +364,7 @@
     fn write_round(&mut self, partition: PartitionId) {
         let now = self.now;
         // What is made up only when it can go out carries more and is fresher.
-        if !self.may_write(Importance::Placement, 1.0) {
+        if self.machine_changes.held_up(now) || !self.may_write(Importance::Placement, 1.0) {
             return;
         }
         let Some(holding) = self.holdings.get_mut(&partition) else { return };
--- a/crates/coordination/src/node/machines.rs
+++ b/crates/coordination/src/node/machines.rs
@@ -7,10 +7,12 @@
 use crate::records::{
     machines_key, page_room, partition_key, MachineRecord, MachinesPage, PackedMachine, COUNTER,
 };
-use model::{MachineName, PartitionId, Span};
+use model::{MachineName, Moment, PartitionId, Span};
 use std::collections::{BTreeMap, BTreeSet};
 use wire::state::{StateReply, StateRequest, Txn, Write};
 
+/// How long a write waits behind rounds.
+const PATIENCE: Span = Span(250);
 /// Least time between two writes, so that several changes go together.
 const GAP: Span = Span(100);
 
@@ -34,6 +36,8 @@
 pub(crate) struct MachineChanges {
     wanted: BTreeMap<MachineName, MachineChange>,
     pipe: Pipe<()>,
+    /// Since when a write could go out but for the budget.
+    held_up_since: Option<Moment>,
 }
 
 impl MachineChanges {
@@ -52,6 +56,13 @@
         }
     }
 
+    /// Whether a write has waited for its part of the budget for long. Rounds, which ask first and come
+    /// whenever a put is free, then let it pass: a node that had taken over a second partition did not
+    /// get to give up its dead machines for 10 s, and their tasks waited for that.
+    pub fn held_up(&self, now: Moment) -> bool {
+        self.held_up_since.is_some_and(|at| now.since(at) >= PATIENCE)
+    }
+
     /// Whether the machine is about to leave its share.
     pub fn take_away(&self, name: &MachineName) -> bool {
         matches!(self.wanted.get(name), Some(MachineChange::Leave | MachineChange::Shift(_)))
@@ -86,10 +97,15 @@
         if self.machine_changes.wanted.is_empty()
             || !self.synced
             || !self.machine_changes.pipe.ready(now, revision)
-            || !self.may_write(Importance::Placement, 1.0)
         {
+            self.machine_changes.held_up_since = None;
+            return;
+        }
+        if !self.may_write(Importance::Placement, 1.0) {
+            self.machine_changes.held_up_since.get_or_insert(now);
             return;
         }
+        self.machine_changes.held_up_since = None;
         let wanted = std::mem::take(&mut self.machine_changes.wanted);
         let wanted: BTreeMap<MachineName, MachineChange> =
             wanted.into_iter().filter(|(name, change)| self.still_wanted(name, change)).collect();
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -221,8 +221,8 @@
         }
     }
 
-    /// How long we leave a vacant partition to others: its home node goes first, then the
-    /// node with the fewest partitions.
+    /// How long we leave a vacant partition to others: its home node goes first, then who stood by
+    /// for it, then the node with the fewest partitions.
     fn wait_in_line(&self, partition: PartitionId) -> Span {
         let Some(home) = self.home_of(partition) else { return Span::ZERO };
         if home == self.me() {
@@ -238,15 +238,15 @@
         let burden = |name: &NodeName| {
             self.mirror.partitions.values().filter(|p| p.record.holder == *name).count()
         };
-        let mine = (burden(self.me()), self.me().clone());
+        // Who stood by for it last knows most of it.
+        let standby = self.standby.assigned.get(&partition);
+        let rank = |name: &NodeName| (standby != Some(name), burden(name), name.clone());
+        let mine = rank(self.me());
         let before = self
             .nodes
             .iter()
             .filter(|(name, _)| {
-                name != self.me()
-                    && name != home
-                    && self.peer_lives(name)
-                    && (burden(name), name.clone()) < mine
+                name != self.me() && name != home && self.peer_lives(name) && rank(name) < mine
             })
             .count() as u64;
         wait + LINE * before
--- a/crates/coordination/src/node/standby.rs
+++ b/crates/coordination/src/node/standby.rs
@@ -12,6 +12,8 @@
 
 /// How late a lease may end, the news of it included.
 const LEASE_SLACK: Span = Span(1_000);
+/// Up to so many nodes follow everybody.
+const FEW: usize = 4;
 /// Time between two looks at what we know and our followers do not.
 const LOOK: Span = Span(500);
 /// How long our home partition is left to its holder while we are not in step with it.
@@ -23,6 +25,8 @@
     pub(super) follower: Follower,
     feeds: BTreeMap<PartitionId, (u64, Feed)>,
     pub(super) signs: standby::signs::Signs,
+    /// Who stood by for each partition when it had a holder last.
+    pub(super) assigned: BTreeMap<PartitionId, NodeName>,
     looked_at: Moment,
     /// When a partition whose record stood was last tried for.
     pub(super) tried_at: Moment,
@@ -44,13 +48,18 @@
         assign(&names, live, &holders)
     }
 
-    /// What we follow: partitions that we stand by for, and our own while another holds it.
-    fn followed(&self) -> BTreeMap<PartitionId, Source> {
-        let standbys = self.standbys();
+    /// What we follow: partitions that we stand by for, and our own while another holds it. Where
+    /// there are few nodes each follows all, so that a holder may end together with its standby.
+    fn followed(
+        &self,
+        standbys: &BTreeMap<PartitionId, NodeName>,
+    ) -> BTreeMap<PartitionId, Source> {
+        let few = self.nodes.len() <= FEW;
         let mut wanted = BTreeMap::new();
         for (partition, held) in &self.mirror.partitions {
             let record = &held.record;
-            let ours = standbys.get(partition) == Some(self.me())
+            let ours = few
+                || standbys.get(partition) == Some(self.me())
                 || self.home_of(*partition) == Some(self.me());
             if ours && record.holder != *self.me() {
                 let source =
@@ -67,7 +76,9 @@
         }
         let now = self.now;
         self.standby.looked_at = now;
-        let wanted = self.followed();
+        let standbys = self.standbys();
+        let wanted = self.followed(&standbys);
+        self.standby.assigned.extend(standbys);
         for (to, message) in self.standby.follower.follow(&wanted, now) {
             self.mesh(&to, message);
         }
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -47,8 +47,13 @@
         self.heard_at.is_some() || self.followed.is_some()
     }
 
+    /// What is known of it. A machine that we have only been told of ourselves is passed on, so that
+    /// it is asked by whoever comes next, too.
     fn hint(&self, now: Moment, silence: Span) -> Option<Hint> {
-        let (address, _) = (self.address.as_ref()?, self.heard_at?);
+        let (address, session) = match &self.followed {
+            Some(told) => (&told.address, told.session),
+            None => (self.address.as_ref()?, self.session),
+        };
         let idle = self.tasks.is_empty() && now.since(self.idle_since) >= IDLE;
         let mut images: Vec<(String, f64)> =
             self.images.iter().map(|(name, gb)| (name.to_string(), *gb)).collect();
@@ -57,7 +62,7 @@
         Some(Hint::Machine(MachineHint {
             machine: self.name.to_string(),
             address: address.clone(),
-            session: self.session.0,
+            session: session.0,
             reporting: self.reported_at.is_some_and(|at| now.since(at) <= silence),
             faulty: self.faulty,
             idle_at: idle.then_some(self.idle_since.0),
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -55,6 +55,8 @@
     pub changed: bool,
     pub hangs_until: u64,
     pub dead: bool,
+    /// It ended with tasks on it.
+    pub ended_busy: bool,
     /// Tasks that were completed here; their results are kept.
     results: BTreeSet<String>,
     pub fails_everything: bool,
@@ -85,6 +87,7 @@
             changed: false,
             hangs_until: 0,
             dead: false,
+            ended_busy: false,
             results: BTreeSet::new(),
             fails_everything: false,
             gang_wait: 45_000,
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -468,11 +468,11 @@
         (0..).map_while(page).filter_map(|p| p.get("machines")?.as_array()).flatten()
     }
 
-    /// Machines that are recorded, not given up, and dead.
+    /// Machines that ended with tasks on them, and are recorded and not given up yet.
     pub fn recorded_dead(&self) -> usize {
         let kept = self.records().filter(|m| m.get(6).is_some_and(|leaving| *leaving == false));
         let names = kept.filter_map(|m| m.get(0)?.as_str());
-        names.filter(|name| self.workers.get(*name).is_some_and(|w| w.dead)).count()
+        names.filter(|name| self.workers.get(*name).is_some_and(|w| w.ended_busy)).count()
     }
 
     /// How much of what is due has been served, by kind of work and by team. What came within the last
@@ -1072,6 +1072,7 @@
         }
         if let Some(worker) = self.workers.get_mut(name) {
             worker.dead = true;
+            worker.ended_busy = !worker.tasks.is_empty();
             worker.tasks.clear();
         }
         self.takeovers.gone(name, self.now);
--- a/crates/trackcrank/src/mesh.rs
+++ b/crates/trackcrank/src/mesh.rs
@@ -5,6 +5,7 @@
 use futures_util::{SinkExt, StreamExt};
 use model::settings::Peer;
 use model::NodeName;
+use serde::de::IgnoredAny;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -91,21 +92,66 @@
             }
             _ => return,
         };
-        match rmp_serde::from_slice::<Frame>(&bytes) {
-            Ok(frame) if frame.version == MESH_VERSION => {
+        match decode(&bytes) {
+            Ok(frame) => {
                 let from = NodeName::from(frame.from.as_str());
                 if events.send(Event::Mesh { from, message: frame.message }).await.is_err() {
                     return;
                 }
             }
-            Ok(frame) => {
-                tracing::warn!(%from, version = frame.version, "a mesh frame of another version");
-                return;
-            }
             Err(error) => {
-                tracing::warn!(%from, %error, "garbage on the mesh");
+                tracing::warn!(%from, %error, "a mesh frame is not read");
                 return;
             }
         }
     }
 }
+
+/// Why a frame is not read.
+#[derive(Debug, thiserror::Error)]
+enum Unread {
+    /// A peer that runs another program: it is as good as silent, and both take over cold.
+    #[error("it is of version {0}, ours is {MESH_VERSION}")]
+    Version(u16),
+    #[error("garbage: {0}")]
+    Garbage(#[from] rmp_serde::decode::Error),
+}
+
+/// Reads a frame. The version comes first, so it is told apart even where the rest has another shape.
+fn decode(bytes: &[u8]) -> Result<Frame, Unread> {
+    let (version, ..): (u16, IgnoredAny, IgnoredAny) = rmp_serde::from_slice(bytes)?;
+    if version != MESH_VERSION {
+        return Err(Unread::Version(version));
+    }
+    Ok(rmp_serde::from_slice(bytes)?)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde::Serialize;
+
+    /// A frame as an earlier version wrote it: signs of life had fewer fields, and there was a message
+    /// that is no more.
+    #[derive(Serialize)]
+    enum Earlier {
+        Alive { boot: u64, revision: u64 },
+        Gossip(Vec<u8>),
+    }
+
+    #[test]
+    fn frames_of_another_version_are_not_misread() {
+        let message = MeshMessage::Follow { partition: 1, boot: 2, term: 3, have: 4 };
+        let frame = Frame { version: MESH_VERSION, from: "n1".into(), message };
+        let bytes = rmp_serde::to_vec(&frame).expect("a frame");
+        assert_eq!(decode(&bytes).expect("ours"), frame);
+        let alive = Earlier::Alive { boot: 1, revision: 2 };
+        for earlier in [alive, Earlier::Gossip(vec![7; 40])] {
+            let frame = (MESH_VERSION - 1, "n1", earlier);
+            let bytes = rmp_serde::to_vec(&frame).expect("a frame");
+            assert!(matches!(decode(&bytes), Err(Unread::Version(v)) if v == MESH_VERSION - 1));
+        }
+        assert!(matches!(decode(&bytes[..bytes.len() - 2]), Err(Unread::Garbage(_))));
+        assert!(matches!(decode(b"GET / HTTP/1.1"), Err(Unread::Garbage(_))));
+    }
+}
