--- a/crates/coordination/src/node/machines.rs
+++ b/crates/coordination/src/node/machines.rs
@@ -12,7 +12,7 @@
 use wire::state::{StateReply, StateRequest, Txn, Write};
 
 /// How long a write waits behind rounds.
-const PATIENCE: Span = Span(250);
+const PATIENCE: Span = Span(1_000);
 /// Least time between two writes, so that several changes go together.
 const GAP: Span = Span(100);
 
