--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -7,6 +7,7 @@
 use crate::budget::Importance;
 use crate::records::{partition_key, wish_key, PartitionRecord, WishRecord, COUNTER};
 use model::{Moment, NodeName, PartitionId, Session, Span, Token};
+use standby::signs::SILENT;
 use wire::mesh::MeshMessage;
 use wire::state::{StateReply, StateRequest, Txn, Write};
 
@@ -115,6 +116,10 @@
             }
             return;
         }
+        // The commonest doubt first: this is asked at each event.
+        if self.peers.get(&holder).is_some_and(|p| self.now.since(p.heard_at) < SILENT) {
+            return;
+        }
         let stands_by = self.standbys().get(&partition) == Some(&me);
         if stands_by && self.doubts(partition).is_empty() {
             tracing::info!(%partition, %holder, "its holder has ended by several signs");
--- a/crates/coordination/src/node/standby.rs
+++ b/crates/coordination/src/node/standby.rs
@@ -6,7 +6,7 @@
 use scheduler::Share;
 use serde_json::{json, Value};
 use standby::signs::{Doubt, Facts};
-use standby::{assign, Copy, Feed, Follower, Source};
+use standby::{assign, Feed, Follower, PartitionCopy, Source};
 use std::collections::{BTreeMap, HashMap};
 use wire::mesh::{HintPart, MeshMessage};
 
@@ -140,8 +140,9 @@
 
     /// A worker that reports to another holder has come to us.
     pub(super) fn note_comer(&mut self, partition: PartitionId, machine: &MachineName) {
-        let reports =
-            |copy: &Copy| copy.machines.get(machine).is_some_and(|(hint, _)| hint.reporting);
+        let reports = |copy: &PartitionCopy| {
+            copy.machines.get(machine).is_some_and(|(hint, _)| hint.reporting)
+        };
         if self.standby.follower.copy(partition).is_some_and(reports) {
             self.standby.signs.came(partition, machine, self.now);
         }
@@ -167,8 +168,8 @@
             now: self.now,
             heard_at: view.map(|peer| peer.heard_at),
             others: by_others,
-            reporting: copy.map_or(0, Copy::reporting),
-            in_step: copy.is_some_and(Copy::is_whole),
+            reporting: copy.map_or(0, PartitionCopy::reporting),
+            in_step: copy.is_some_and(PartitionCopy::is_whole),
             contact_at: self.contact_at,
             awake_since: self.awake_since,
         };
--- a/crates/standby/src/follower.rs
+++ b/crates/standby/src/follower.rs
@@ -28,7 +28,7 @@
 
 /// What is known of a partition by its holder's word.
 #[derive(Debug)]
-pub struct Copy {
+pub struct PartitionCopy {
     source: Source,
     have: u64,
     newest: u64,
@@ -44,9 +44,9 @@
     pub jobs: BTreeMap<u64, JobHint>,
 }
 
-impl Copy {
+impl PartitionCopy {
     fn new(source: Source, now: Moment) -> Self {
-        Copy {
+        PartitionCopy {
             source,
             have: 0,
             newest: 0,
@@ -115,7 +115,7 @@
 /// All copies of a node.
 #[derive(Debug, Default)]
 pub struct Follower {
-    copies: BTreeMap<PartitionId, Copy>,
+    copies: BTreeMap<PartitionId, PartitionCopy>,
 }
 
 impl Follower {
@@ -127,10 +127,12 @@
     ) -> Vec<(NodeName, MeshMessage)> {
         let mut out = Vec::new();
         for (partition, source) in wanted {
-            let copy =
-                self.copies.entry(*partition).or_insert_with(|| Copy::new(source.clone(), now));
+            let copy = self
+                .copies
+                .entry(*partition)
+                .or_insert_with(|| PartitionCopy::new(source.clone(), now));
             if copy.source != *source {
-                let old = std::mem::replace(copy, Copy::new(source.clone(), now));
+                let old = std::mem::replace(copy, PartitionCopy::new(source.clone(), now));
                 (copy.machines, copy.jobs) = (old.machines, old.jobs);
             }
             copy.wanted_at = now;
@@ -177,12 +179,12 @@
     }
 
     /// The copy of a partition.
-    pub fn copy(&self, partition: PartitionId) -> Option<&Copy> {
+    pub fn copy(&self, partition: PartitionId) -> Option<&PartitionCopy> {
         self.copies.get(&partition)
     }
 
     /// All copies.
-    pub fn copies(&self) -> impl Iterator<Item = (&PartitionId, &Copy)> {
+    pub fn copies(&self) -> impl Iterator<Item = (&PartitionId, &PartitionCopy)> {
         self.copies.iter()
     }
 
@@ -194,7 +196,7 @@
     }
 
     /// Hands a copy out to whoever takes the partition on.
-    pub fn take(&mut self, partition: PartitionId) -> Option<Copy> {
+    pub fn take(&mut self, partition: PartitionId) -> Option<PartitionCopy> {
         self.copies.remove(&partition)
     }
 }
