--- a/crates/coordination/src/node/rebuild.rs
+++ b/crates/coordination/src/node/rebuild.rs
@@ -21,20 +21,27 @@
         self.list_ledger(partition, String::new());
     }
 
-    fn list_ledger(&mut self, partition: PartitionId, after: String) {
-        let Some(holding) = self.holdings.get(&partition) else { return };
-        let term = holding.term().0;
+    /// A read of the ledger's pages after a key, and why it is made.
+    fn ledger_read(
+        &self,
+        partition: PartitionId,
+        after: String,
+    ) -> Option<(StateRequest, Purpose)> {
+        let term = self.holdings.get(&partition)?.term().0;
         let request = StateRequest::List { prefix: ledger_prefix(partition), after, limit: 100 };
-        self.state(Importance::Lease, request, Purpose::LedgerList { partition, term });
+        Some((request, Purpose::LedgerList { partition, term }))
+    }
+
+    fn list_ledger(&mut self, partition: PartitionId, after: String) {
+        let Some((request, purpose)) = self.ledger_read(partition, after) else { return };
+        self.state(Importance::Lease, request, purpose);
     }
 
     fn list_again(&mut self, partition: PartitionId, after: Span) {
         let Some(holding) = self.holdings.get_mut(&partition) else { return };
         holding.start_reading();
-        let term = holding.term().0;
-        let (prefix, from) = (ledger_prefix(partition), String::new());
-        let request = StateRequest::List { prefix, after: from, limit: 100 };
-        self.again(after, Importance::Lease, request, Purpose::LedgerList { partition, term });
+        let Some((request, purpose)) = self.ledger_read(partition, String::new()) else { return };
+        self.again(after, Importance::Lease, request, purpose);
     }
 
     pub(super) fn on_ledger(&mut self, partition: PartitionId, term: u64, reply: StateReply) {
