--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -131,9 +131,11 @@
     }
 
     /// Whether it runs in what others leave: work of any higher priority goes first, and the
-    /// fleet grows for it only where machines are cheap.
+    /// fleet grows for it only where machines are cheap. What has a deadline is expected at a time,
+    /// whatever its priority: GPU arrays of low priority waited for 553 s at the median, for cheap
+    /// machines that were not to be had (`docs/incidents/2026-12-02-low-with-a-deadline.md`).
     pub fn best_effort(&self) -> bool {
-        self.kind == JobKind::Array && self.priority == Priority::Low
+        self.kind == JobKind::Array && self.priority == Priority::Low && self.deadline.is_none()
     }
 
     /// Most tasks that one zone may hold at a time.
