--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -137,17 +137,26 @@
     zone: ZoneName,
     spot: bool,
     room: Resources,
-    /// Array work it can still take within the horizon, in CPU milliseconds per mille.
+    /// What is left of its time within the horizon, in millionths.
     work: u64,
 }
 
+/// All of a machine's time within the horizon.
+const ALL_WORK: u64 = 1_000_000;
+
 /// Waiting work of one shape in one partition.
 struct Want<'a> {
     need: usize,
     shape: &'a DemandShape,
     per: Resources,
-    service: bool,
-    work_each: u64,
+    /// It takes room for as long as it lasts (services), or all at one time (gangs).
+    whole: bool,
+    /// Time of a task.
+    time: u64,
+    /// Types of machines that it is planned for.
+    types: Vec<&'a str>,
+    /// The only zone for it.
+    zone: Option<String>,
     /// Tasks for which there is no room yet.
     waiting: u64,
     /// No machine can be had for it at present.
@@ -205,6 +214,7 @@
         let mut wants = planner.wants(tier);
         for want in &mut wants {
             planner.absorb(want);
+            planner.choose_zone(want);
         }
         while wants.iter().any(|w| w.waiting > 0 && !w.stuck) {
             for want in wants.iter_mut().filter(|w| w.waiting > 0 && !w.stuck) {
@@ -225,6 +235,21 @@
     actions
 }
 
+impl Want<'_> {
+    /// Whether the work is planned for machines of this type and kind in this zone.
+    fn suits(&self, machine_type: &str, zone: &str, spot: bool) -> bool {
+        self.types.contains(&machine_type)
+            && self.zone.as_deref().is_none_or(|z| z == zone)
+            && (self.shape.spot || !spot)
+    }
+
+    /// Its shape with the types and the zone that it is planned for.
+    fn planned(&self) -> DemandShape {
+        let types = self.types.iter().map(|t| (*t).to_owned()).collect();
+        DemandShape { types: Some(types), zone: self.zone.clone(), ..self.shape.clone() }
+    }
+}
+
 impl<'a> Planner<'a> {
     fn new(
         policy: &'a FleetPolicy,
@@ -277,7 +302,7 @@
                 let trusted = Span::from_secs(kind.boot_s * self.policy.boot_trust) + Span(2_000);
                 // What runs there takes room that we know nothing of.
                 let boots = m.partition == partition && !m.up && m.tasks == 0 && m.since <= trusted;
-                (boots || m.ceding == Some(partition)).then(|| coming_from(self.policy, m, kind))
+                (boots || m.ceding == Some(partition)).then(|| coming_from(m, kind))
             })
             .collect()
     }
@@ -297,8 +322,10 @@
                     need,
                     shape,
                     per: needs_of(shape),
-                    service: shape.estimate_ms == 0,
-                    work_each: shape.estimate_ms.max(1_000) * shape.milli_cpus.max(1) / 1000,
+                    whole: shape.estimate_ms == 0 || shape.gang > 0,
+                    time: shape.estimate_ms.max(1_000),
+                    types: self.types_for(shape),
+                    zone: shape.zone.clone(),
                     waiting,
                     stuck: false,
                     nothing_idle: false,
@@ -309,24 +336,94 @@
         wants
     }
 
+    /// Types of machines that are counted on for a shape: of those that hold a task, such without GPUs
+    /// if it needs none. Machines with GPUs cost a hundred times as much; what needs none runs there
+    /// in what is left over, but is no reason to rent or keep one.
+    fn types_for(&self, shape: &DemandShape) -> Vec<&'a str> {
+        let per = needs_of(shape);
+        let holds = |t: &&MachineType| {
+            let listed = shape.types.as_ref().is_none_or(|types| types.contains(&t.name));
+            listed && per.fits(&size_of(t))
+        };
+        let plain = |t: &&MachineType| per.milli_gpus > 0 || t.gpus == 0.0;
+        let all = || self.types.iter().filter(holds);
+        let some: Vec<&str> = all().filter(plain).map(|t| t.name.as_str()).collect();
+        if some.is_empty() {
+            return all().map(|t| t.name.as_str()).collect();
+        }
+        some
+    }
+
+    /// Whether the machine's own partition waits for such a machine.
+    fn is_wanted(&self, machine: &FleetMachine) -> bool {
+        let own = self.needs.iter().filter(|need| need.partition == machine.partition);
+        own.flat_map(|need| &need.demand).any(|shape| {
+            shape.suits(&machine.machine_type, machine.zone.as_str(), machine.spot)
+                && self.types_for(shape).contains(&machine.machine_type.as_str())
+        })
+    }
+
     /// Lets what is coming take work.
     fn absorb(&mut self, want: &mut Want<'_>) {
         for c in &mut self.coming[want.need] {
-            if want.shape.suits(&c.machine_type, c.zone.as_str(), c.spot) {
-                want.waiting -= take(c, &want.per, want.waiting, want.service, want.work_each);
+            if want.suits(&c.machine_type, c.zone.as_str(), c.spot) {
+                want.waiting -= take(self.policy, c, want);
             }
         }
     }
 
+    /// Where no more machines can be had in the zone in which a gang lacks the least, all of it may go
+    /// to another: one in which enough are coming already, or else one that has some to give.
+    fn choose_zone(&mut self, want: &mut Want<'_>) {
+        if want.shape.gang == 0 || want.waiting == 0 || self.offer(want, false).is_some() {
+            return;
+        }
+        let lacks = (want.zone.take(), want.waiting);
+        let mut zones: Vec<String> = self
+            .types
+            .iter()
+            .flat_map(|t| &t.zones)
+            .filter(|z| Some(*z) != lacks.0.as_ref())
+            .cloned()
+            .collect();
+        zones.sort_by_key(|zone| (*zone != self.needs[want.need].home_zone.as_str(), zone.clone()));
+        zones.dedup();
+        let mut chosen = None;
+        for zone in zones {
+            want.zone = Some(zone.clone());
+            let fits = |c: &&Coming| want.suits(&c.machine_type, c.zone.as_str(), c.spot);
+            let coming = self.coming[want.need].iter().filter(fits);
+            let room: u64 = coming.map(|c| c.room.holds(&want.per)).sum();
+            if room >= want.shape.gang {
+                chosen = Some(zone);
+                break;
+            }
+            if chosen.is_none() && self.offer(want, false).is_some() {
+                chosen = Some(zone);
+            }
+        }
+        match chosen {
+            Some(zone) => {
+                (want.zone, want.waiting) = (Some(zone), want.shape.gang);
+                self.absorb(want);
+            }
+            None => (want.zone, want.waiting) = lacks,
+        }
+    }
+
+    /// The cheapest machine that can be had for the work.
+    fn offer(&self, want: &Want<'_>, cheap: bool) -> Option<(&'a MachineType, ZoneName, bool)> {
+        let home = &self.needs[want.need].home_zone;
+        choose_offer(self.types, want, cheap, home, self.refused, &self.asked)
+    }
+
     /// Gets one more machine for the work: an idle one of a partition that has no use for it, or
     /// a rented one.
     fn one_machine(&mut self, want: &mut Want<'_>, tier: Tier) -> bool {
         let need = &self.needs[want.need];
         let cheap = tier == Tier::BestEffort && want.shape.spot;
         let of_use = |m: &FleetMachine| {
-            m.partition != need.partition
-                && want.shape.suits(&m.machine_type, m.zone.as_str(), m.spot)
-                && self.kind(&m.machine_type).is_some_and(|t| want.per.fits(&size_of(t)))
+            m.partition != need.partition && want.suits(&m.machine_type, m.zone.as_str(), m.spot)
         };
         let lend = || self.lent.iter().position(|m| of_use(m));
         let lent = (!want.nothing_lent).then(lend).flatten();
@@ -334,7 +431,7 @@
             of_use(m)
                 && m.idle >= self.policy.shift_idle
                 && (m.spot || !cheap)
-                && !self.needs.iter().any(|n| n.partition == m.partition && !n.demand.is_empty())
+                && !self.is_wanted(m)
         };
         let may_shift = !want.nothing_idle && self.shifted < self.policy.shift_count;
         let spare = may_shift.then(|| self.idle.iter().position(spares)).flatten();
@@ -347,44 +444,36 @@
                 self.shifted += 1;
                 self.actions
                     .push(FleetAction::Shift { machine: machine.name.clone(), to: need.partition });
-                coming_from(self.policy, machine, kind)
+                coming_from(machine, kind)
             }
             (_, Some(at)) => {
                 let machine = self.lent.remove(at);
                 let Some(kind) = self.kind(&machine.machine_type) else { return false };
-                self.give(machine.partition, need.partition, want.shape, 1);
-                coming_from(self.policy, machine, kind)
+                self.give(machine.partition, need.partition, want.planned(), 1);
+                coming_from(machine, kind)
             }
             _ => {
-                let offer = choose_offer(
-                    self.types,
-                    want.shape,
-                    cheap,
-                    &need.home_zone,
-                    self.refused,
-                    &self.asked,
-                );
-                let Some((kind, zone, spot)) = offer else { return false };
+                let Some((kind, zone, spot)) = self.offer(want, cheap) else { return false };
                 let offer = (kind.name.clone(), zone.clone(), spot);
                 *self.asked.entry(offer.clone()).or_default() += 1;
                 *self.rent.entry((want.need, offer)).or_default() += 1;
-                let (room, work) = (size_of(kind), work_of(self.policy, kind));
-                Coming { machine_type: kind.name.clone(), zone, spot, room, work }
+                let room = size_of(kind);
+                Coming { machine_type: kind.name.clone(), zone, spot, room, work: ALL_WORK }
             }
         };
-        let taken = take(&mut c, &want.per, want.waiting, want.service, want.work_each);
+        let taken = take(self.policy, &mut c, want);
         want.waiting -= taken;
         self.coming[want.need].push(c);
         taken > 0
     }
 
     /// Has a partition hand over so many more machines as they empty.
-    fn give(&mut self, from: PartitionId, to: PartitionId, shape: &DemandShape, more: u32) {
+    fn give(&mut self, from: PartitionId, to: PartitionId, shape: DemandShape, more: u32) {
         let under_way = |m: &&FleetMachine| m.partition == from && m.ceding == Some(to);
         let before = || self.machines.iter().filter(under_way).count() as u32;
         let total = self.given.entry((from, to)).or_insert_with(before);
         *total += more;
-        let (shape, count) = (shape.clone(), *total);
+        let count = *total;
         self.actions.push(FleetAction::Cede { from, to, shape, count });
     }
 
@@ -402,12 +491,12 @@
             let to = self.needs[want.need].partition;
             let mut fits: BTreeMap<PartitionId, u32> = BTreeMap::new();
             for m in self.machines.iter().filter(free).filter(|m| m.partition != to) {
-                if want.shape.suits(&m.machine_type, m.zone.as_str(), m.spot) {
+                if want.suits(&m.machine_type, m.zone.as_str(), m.spot) {
                     *fits.entry(m.partition).or_default() += 1;
                 }
             }
-            let slots =
-                self.types.iter().map(|t| size_of(t).holds(&want.per)).max().unwrap_or(1).max(1);
+            let of_use = self.types.iter().filter(|t| want.types.contains(&t.name.as_str()));
+            let slots = of_use.map(|t| size_of(t).holds(&want.per)).max().unwrap_or(1).max(1);
             let mut asked: BTreeMap<PartitionId, u32> = BTreeMap::new();
             for _ in 0..want.waiting.div_ceil(slots).min(u64::from(MOST_AT_ONCE)) {
                 let own = held.get(&to).copied().unwrap_or(0);
@@ -428,7 +517,7 @@
                 *asked.entry(from).or_default() += 1;
             }
             for (from, count) in asked {
-                self.give(from, to, want.shape, count);
+                self.give(from, to, want.planned(), count);
             }
         }
     }
@@ -454,58 +543,52 @@
     }
 }
 
-fn work_of(policy: &FleetPolicy, kind: &MachineType) -> u64 {
-    (kind.cpus * policy.horizon.0 as f64) as u64
-}
-
-fn coming_from(policy: &FleetPolicy, machine: &FleetMachine, kind: &MachineType) -> Coming {
+fn coming_from(machine: &FleetMachine, kind: &MachineType) -> Coming {
     Coming {
         machine_type: machine.machine_type.clone(),
         zone: machine.zone.clone(),
         spot: machine.spot,
         room: size_of(kind),
-        work: work_of(policy, kind),
+        work: ALL_WORK,
     }
 }
 
-/// Lets a coming machine take tasks: services by room, array work by what it can work off
+/// Lets a coming machine take tasks: services and gangs by room, array work by what it can work off
 /// within the horizon (at least one task a slot). Returns how many it takes.
-fn take(c: &mut Coming, per: &Resources, waiting: u64, service: bool, work_each: u64) -> u64 {
-    if waiting == 0 || !per.fits(&c.room) {
+fn take(policy: &FleetPolicy, c: &mut Coming, want: &Want<'_>) -> u64 {
+    if want.waiting == 0 || !want.per.fits(&c.room) {
         return 0;
     }
-    let slots = c.room.holds(per);
-    if service {
-        let taken = slots.min(waiting);
-        c.room -= per.times(taken);
+    let slots = c.room.holds(&want.per);
+    if want.whole {
+        let taken = slots.min(want.waiting);
+        c.room -= want.per.times(taken);
         return taken;
     }
     if c.work == 0 {
         return 0;
     }
-    let taken = (c.work / work_each.max(1)).max(slots).min(waiting);
-    c.work = c.work.saturating_sub(taken * work_each);
+    // Of however many kinds of room a task takes, the scarcest tells how many run at a time.
+    let each = (ALL_WORK * want.time / (slots * policy.horizon.0).max(1)).max(1);
+    let taken = (c.work / each).max(slots).min(want.waiting);
+    c.work = c.work.saturating_sub(taken * each);
     taken
 }
 
 /// The cheapest offer per task, the home zone first among equals.
 fn choose_offer<'a>(
     types: &'a [MachineType],
-    shape: &DemandShape,
+    want: &Want<'_>,
     cheap: bool,
     home: &ZoneName,
     refused: &HashMap<Offer, u32>,
     asked: &BTreeMap<(String, ZoneName, bool), u32>,
 ) -> Option<(&'a MachineType, ZoneName, bool)> {
-    let per = needs_of(shape);
     let mut best: Option<(f64, &MachineType, ZoneName, bool)> = None;
     for kind in types {
-        let slots = size_of(kind).holds(&per);
-        if slots == 0 {
-            continue;
-        }
+        let slots = size_of(kind).holds(&want.per);
         for (zone, spot) in kind.zones.iter().flat_map(|z| [(z, true), (z, false)]) {
-            if !shape.suits(&kind.name, zone, spot) || (cheap && !spot) {
+            if !want.suits(&kind.name, zone, spot) || (cheap && !spot) {
                 continue;
             }
             let offer = (kind.name.clone(), ZoneName::from(zone.as_str()), spot);
@@ -579,6 +662,7 @@
             urgent,
             estimate_ms: 30_000,
             priority: Priority::Normal,
+            gang: 0,
         };
         let demand = if tasks > 0 { vec![shape] } else { Vec::new() };
         PartitionNeed { partition: PartitionId(partition), home_zone: ZoneName::from("a"), demand }
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -1,15 +1,13 @@
 //! The scheduling cycle: one entry of the queue is tried on the share's machines.
 
+use crate::gangs::room_beside;
 use crate::job::Job;
 use crate::machine::Machine;
 use crate::rooms::MOST_PINNED;
-use crate::share::{rank_of, EntryKey, GangHold, Share};
-use model::{JobId, JobKind, MachineName, Moment, Span, TaskId, ZoneName};
+use crate::share::{EntryKey, Share};
+use model::{JobId, JobKind, MachineName, Moment, Resources, Span, TaskId, ZoneName};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-/// How long machines are kept for a gang.
-const GANG_HOLD: Span = Span(60_000);
-
 /// How long freed room is left to a job that found none: its backoff lasts as long at most.
 const NEXT_IN_LINE: Span = Span(1_500);
 
@@ -41,9 +39,7 @@
         self.queue_probes(now);
         self.roomless.retain(|_, at| now.since(*at) <= NEXT_IN_LINE);
         self.expire_promises(now);
-        if self.gang_hold.as_ref().is_some_and(|h| h.until <= now || !self.waits(h.job)) {
-            self.gang_hold = None;
-        }
+        self.expire_holds(now);
         // Tasks of one job are alike: where one has found no place just now, the next will not.
         let mut placeless: HashMap<JobId, Unplaced> = HashMap::new();
         let mut helpless: HashSet<JobId> = HashSet::new();
@@ -62,7 +58,7 @@
                 }
                 Err(why) => {
                     if let EntryKey::Gang(job) = entry {
-                        self.hold_for_gang(job, why, now);
+                        self.hold_for_gang(job, why, preempt, now);
                     }
                     if placeless.insert(entry.job(), why).is_none() {
                         tracing::debug!(job = %entry.job(), ?why, "no place");
@@ -138,10 +134,10 @@
         let zones = self.zones_of(job);
         let promised = self.promised_machine(entry, job, now);
         let fit = |m: &Machine| {
-            job.spec.needs.fits(&self.room_for(entry, m))
+            room_beside(job, m, self.room_for(entry, m)) > 0
                 && self.admits(job, m, now)
                 && zone_allowed(job, &m.zone, &zones)
-                && !self.held_from(job, m)
+                && !self.held_from(job, m, now)
                 && !self.left_to_others(job, m, now)
         };
         let find = |name: &MachineName| self.machines.get(name);
@@ -164,104 +160,6 @@
         job.waiting() * job.spec.estimate.0.max(1_000) * 2 < turns_over * fetch.0
     }
 
-    /// A gang is placed as a whole or not at all.
-    fn try_gang(&mut self, id: JobId, now: Moment) -> Result<(), Unplaced> {
-        let Some(job) = self.jobs.get(&id) else { return Ok(()) };
-        // The old attempt's tasks keep their machines and zones until they are gone.
-        if job.cancelled || job.all_done() || !job.placed.is_empty() {
-            return Ok(());
-        }
-        if !self.limit_room(EntryKey::Gang(id), job, u64::from(job.spec.tasks)) {
-            return Err(Unplaced::Quota);
-        }
-        let places = self.fit_gang(job, now).ok_or(Unplaced::Room)?;
-        let attempt = self.new_attempt();
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.gang_started = false;
-        }
-        for (index, machine) in places.into_iter().enumerate() {
-            self.place(TaskId { job: id, index: index as u32 }, &machine, attempt, now);
-        }
-        Ok(())
-    }
-
-    /// Machines for all tasks of a gang, or none.
-    fn fit_gang(&self, job: &Job, now: Moment) -> Option<Vec<MachineName>> {
-        let entry = EntryKey::Gang(job.spec.id);
-        let mut by_zone: BTreeMap<&ZoneName, Vec<(&Machine, u64)>> = BTreeMap::new();
-        let roomy = self.rooms.with_room(&job.spec).filter_map(|name| self.machines.get(name));
-        for machine in roomy.filter(|m| self.admits(job, m, now)) {
-            let count = self.room_for(entry, machine).holds(&job.spec.needs);
-            if count > 0 {
-                by_zone.entry(&machine.zone).or_default().push((machine, count));
-            }
-        }
-        let wanted = u64::from(job.spec.tasks);
-        let per_zone = u64::from(job.spec.zone_limit());
-        let total = |list: &[(&Machine, u64)]| list.iter().map(|(_, n)| *n).sum::<u64>();
-        let mut zones: Vec<Vec<(&Machine, u64)>> = by_zone.into_values().collect();
-        // The roomiest zone first keeps a gang together where it may be.
-        zones.sort_by_key(|list| std::cmp::Reverse(total(list)));
-        if job.spec.one_zone {
-            zones.truncate(1);
-        }
-        let mut places = Vec::new();
-        for mut list in zones {
-            list.sort_by(|(a, _), (b, _)| (score(job, a), &a.name).cmp(&(score(job, b), &b.name)));
-            let mut left = per_zone.min(wanted - places.len() as u64);
-            for (machine, count) in list {
-                let here = count.min(left);
-                places.extend((0..here).map(|_| machine.name.clone()));
-                left -= here;
-            }
-        }
-        (places.len() as u64 == wanted).then_some(places)
-    }
-
-    fn waits(&self, gang: JobId) -> bool {
-        self.queue.contains(EntryKey::Gang(gang))
-    }
-
-    /// Whether a machine is kept for a gang that goes before this job.
-    fn held_from(&self, job: &Job, machine: &Machine) -> bool {
-        self.gang_hold.as_ref().is_some_and(|hold| {
-            hold.machines.contains(&machine.name)
-                && self.jobs.get(&hold.job).is_some_and(|gang| rank_of(gang) < rank_of(job))
-        })
-    }
-
-    /// A gang that has failed twice gets machines enough kept for it, one gang at a time.
-    fn hold_for_gang(&mut self, id: JobId, why: Unplaced, now: Moment) {
-        let failures = self.queue.whereabouts(EntryKey::Gang(id)).map_or(0, |(_, n)| n);
-        if why != Unplaced::Room || failures < 2 || self.gang_hold.is_some() {
-            return;
-        }
-        let Some(job) = self.jobs.get(&id) else { return };
-        let mut machines: Vec<&Machine> =
-            self.machines.values().filter(|m| self.admits(job, m, now)).collect();
-        machines.sort_by_key(|m| std::cmp::Reverse(m.free().holds(&job.spec.needs)));
-        if job.spec.one_zone {
-            let zone = machines.first().map(|m| m.zone.clone());
-            machines.retain(|m| Some(&m.zone) == zone.as_ref());
-        }
-        let mut zones: BTreeMap<&ZoneName, u64> = BTreeMap::new();
-        let mut left = u64::from(job.spec.tasks);
-        let mut kept = std::collections::BTreeSet::new();
-        for machine in machines {
-            let here = zones.entry(&machine.zone).or_default();
-            let cap = u64::from(job.spec.zone_limit()).saturating_sub(*here);
-            let count = machine.capacity.holds(&job.spec.needs).min(left).min(cap);
-            if count > 0 {
-                *here += count;
-                left -= count;
-                kept.insert(machine.name.clone());
-            }
-        }
-        if left == 0 {
-            self.gang_hold = Some(GangHold { job: id, machines: kept, until: now + GANG_HOLD });
-        }
-    }
-
     /// Whether the team's limit leaves room for so many more tasks of the job.
     pub(crate) fn quota_room(&self, job: &Job, tasks: u64) -> bool {
         self.teams
@@ -299,6 +197,17 @@
     together && spread
 }
 
+/// What work without GPUs may take of the room on a machine.
+pub(crate) fn beside_gpus(free: Resources, capacity: &Resources) -> Resources {
+    let Some(gpus) = std::num::NonZeroU64::new(capacity.milli_gpus) else { return free };
+    let part = |all: u64| all * free.milli_gpus / gpus;
+    free.less(&Resources {
+        milli_cpus: part(capacity.milli_cpus),
+        milli_gpus: 0,
+        memory_mb: part(capacity.memory_mb),
+    })
+}
+
 /// How long the machine would have to fetch the job's image.
 pub(crate) fn fetch_time(job: &Job, machine: &Machine) -> Span {
     if machine.has_image(&job.spec.image) {
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -1,6 +1,7 @@
 //! What the share lacks and what it could spare.
 
 use crate::cycle::zone_allowed;
+use crate::gangs::room_beside;
 use crate::job::Job;
 use crate::machine::{Ceding, Machine};
 use crate::share::{EntryKey, Share};
@@ -23,11 +24,8 @@
 
 impl Room<'_> {
     fn holds(&self, job: &Job) -> u64 {
-        if job.spec.best_effort() {
-            self.free.holds(&job.spec.needs)
-        } else {
-            (self.free + self.cleared).holds(&job.spec.needs)
-        }
+        let cleared = if job.spec.best_effort() { Resources::default() } else { self.cleared };
+        room_beside(job, self.machine, self.free + cleared)
     }
 
     fn take(&mut self, taken: Resources) {
@@ -105,6 +103,10 @@
                 room.entry(job.spec.team.clone()).or_insert_with(|| team.limit.less(&team.used));
             let per = Resources { memory_mb: 0, ..job.spec.needs };
             let foothold = last && job.stranded && job.placed.is_empty();
+            // Those who wait for machines that run already need no others.
+            if job.spec.kind == JobKind::Gang && self.held_soon(id, now) {
+                continue;
+            }
             let wanted = tasks.min(if foothold { 1 } else { u64::MAX });
             let tasks = wanted.min(left.holds(&per));
             *left -= per.times(tasks);
@@ -112,8 +114,8 @@
             let (here, zone) = self.room_here(job, tasks, &mut free, now);
             let mut tasks = tasks - here;
             if !job.guaranteed && job.spec.kind == JobKind::Array {
-                let soon = tasks.min(absorbed / per.milli_cpus.max(1));
-                absorbed -= soon * per.milli_cpus;
+                let soon = tasks.min(absorbed.holds(&per));
+                absorbed -= per.times(soon);
                 tasks -= soon;
             }
             if tasks == 0 {
@@ -121,6 +123,8 @@
             }
             let priority = if foothold { Priority::Normal } else { job.spec.priority };
             let urgent = if job.guaranteed || job.spec.estimate.0 == 0 { tasks } else { 0 };
+            let whole = job.spec.one_zone && job.placed.is_empty();
+            let gang = if whole { u64::from(job.spec.tasks) } else { 0 };
             let same = shapes.iter_mut().find(|s| {
                 s.milli_cpus == per.milli_cpus
                     && s.milli_gpus == per.milli_gpus
@@ -129,6 +133,7 @@
                     && s.zone == zone
                     && s.spot == job.spec.spot
                     && s.priority == priority
+                    && s.gang == gang
                     && (s.estimate_ms == 0) == (job.spec.estimate.0 == 0)
             });
             match same {
@@ -148,23 +153,31 @@
                     urgent,
                     estimate_ms: job.spec.estimate.0,
                     priority,
+                    gang,
                 }),
             }
         }
         shapes
     }
 
-    /// Thousandths of CPUs that running array tasks free within the time of the policy. A team
-    /// at its limit takes its own freed room again.
-    fn turnover(&self) -> u64 {
-        let mut freed = 0;
+    /// What running array tasks free within the time of the policy. A team at its limit takes its own
+    /// freed room again.
+    fn turnover(&self) -> Resources {
+        let mut freed = Resources::default();
         for job in self.jobs.values() {
             if job.spec.kind != JobKind::Array || !self.quota_room(job, 1) {
                 continue;
             }
-            let running = job.placed.len() as u64 * job.spec.needs.milli_cpus;
             let lasts = job.spec.estimate.0.max(1_000);
-            freed += (running * self.policy.absorb.0 / lasts).min(running);
+            let running = job.placed.len() as u64;
+            let part =
+                |each: u64| (running * each * self.policy.absorb.0 / lasts).min(running * each);
+            let needs = job.spec.needs;
+            freed += Resources {
+                milli_cpus: part(needs.milli_cpus),
+                milli_gpus: part(needs.milli_gpus),
+                memory_mb: 0,
+            };
         }
         freed
     }
@@ -182,6 +195,8 @@
         let mut zones = self.zones_of(job);
         let mut here = 0;
         let constrained = job.spec.one_zone || job.spec.spread;
+        let held = self.gang_holds.get(&job.spec.id).and_then(|hold| hold.machines.first());
+        let held = held.and_then(|name| self.machines.get(name)).map(|m| m.zone.clone());
         if job.spec.one_zone && zones.is_empty() {
             // The zone that is nearest to holding it all is where the rest should come from.
             let mut sums: BTreeMap<&ZoneName, u64> = BTreeMap::new();
@@ -189,7 +204,7 @@
                 *sums.entry(&room.machine.zone).or_default() += room.holds(job);
             }
             let best = sums.into_iter().max_by_key(|(_, n)| *n).map(|(z, _)| z.clone());
-            if let Some(zone) = best.or_else(|| self.zones.first().cloned()) {
+            if let Some(zone) = held.or(best).or_else(|| self.zones.first().cloned()) {
                 zones.insert(zone, 0);
             }
         }
@@ -200,6 +215,7 @@
             }
             if room.holds(job) == 0
                 || !self.admits(job, machine, now)
+                || self.held_from(job, machine, now)
                 || !zone_allowed(job, &machine.zone, &zones)
             {
                 continue;
@@ -288,6 +304,7 @@
     /// replicas where they are.
     fn cedable(&self, machine: &Machine) -> bool {
         machine.pinned == 0
+            && machine.held_for.is_none()
             && machine.tasks.iter().all(|task| {
                 self.jobs
                     .get(&task.job)
@@ -299,11 +316,17 @@
     /// of them; first those with best-effort work only, which is sent away, then those that will
     /// be empty soonest.
     pub fn cede(&mut self, to: PartitionId, count: usize, shape: &DemandShape, now: Moment) {
+        let needs = Resources {
+            milli_cpus: shape.milli_cpus,
+            milli_gpus: shape.milli_gpus,
+            memory_mb: shape.memory_mb,
+        };
         let under_way = |m: &&Machine| m.ceding.is_some_and(|c| c.to == to);
         let missing = count.saturating_sub(self.machines.values().filter(under_way).count());
         let suits = |m: &&Machine| {
             m.usable(now, self.silence())
                 && shape.suits(&m.machine_type, m.zone.as_str(), m.spot)
+                && m.capacity.holds(&needs) > 0
                 && self.cedable(m)
         };
         let ends = |m: &Machine| {
@@ -352,7 +375,11 @@
             .map(|m| MachineLoad {
                 machine: m.name.to_string(),
                 tasks: m.tasks.len() as u32,
-                idle_ms: if m.tasks.is_empty() { now.since(m.idle_since).0 } else { 0 },
+                // What is kept for a gang is not idle.
+                idle_ms: match m.held_for {
+                    None if m.tasks.is_empty() => now.since(m.idle_since).0,
+                    _ => 0,
+                },
                 up: m.is_up(),
                 faulty: m.faulty,
                 silent_ms: match m.heard_at {
--- /dev/null
+++ b/crates/scheduler/src/gangs.rs
@@ -0,0 +1,296 @@
+//! Gangs: placed as a whole or not at all.
+//!
+//! While a gang waits, smaller tasks would take each freed slice, so that it would never start. So a
+//! gang that has failed twice has machines kept for it: of all zones those on which it could start
+//! soonest. One zone is kept for one gang at a time, for a minute at most; then it is chosen anew. What
+//! surely ends before the last of the machines is free may still run on them, and what the gang may stop
+//! and would not be gone by then is stopped. No two gangs wait for each other: a gang takes nothing that
+//! is kept for one before it in the order, and keeps nothing that one before it may take.
+
+use crate::cycle::{beside_gpus, fetch_time, score, Unplaced};
+use crate::job::Job;
+use crate::machine::Machine;
+use crate::share::{rank_of, EntryKey, GangHold, Share};
+use model::{JobId, JobKind, MachineName, Moment, Resources, Span, TaskId, ZoneName};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How long machines are kept for a gang before they are chosen anew.
+const GANG_HOLD: Span = Span(60_000);
+/// What is left of a task that has outrun its estimate, at the least.
+const OVERDUE: Span = Span(5_000);
+/// Rentals take longer than this: a gang whose machines are free before is no demand.
+const SOON: Span = Span(15_000);
+
+impl Share {
+    /// Places a gang as a whole, or not at all.
+    pub(crate) fn try_gang(&mut self, id: JobId, now: Moment) -> Result<(), Unplaced> {
+        let Some(job) = self.jobs.get(&id) else { return Ok(()) };
+        // The old attempt's tasks keep their machines and zones until they are gone.
+        if job.cancelled || job.all_done() || !job.placed.is_empty() {
+            return Ok(());
+        }
+        if !self.limit_room(EntryKey::Gang(id), job, u64::from(job.spec.tasks)) {
+            return Err(Unplaced::Quota);
+        }
+        let places = self.fit_gang(job, now).ok_or(Unplaced::Room)?;
+        let attempt = self.new_attempt();
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.gang_started = false;
+        }
+        self.release_hold(id);
+        for (index, machine) in places.into_iter().enumerate() {
+            self.place(TaskId { job: id, index: index as u32 }, &machine, attempt, now);
+        }
+        Ok(())
+    }
+
+    /// Machines for all tasks of a gang, or none.
+    fn fit_gang(&self, job: &Job, now: Moment) -> Option<Vec<MachineName>> {
+        let entry = EntryKey::Gang(job.spec.id);
+        let mut by_zone: BTreeMap<&ZoneName, Vec<(&Machine, u64)>> = BTreeMap::new();
+        let roomy = self.rooms.with_room(&job.spec).filter_map(|name| self.machines.get(name));
+        for machine in roomy.filter(|m| self.admits(job, m, now) && !self.held_from(job, m, now)) {
+            let count = room_beside(job, machine, self.room_for(entry, machine));
+            if count > 0 {
+                by_zone.entry(&machine.zone).or_default().push((machine, count));
+            }
+        }
+        let wanted = u64::from(job.spec.tasks);
+        let per_zone = u64::from(job.spec.zone_limit());
+        let total = |list: &[(&Machine, u64)]| list.iter().map(|(_, n)| *n).sum::<u64>();
+        let mut zones: Vec<Vec<(&Machine, u64)>> = by_zone.into_values().collect();
+        // The roomiest zone first keeps a gang together where it may be.
+        zones.sort_by_key(|list| std::cmp::Reverse(total(list)));
+        if job.spec.one_zone {
+            zones.truncate(1);
+        }
+        let mut places = Vec::new();
+        for mut list in zones {
+            list.sort_by(|(a, _), (b, _)| (score(job, a), &a.name).cmp(&(score(job, b), &b.name)));
+            let mut left = per_zone.min(wanted - places.len() as u64);
+            for (machine, count) in list {
+                let here = count.min(left);
+                places.extend((0..here).map(|_| machine.name.clone()));
+                left -= here;
+            }
+        }
+        (places.len() as u64 == wanted).then_some(places)
+    }
+
+    /// Whether a machine is kept for a gang that goes before this job, unless the job is over on it
+    /// before the gang can start.
+    pub(crate) fn held_from(&self, job: &Job, machine: &Machine, now: Moment) -> bool {
+        let Some(hold) = machine.held_for.and_then(|gang| self.gang_holds.get(&gang)) else {
+            return false;
+        };
+        if hold.job == job.spec.id {
+            return false;
+        }
+        let goes_before = self.jobs.get(&hold.job).is_some_and(|g| rank_of(g) < rank_of(job));
+        // Estimates are often wrong by half.
+        let lasts = fetch_time(job, machine) + Span(job.spec.estimate.0 * 2);
+        let ends = job.spec.kind == JobKind::Array && now + lasts <= hold.ready_at;
+        goes_before && !ends
+    }
+
+    /// Gives up what is kept for a gang.
+    pub(crate) fn release_hold(&mut self, id: JobId) {
+        let Some(hold) = self.gang_holds.remove(&id) else { return };
+        for name in hold.machines {
+            if let Some(machine) = self.machines.get_mut(&name) {
+                if machine.held_for == Some(id) {
+                    machine.held_for = None;
+                }
+            }
+        }
+    }
+
+    /// Ends what has been kept for long enough, for gangs that do not wait any more, or on machines
+    /// that the gang could not use now.
+    pub(crate) fn expire_holds(&mut self, now: Moment) {
+        let stands = |hold: &GangHold| {
+            let waits = self.queue.contains(EntryKey::Gang(hold.job));
+            let usable = |name: &MachineName| {
+                let Some(machine) = self.machines.get(name) else { return false };
+                let admits = self.jobs.get(&hold.job).is_some_and(|j| self.admits(j, machine, now));
+                machine.held_for == Some(hold.job) && admits
+            };
+            now < hold.until && waits && hold.machines.iter().all(usable)
+        };
+        let over: Vec<JobId> =
+            self.gang_holds.values().filter(|hold| !stands(hold)).map(|hold| hold.job).collect();
+        over.into_iter().for_each(|id| self.release_hold(id));
+    }
+
+    /// A gang that has failed twice gets machines enough kept for it.
+    pub(crate) fn hold_for_gang(&mut self, id: JobId, why: Unplaced, stops: bool, now: Moment) {
+        let failures = self.queue.whereabouts(EntryKey::Gang(id)).map_or(0, |(_, n)| n);
+        if why != Unplaced::Room || failures < 2 {
+            return;
+        }
+        if !self.gang_holds.contains_key(&id) {
+            let Some(hold) = self.jobs.get(&id).and_then(|job| self.choose_hold(job, now)) else {
+                return;
+            };
+            // Gangs behind this one that had some of it choose anew.
+            let taken: BTreeSet<JobId> =
+                hold.machines.iter().filter_map(|name| self.machines.get(name)?.held_for).collect();
+            taken.into_iter().for_each(|other| self.release_hold(other));
+            for name in &hold.machines {
+                if let Some(machine) = self.machines.get_mut(name) {
+                    machine.held_for = Some(id);
+                }
+            }
+            tracing::debug!(job = %id, machines = hold.machines.len(), in_ms = hold.ready_at.since(now).0, "machines kept for a gang");
+            self.gang_holds.insert(id, hold);
+        }
+        if stops {
+            self.clear_for_gang(id, now);
+        }
+    }
+
+    /// The machines on which a gang could start soonest, where no gang before it waits.
+    fn choose_hold(&self, job: &Job, now: Moment) -> Option<GangHold> {
+        let rank = rank_of(job);
+        let goes_before =
+            |hold: &&GangHold| self.jobs.get(&hold.job).is_some_and(|other| rank_of(other) < rank);
+        let mut taken: BTreeSet<&ZoneName> = BTreeSet::new();
+        for hold in self.gang_holds.values().filter(goes_before) {
+            taken.extend(hold.machines.iter().filter_map(|n| Some(&self.machines.get(n)?.zone)));
+        }
+        let mut zones: BTreeMap<&ZoneName, Vec<(Moment, &Machine, u64)>> = BTreeMap::new();
+        let mut all = Vec::new();
+        for machine in self.machines.values().filter(|m| self.admits(job, m, now)) {
+            let count = room_beside(job, machine, machine.capacity);
+            let ready = self.free_at(job, machine, now).filter(|_| count > 0);
+            let Some(ready) = ready.filter(|_| !taken.contains(&machine.zone)) else { continue };
+            if job.spec.one_zone {
+                zones.entry(&machine.zone).or_default().push((ready, machine, count));
+            } else {
+                all.push((ready, machine, count));
+            }
+        }
+        let lists = zones.into_values().chain([all]);
+        let (ready_at, machines) =
+            lists.filter_map(|list| soonest(job, list)).min_by_key(|(ready, _)| *ready)?;
+        Some(GangHold { job: job.spec.id, machines, ready_at, until: now + GANG_HOLD })
+    }
+
+    /// When a task of a gang has room on a machine at the latest, as far as estimates tell, if what it may
+    /// stop is stopped. None if what runs there does not end by itself.
+    fn free_at(&self, job: &Job, machine: &Machine, now: Moment) -> Option<Moment> {
+        let mut room = self.room_for(EntryKey::Gang(job.spec.id), machine);
+        if room_beside(job, machine, room) > 0 {
+            return Some(now);
+        }
+        let mut ends: Vec<(Moment, Resources)> = machine
+            .tasks
+            .iter()
+            .filter_map(|task| {
+                let other = self.jobs.get(&task.job)?;
+                let placement = other.placed.get(&task.index)?;
+                let ends = if placement.stop.is_some() {
+                    now + other.spec.save
+                } else if self.may_stop(job, other, placement) {
+                    now + other
+                        .spec
+                        .save
+                        .min(self.ends_at(other, placement.placed_at, now).since(now))
+                } else if other.spec.kind == JobKind::Service {
+                    return None;
+                } else {
+                    self.ends_at(other, placement.placed_at, now)
+                };
+                Some((ends, other.spec.needs))
+            })
+            .collect();
+        ends.sort_unstable_by_key(|(at, _)| *at);
+        ends.into_iter().find_map(|(at, needs)| {
+            room += needs;
+            (room_beside(job, machine, room) > 0).then_some(at)
+        })
+    }
+
+    /// When a task ends, as far as its estimate tells.
+    fn ends_at(&self, job: &Job, placed_at: Moment, now: Moment) -> Moment {
+        let fetch = Span((job.spec.image_gb * 1_000.0) as u64);
+        (placed_at + fetch + job.spec.estimate).max(now + OVERDUE)
+    }
+
+    /// Stops what would not be gone from a gang's machines by the time that the last of them is free.
+    fn clear_for_gang(&mut self, id: JobId, now: Moment) {
+        let Some(hold) = self.gang_holds.get(&id) else { return };
+        let Some(job) = self.jobs.get(&id) else { return };
+        let mut stops = Vec::new();
+        for machine in hold.machines.iter().filter_map(|name| self.machines.get(name)) {
+            let mut room = self.room_for(EntryKey::Gang(id), machine);
+            if room_beside(job, machine, room) > 0 {
+                continue;
+            }
+            let mut lasting: Vec<(u64, TaskId, Resources)> = Vec::new();
+            for task in &machine.tasks {
+                let Some(other) = self.jobs.get(&task.job) else { continue };
+                let Some(placement) = other.placed.get(&task.index) else { continue };
+                let ends = self.ends_at(other, placement.placed_at, now);
+                if placement.stop.is_some() || ends <= hold.ready_at + SOON {
+                    room += other.spec.needs;
+                } else if self.may_stop(job, other, placement) {
+                    let lost = self.lost_work(other, placement, false, now);
+                    lasting.push((lost, *task, other.spec.needs));
+                }
+            }
+            lasting.sort_unstable_by_key(|(lost, task, _)| (*lost, *task));
+            for (_, task, needs) in lasting {
+                if room_beside(job, machine, room) > 0 {
+                    break;
+                }
+                room += needs;
+                stops.push(task);
+            }
+        }
+        for task in stops {
+            tracing::debug!(job = %id, victim = %task, "stopping a task for a gang");
+            let grace = self.grace_of(task);
+            self.stop_task(task, grace, now);
+        }
+    }
+
+    /// The zone kept for a gang, if it will be free before machines could be rented.
+    pub(crate) fn held_soon(&self, id: JobId, now: Moment) -> bool {
+        self.gang_holds.get(&id).is_some_and(|hold| hold.ready_at <= now + SOON)
+    }
+}
+
+/// How many tasks of a job a room on a machine takes, if free GPUs keep their part of it.
+pub(crate) fn room_beside(job: &Job, machine: &Machine, room: Resources) -> u64 {
+    if job.spec.needs.milli_gpus > 0 {
+        return room.holds(&job.spec.needs);
+    }
+    beside_gpus(room, &machine.capacity).holds(&job.spec.needs)
+}
+
+/// The machines of a list on which a gang could start soonest, and when that is.
+fn soonest(
+    job: &Job,
+    mut list: Vec<(Moment, &Machine, u64)>,
+) -> Option<(Moment, BTreeSet<MachineName>)> {
+    list.sort_by(|a, b| (a.0, score(job, a.1), &a.1.name).cmp(&(b.0, score(job, b.1), &b.1.name)));
+    let mut zones: BTreeMap<&ZoneName, u64> = BTreeMap::new();
+    let mut left = u64::from(job.spec.tasks);
+    let (mut kept, mut last) = (BTreeSet::new(), Moment::default());
+    for (ready, machine, count) in list {
+        let here = zones.entry(&machine.zone).or_default();
+        let cap = u64::from(job.spec.zone_limit()).saturating_sub(*here);
+        let count = count.min(left).min(cap);
+        if count > 0 {
+            *here += count;
+            left -= count;
+            last = last.max(ready);
+            kept.insert(machine.name.clone());
+        }
+        if left == 0 {
+            return Some((last, kept));
+        }
+    }
+    None
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod consolidate;
 pub mod cycle;
 pub mod demand;
+mod gangs;
 pub mod job;
 pub mod machine;
 pub mod observe;
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -63,6 +63,8 @@
     pub used: Resources,
     /// Room promised to entries of the queue.
     pub(crate) promised: Resources,
+    /// A gang for which it is kept.
+    pub(crate) held_for: Option<JobId>,
     /// Where it stands in the index of rooms.
     pub(crate) place: Option<Place>,
     pub tasks: BTreeSet<TaskId>,
@@ -171,6 +173,7 @@
             fetch_gb_per_s: kind.fetch_gb_per_s,
             used: Resources::default(),
             promised: Resources::default(),
+            held_for: None,
             place: None,
             tasks: BTreeSet::new(),
             pinned: 0,
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -38,7 +38,7 @@
     /// it began: within a team they go down in priority, between teams down in `standing`. When
     /// guarantee and priority each let one stop the other, thousands of tasks were stopped in turn
     /// (`incidents/2026-12-01-stopped-in-turn.md`).
-    fn may_stop(&self, job: &Job, victim: &Job, placement: &Placement) -> bool {
+    pub(crate) fn may_stop(&self, job: &Job, victim: &Job, placement: &Placement) -> bool {
         if placement.stop.is_some() || victim.spec.kind == JobKind::Gang {
             return false;
         }
@@ -175,7 +175,13 @@
     /// The cheapest stops on a machine that let the entry in, if there are any.
     fn stops_on(&self, search: &Search<'_>, machine: &Machine) -> Option<Stops> {
         let Search { entry, job, why, now, .. } = *search;
-        if !self.admits(job, machine, now) || !zone_allowed(job, &machine.zone, &search.zones) {
+        // What needs no GPUs runs beside them, and stops nothing for that.
+        let displaces = machine.capacity.milli_gpus > 0 && job.spec.needs.milli_gpus == 0;
+        if !self.admits(job, machine, now)
+            || !zone_allowed(job, &machine.zone, &search.zones)
+            || self.held_from(job, machine, now)
+            || displaces
+        {
             return None;
         }
         let mut victims: Vec<(u64, TaskId, Resources)> = machine
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -101,12 +101,13 @@
     }
 }
 
-/// Machines that take nothing of lower rank while a gang waits for room on them: otherwise
-/// smaller tasks would take each freed slice and the gang would never start.
+/// Machines that are kept for a gang.
 #[derive(Debug, Clone)]
 pub(crate) struct GangHold {
     pub job: JobId,
     pub machines: BTreeSet<MachineName>,
+    /// When the last of them should have room.
+    pub ready_at: Moment,
     pub until: Moment,
 }
 
@@ -155,8 +156,8 @@
     pub(crate) short: bool,
     /// Zones in which machines can be had, the nearest first.
     pub zones: Vec<ZoneName>,
-    /// Machines kept for a gang that has failed to fit.
-    pub(crate) gang_hold: Option<GangHold>,
+    /// Machines kept for gangs that have failed to fit.
+    pub(crate) gang_holds: BTreeMap<JobId, GangHold>,
     pub jobs: BTreeMap<JobId, Job>,
     pub machines: BTreeMap<MachineName, Machine>,
     pub teams: HashMap<TeamName, TeamUse>,
@@ -210,7 +211,7 @@
             goals: BTreeMap::new(),
             short: false,
             zones: Vec::new(),
-            gang_hold: None,
+            gang_holds: BTreeMap::new(),
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             teams: teams
--- a/crates/testkit/benches/scale.rs
+++ b/crates/testkit/benches/scale.rs
@@ -218,6 +218,7 @@
             urgent: size as u64 / 40,
             estimate_ms: 20_000,
             priority: Priority::Normal,
+            gang: 0,
         };
         let needs: Vec<PartitionNeed> = (0..3)
             .map(|partition| PartitionNeed {
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -26,6 +26,10 @@
     /// Priority of the work. What is low is done with what others leave.
     #[serde(default = "normal")]
     pub priority: Priority,
+    /// All tasks of the gang, if it has to be in one zone: `zone` is then where it lacks the least,
+    /// and where that has no more machines all of it may go to another. 0: no such gang.
+    #[serde(default)]
+    pub gang: u64,
 }
 
 /// Priority of work described by an earlier version.
