--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -109,7 +109,10 @@
             }
             let wanted = tasks.min(if foothold { 1 } else { u64::MAX });
             let tasks = wanted.min(left.holds(&per));
-            *left -= per.times(tasks);
+            // A gang that has no machines in sight takes nothing of the limit before others do.
+            if job.spec.kind != JobKind::Gang || self.gang_holds.contains_key(&id) {
+                *left -= per.times(tasks);
+            }
             let tasks = tasks + beside.take(self, job, wanted - tasks);
             let (here, zone) = self.room_here(job, tasks, &mut free, now);
             let mut tasks = tasks - here;
@@ -276,11 +279,14 @@
     /// A line for the log: how full the share is and what waits.
     pub fn describe(&self, partition: model::PartitionId, now: Moment) {
         let (mut up, mut spot, mut capacity, mut used, mut fetching) = (0, 0, 0, 0, 0);
+        let (mut gpus, mut gpus_used) = (0, 0);
         for machine in self.machines.values().filter(|m| m.usable(now, self.silence())) {
             up += 1;
             spot += u32::from(machine.spot);
             capacity += machine.capacity.milli_cpus / 1000;
             used += machine.used.milli_cpus / 1000;
+            gpus += machine.capacity.milli_gpus / 1000;
+            gpus_used += machine.used.milli_gpus / 1000;
         }
         for placement in self.jobs.values().flat_map(|job| job.placed.values()) {
             fetching += u32::from(placement.seen == Some(wire::workers::TaskState::Fetching));
@@ -293,6 +299,8 @@
             spot,
             capacity,
             used,
+            gpus,
+            gpus_used,
             fetching,
             wanted,
             pending = ?self.queue.pending().map(|(_, n)| n),
--- a/crates/scheduler/src/gangs.rs
+++ b/crates/scheduler/src/gangs.rs
@@ -2,8 +2,7 @@
 //!
 //! While a gang waits, smaller tasks would take each freed slice, so that it would never start. So a
 //! gang that has failed twice has machines kept for it: of all zones those on which it could start
-//! soonest. One zone is kept for one gang at a time, for a minute at most; then it is chosen anew. What
-//! surely ends before the last of the machines is free may still run on them, and what the gang may stop
+//! soonest, for a minute at most; then they are chosen anew. What surely ends before the last of the machines is free may still run on them, and what the gang may stop
 //! and would not be gone by then is stopped. No two gangs wait for each other: a gang takes nothing that
 //! is kept for one before it in the order, and keeps nothing that one before it may take.
 
@@ -149,21 +148,18 @@
         }
     }
 
-    /// The machines on which a gang could start soonest, where no gang before it waits.
+    /// The machines on which a gang could start soonest, of those that are kept for none before it.
     fn choose_hold(&self, job: &Job, now: Moment) -> Option<GangHold> {
         let rank = rank_of(job);
-        let goes_before =
-            |hold: &&GangHold| self.jobs.get(&hold.job).is_some_and(|other| rank_of(other) < rank);
-        let mut taken: BTreeSet<&ZoneName> = BTreeSet::new();
-        for hold in self.gang_holds.values().filter(goes_before) {
-            taken.extend(hold.machines.iter().filter_map(|n| Some(&self.machines.get(n)?.zone)));
-        }
+        let goes_before = |gang: JobId| self.jobs.get(&gang).is_some_and(|g| rank_of(g) < rank);
         let mut zones: BTreeMap<&ZoneName, Vec<(Moment, &Machine, u64)>> = BTreeMap::new();
         let mut all = Vec::new();
         for machine in self.machines.values().filter(|m| self.admits(job, m, now)) {
             let count = room_beside(job, machine, machine.capacity);
             let ready = self.free_at(job, machine, now).filter(|_| count > 0);
-            let Some(ready) = ready.filter(|_| !taken.contains(&machine.zone)) else { continue };
+            let Some(ready) = ready.filter(|_| !machine.held_for.is_some_and(goes_before)) else {
+                continue;
+            };
             if job.spec.one_zone {
                 zones.entry(&machine.zone).or_default().push((ready, machine, count));
             } else {
