Each gang is planned by itself, arrays leave gangs' machines alone, GPU machines beyond guarantees are ceded

Cause: gangs merged into one shape got one gang's machines in another zone; arrays went onto machines that only gangs need and were stopped (4,724 stops); the least flexible work rented last; a partition without GPU machines got none since hardly one runs nothing guaranteed.

--- a/crates/coordination/src/node/leader.rs
+++ b/crates/coordination/src/node/leader.rs
@@ -148,6 +148,9 @@
             let zones = self.zones_near(partition);
             if let Some(share) = self.holdings.get_mut(&partition).and_then(|h| h.share_mut()) {
                 share.zones = zones;
+                if let Some(types) = &self.mirror.types {
+                    share.know_types(&types.record.types);
+                }
             }
         }
         // Machines whose type was unknown until now can be taken into their shares.
--- a/crates/coordination/src/node/rebuild.rs
+++ b/crates/coordination/src/node/rebuild.rs
@@ -132,6 +132,9 @@
         share.entitled_until = holding.entitled_until;
         share.held_since = holding.since;
         share.zones = self.zones_near(partition);
+        if let Some(types) = &self.mirror.types {
+            share.know_types(&types.record.types);
+        }
         for (name, record) in &self.mirror.machines {
             if record.record.partition == partition {
                 if let Some(machine) = self.machine_from(name, &record.record, holding.term()) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -129,7 +129,7 @@
 const MOST_AT_ONCE: u32 = 50;
 /// Machines by which partitions may differ in what they run beyond guarantees, besides a quarter:
 /// one that changes hands is idle for a few seconds.
-const CEDE_SLACK: u32 = 3;
+const CEDE_SLACK: i64 = 3;
 
 /// Room that is about to be there: machines that boot or change hands.
 struct Coming {
@@ -189,6 +189,9 @@
     shifted: usize,
     /// Machines asked for: in all by offer, and by partition.
     asked: BTreeMap<Offer, u32>,
+    /// Types that gangs wait for, and whether cheap ones are of use to them: in whatever zone they are,
+    /// they are left to them by what can run on others.
+    for_gangs: Vec<(&'a str, bool)>,
     rent: BTreeMap<(usize, Offer), u32>,
     coming: Vec<Vec<Coming>>,
     actions: Vec<FleetAction>,
@@ -216,9 +219,13 @@
             planner.absorb(want);
             planner.choose_zone(want);
         }
-        while wants.iter().any(|w| w.waiting > 0 && !w.stuck) {
-            for want in wants.iter_mut().filter(|w| w.waiting > 0 && !w.stuck) {
-                want.stuck = !planner.one_machine(want, tier);
+        // What few kinds of machines suit goes first: what can go elsewhere would take them.
+        wants.sort_by_key(|want| want.choices());
+        for alike in wants.chunk_by_mut(|a, b| a.choices() == b.choices()) {
+            while alike.iter().any(|w| w.waiting > 0 && !w.stuck) {
+                for want in alike.iter_mut().filter(|w| w.waiting > 0 && !w.stuck) {
+                    want.stuck = !planner.one_machine(want, tier);
+                }
             }
         }
         if tier != Tier::BestEffort {
@@ -243,6 +250,11 @@
             && (self.shape.spot || !spot)
     }
 
+    /// Of how many types and kinds its machines may be.
+    fn choices(&self) -> usize {
+        self.types.len() * if self.shape.spot { 2 } else { 1 }
+    }
+
     /// Its shape with the types and the zone that it is planned for.
     fn planned(&self) -> DemandShape {
         let types = self.types.iter().map(|t| (*t).to_owned()).collect();
@@ -279,10 +291,15 @@
             given: BTreeMap::new(),
             shifted: 0,
             asked: BTreeMap::new(),
+            for_gangs: Vec::new(),
             rent: BTreeMap::new(),
             coming: Vec::new(),
             actions: Vec::new(),
         };
+        let gangs = needs.iter().flat_map(|need| &need.demand).filter(|shape| shape.gang > 0);
+        planner.for_gangs = gangs
+            .flat_map(|shape| planner.types_for(shape).into_iter().map(|t| (t, shape.spot)))
+            .collect();
         planner.coming = needs.iter().map(|need| planner.coming_to(need.partition)).collect();
         planner
     }
@@ -343,7 +360,8 @@
         let per = needs_of(shape);
         let holds = |t: &&MachineType| {
             let listed = shape.types.as_ref().is_none_or(|types| types.contains(&t.name));
-            listed && per.fits(&size_of(t))
+            let zone = shape.zone.as_ref().filter(|_| shape.gang == 0);
+            listed && zone.is_none_or(|zone| t.zones.contains(zone)) && per.fits(&size_of(t))
         };
         let plain = |t: &&MachineType| per.milli_gpus > 0 || t.gpus == 0.0;
         let all = || self.types.iter().filter(holds);
@@ -414,7 +432,11 @@
     /// The cheapest machine that can be had for the work.
     fn offer(&self, want: &Want<'_>, cheap: bool) -> Option<(&'a MachineType, ZoneName, bool)> {
         let home = &self.needs[want.need].home_zone;
-        choose_offer(self.types, want, cheap, home, self.refused, &self.asked)
+        let left_to_gangs = |name: &str, spot: bool| {
+            let of_use = |(t, cheap): &(&str, bool)| *t == name && (*cheap || !spot);
+            want.shape.gang == 0 && want.types.len() > 1 && self.for_gangs.iter().any(of_use)
+        };
+        choose_offer(self.types, want, cheap, home, self.refused, &self.asked, left_to_gangs)
     }
 
     /// Gets one more machine for the work: an idle one of a partition that has no use for it, or
@@ -482,19 +504,22 @@
         let free = |m: &&FleetMachine| {
             m.known && m.up && m.cedable && !m.leaving && !m.faulty && m.ceding.is_none()
         };
-        let mut held: BTreeMap<PartitionId, u32> =
-            self.needs.iter().map(|n| (n.partition, 0)).collect();
-        for machine in self.machines.iter().filter(free) {
-            *held.entry(machine.partition).or_default() += 1;
-        }
+        // By kinds of machines, since many small ones make up for no large one.
+        let mut taken: BTreeMap<(&[&str], PartitionId), i64> = BTreeMap::new();
         for want in wants.iter().filter(|w| w.stuck && w.waiting > 0) {
             let to = self.needs[want.need].partition;
             let mut fits: BTreeMap<PartitionId, u32> = BTreeMap::new();
-            for m in self.machines.iter().filter(free).filter(|m| m.partition != to) {
+            let mut held: BTreeMap<PartitionId, i64> =
+                self.needs.iter().map(|n| (n.partition, 0)).collect();
+            for m in self.machines.iter().filter(free) {
                 if want.suits(&m.machine_type, m.zone.as_str(), m.spot) {
-                    *fits.entry(m.partition).or_default() += 1;
+                    *held.entry(m.partition).or_default() += 1;
+                    *fits.entry(m.partition).or_default() += u32::from(m.partition != to);
                 }
             }
+            for (partition, held) in &mut held {
+                *held -= taken.get(&(&want.types[..], *partition)).copied().unwrap_or(0);
+            }
             let of_use = self.types.iter().filter(|t| want.types.contains(&t.name.as_str()));
             let slots = of_use.map(|t| size_of(t).holds(&want.per)).max().unwrap_or(1).max(1);
             let mut asked: BTreeMap<PartitionId, u32> = BTreeMap::new();
@@ -512,8 +537,12 @@
                     break;
                 }
                 *fits.entry(from).or_default() -= 1;
-                *held.entry(from).or_default() -= 1;
-                *held.entry(to).or_default() += u32::from(!urgent);
+                let mut give = |partition, count: i64| {
+                    *held.entry(partition).or_default() -= count;
+                    *taken.entry((&want.types[..], partition)).or_default() += count;
+                };
+                give(from, 1);
+                give(to, -i64::from(!urgent));
                 *asked.entry(from).or_default() += 1;
             }
             for (from, count) in asked {
@@ -583,12 +612,14 @@
     home: &ZoneName,
     refused: &HashMap<Offer, u32>,
     asked: &BTreeMap<(String, ZoneName, bool), u32>,
+    left_to_gangs: impl Fn(&str, bool) -> bool,
 ) -> Option<(&'a MachineType, ZoneName, bool)> {
     let mut best: Option<(f64, &MachineType, ZoneName, bool)> = None;
     for kind in types {
         let slots = size_of(kind).holds(&want.per);
         for (zone, spot) in kind.zones.iter().flat_map(|z| [(z, true), (z, false)]) {
-            if !want.suits(&kind.name, zone, spot) || (cheap && !spot) {
+            let kept = left_to_gangs(&kind.name, spot);
+            if !want.suits(&kind.name, zone, spot) || (cheap && !spot) || kept {
                 continue;
             }
             let offer = (kind.name.clone(), ZoneName::from(zone.as_str()), spot);
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -125,6 +125,30 @@
             && self.types.as_ref().is_none_or(|t| t.iter().any(|name| name == machine_type))
     }
 
+    /// Whether a task fits a machine of this type where the job allows one.
+    fn fits_type(&self, kind: &MachineType) -> bool {
+        let mut zones = kind.zones.iter().map(|zone| ZoneName::from(zone.as_str()));
+        zones.any(|zone| self.allows(&kind.name, &zone, false))
+            && self.needs.fits(&Resources::offered(kind.cpus, kind.gpus, kind.memory_gb))
+    }
+
+    /// Whether another job's tasks ask the same of their machines.
+    pub fn is_placed_like(&self, other: &JobSpec) -> bool {
+        (self.needs, &self.types, &self.zone, self.spot)
+            == (other.needs, &other.types, &other.zone, other.spot)
+    }
+
+    /// Whether there is a type that holds its tasks and none of the other job's.
+    pub fn fits_other_type(&self, other: &JobSpec, types: &[MachineType]) -> bool {
+        types.iter().any(|kind| self.fits_type(kind) && !other.fits_type(kind))
+    }
+
+    /// Whether it takes no GPUs and has machines without any to run on.
+    pub fn does_without_gpus(&self, types: &[MachineType]) -> bool {
+        let plain = types.iter().filter(|kind| kind.gpus == 0.0);
+        self.needs.milli_gpus == 0 && plain.into_iter().any(|kind| self.fits_type(kind))
+    }
+
     /// Whether the whole job must run at one time (its limit check counts all tasks).
     pub fn all_at_once(&self) -> bool {
         self.kind != JobKind::Array
@@ -150,11 +174,7 @@
     /// Whether the job can ever run here.
     pub fn check(&self, settings: &Settings, types: &[MachineType]) -> Result<(), RejectReason> {
         let team = settings.team(&self.team).ok_or(RejectReason::UnknownTeam)?;
-        let fits = types.iter().any(|t| {
-            t.zones.iter().any(|zone| self.allows(&t.name, &ZoneName::from(zone.as_str()), false))
-                && self.needs.fits(&Resources::offered(t.cpus, t.gpus, t.memory_gb))
-        });
-        if !fits {
+        if !types.iter().any(|kind| self.fits_type(kind)) {
             return Err(RejectReason::FitsNoMachine);
         }
         let at_once = if self.all_at_once() { u64::from(self.tasks) } else { 1 };
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -40,6 +40,7 @@
         self.roomless.retain(|_, at| now.since(*at) <= NEXT_IN_LINE);
         self.expire_promises(now);
         self.expire_holds(now);
+        self.note_waiting_gangs();
         // Tasks of one job are alike: where one has found no place just now, the next will not.
         let mut placeless: HashMap<JobId, Unplaced> = HashMap::new();
         let mut helpless: HashSet<JobId> = HashSet::new();
@@ -133,11 +134,13 @@
     pub(crate) fn place_for(&self, entry: EntryKey, job: &Job, now: Moment) -> Option<&Machine> {
         let zones = self.zones_of(job);
         let promised = self.promised_machine(entry, job, now);
+        let before = self.gangs_before(job, now);
         let fit = |m: &Machine| {
             room_beside(job, m, self.room_for(entry, m)) > 0
                 && self.admits(job, m, now)
                 && zone_allowed(job, &m.zone, &zones)
                 && !self.held_from(job, m, now)
+                && !self.left_to(&before, m, now)
                 && !self.left_to_others(job, m, now)
         };
         let find = |name: &MachineName| self.machines.get(name);
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -8,7 +8,7 @@
 use model::{
     JobId, JobKind, MachineName, Moment, PartitionId, Priority, Resources, Span, TeamName, ZoneName,
 };
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use wire::mesh::{DemandShape, MachineLoad};
 
 /// How long a machine that is to be handed over is kept free for that.
@@ -136,7 +136,7 @@
                     && s.zone == zone
                     && s.spot == job.spec.spot
                     && s.priority == priority
-                    && s.gang == gang
+                    && s.gang + gang == 0
                     && (s.estimate_ms == 0) == (job.spec.estimate.0 == 0)
             });
             match same {
@@ -211,6 +211,7 @@
                 zones.insert(zone, 0);
             }
         }
+        let before = self.gangs_before(job, now);
         for room in free.iter_mut() {
             let machine = room.machine;
             if here == tasks {
@@ -219,6 +220,7 @@
             if room.holds(job) == 0
                 || !self.admits(job, machine, now)
                 || self.held_from(job, machine, now)
+                || self.left_to(&before, machine, now)
                 || !zone_allowed(job, &machine.zone, &zones)
             {
                 continue;
@@ -308,16 +310,52 @@
         );
     }
 
+    /// Machines with GPUs that the guaranteed work of the share could do without, those with least of it
+    /// first. They are few and large, and hardly one runs nothing that is guaranteed: a partition whose
+    /// own such work was not within its guarantee got none of them for seven minutes.
+    fn spare_gpu_machines(&self) -> BTreeSet<&MachineName> {
+        let gpus = |job: &Job, tasks: u64| job.spec.needs.milli_gpus * tasks;
+        let needed: u64 = self
+            .jobs
+            .values()
+            .filter(|job| job.guaranteed && !job.cancelled)
+            .map(|job| gpus(job, job.placed.len() as u64 + job.waiting()))
+            .sum();
+        let guaranteed = |machine: &Machine| -> u64 {
+            let jobs = machine.tasks.iter().filter_map(|task| self.jobs.get(&task.job));
+            jobs.filter(|job| job.guaranteed).map(|job| gpus(job, 1)).sum()
+        };
+        let mut machines: Vec<(u64, &Machine)> = self
+            .machines
+            .values()
+            .filter(|m| m.capacity.milli_gpus > 0)
+            .map(|m| (guaranteed(m), m))
+            .collect();
+        machines.sort_by_key(|(guaranteed, m)| (*guaranteed, &m.name));
+        let all: u64 = machines.iter().map(|(_, m)| m.capacity.milli_gpus).sum();
+        let mut spare = all.saturating_sub(needed);
+        let least = |(_, m): &(u64, &'_ Machine)| {
+            let fits = m.capacity.milli_gpus <= spare;
+            spare -= if fits { m.capacity.milli_gpus } else { 0 };
+            fits
+        };
+        machines.into_iter().take_while(least).map(|(_, m)| &m.name).collect()
+    }
+
     /// Whether nothing on the machine would be missed by a guarantee, or by users who want their
     /// replicas where they are.
-    fn cedable(&self, machine: &Machine) -> bool {
+    fn cedable(&self, machine: &Machine, spare_gpus: &BTreeSet<&MachineName>) -> bool {
         machine.pinned == 0
             && machine.held_for.is_none()
-            && machine.tasks.iter().all(|task| {
-                self.jobs
-                    .get(&task.job)
-                    .is_some_and(|job| !job.guaranteed && job.spec.kind == JobKind::Array)
-            })
+            && (spare_gpus.contains(&machine.name) || self.runs_no_guarantee(machine))
+    }
+
+    fn runs_no_guarantee(&self, machine: &Machine) -> bool {
+        machine.tasks.iter().all(|task| {
+            self.jobs
+                .get(&task.job)
+                .is_some_and(|job| !job.guaranteed && job.spec.kind == JobKind::Array)
+        })
     }
 
     /// Marks machines to be handed to another partition as they empty, until there are `count`
@@ -329,13 +367,14 @@
             milli_gpus: shape.milli_gpus,
             memory_mb: shape.memory_mb,
         };
+        let spare = self.spare_gpu_machines();
         let under_way = |m: &&Machine| m.ceding.is_some_and(|c| c.to == to);
         let missing = count.saturating_sub(self.machines.values().filter(under_way).count());
         let suits = |m: &&Machine| {
             m.usable(now, self.silence())
                 && shape.suits(&m.machine_type, m.zone.as_str(), m.spot)
                 && m.capacity.holds(&needs) > 0
-                && self.cedable(m)
+                && self.cedable(m, &spare)
         };
         let ends = |m: &Machine| {
             let left = m.tasks.iter().filter_map(|task| {
@@ -378,6 +417,7 @@
 
     /// The share's machines for the leader.
     pub fn loads(&self, now: Moment) -> Vec<MachineLoad> {
+        let spare = self.spare_gpu_machines();
         self.machines
             .values()
             .map(|m| MachineLoad {
@@ -397,7 +437,7 @@
                     }
                     None => 0,
                 },
-                cedable: self.cedable(m),
+                cedable: self.cedable(m, &spare),
                 best_effort: self.only_best_effort(m, now),
                 ceding: m.ceding.map(|c| c.to.0),
             })
--- a/crates/scheduler/src/gangs.rs
+++ b/crates/scheduler/src/gangs.rs
@@ -15,6 +15,8 @@
 
 /// How long machines are kept for a gang before they are chosen anew.
 const GANG_HOLD: Span = Span(60_000);
+/// How long a job leaves machines to gangs for which it has others to run on.
+const LEFT_FOR: Span = Span(60_000);
 /// What is left of a task that has outrun its estimate, at the least.
 const OVERDUE: Span = Span(5_000);
 /// Rentals take longer than this: a gang whose machines are free before is no demand.
@@ -92,6 +94,41 @@
         goes_before && !ends
     }
 
+    /// Notes what kinds of gangs have failed to fit and still wait.
+    pub(crate) fn note_waiting_gangs(&mut self) {
+        self.waiting_gangs.clear();
+        for (id, job) in self.jobs.iter().filter(|(_, job)| job.spec.kind == JobKind::Gang) {
+            let failed = self.queue.whereabouts(EntryKey::Gang(*id)).is_some_and(|(_, n)| n >= 2);
+            let alike = |other: &JobId| {
+                self.jobs.get(other).is_some_and(|other| other.spec.is_placed_like(&job.spec))
+            };
+            if failed && !self.waiting_gangs.iter().any(alike) {
+                self.waiting_gangs.push(*id);
+            }
+        }
+    }
+
+    /// Gangs that wait for machines of which a job has others to run on: arrays that take each freed one
+    /// would be stopped as soon as a gang has enough of them. One of each kind, usually none.
+    pub(crate) fn gangs_before(&self, job: &Job, now: Moment) -> Vec<&Job> {
+        if job.spec.kind == JobKind::Gang || now.since(job.seen_at) > LEFT_FOR {
+            return Vec::new();
+        }
+        let gangs = self.waiting_gangs.iter().filter_map(|id| self.jobs.get(id));
+        let goes_before = |gang: &&Job| {
+            rank_of(gang) < rank_of(job) && job.spec.fits_other_type(&gang.spec, &self.types)
+        };
+        gangs.filter(goes_before).collect()
+    }
+
+    /// Whether a machine is left to one of these gangs.
+    pub(crate) fn left_to(&self, gangs: &[&Job], machine: &Machine, now: Moment) -> bool {
+        let of_use = |gang: &&Job| {
+            self.admits(gang, machine, now) && room_beside(gang, machine, machine.capacity) > 0
+        };
+        gangs.iter().any(of_use)
+    }
+
     /// Gives up what is kept for a gang.
     pub(crate) fn release_hold(&mut self, id: JobId) {
         let Some(hold) = self.gang_holds.remove(&id) else { return };
@@ -259,9 +296,13 @@
 
 /// How many tasks of a job a room on a machine takes, if free GPUs keep their part of it.
 pub(crate) fn room_beside(job: &Job, machine: &Machine, room: Resources) -> u64 {
-    if job.spec.needs.milli_gpus > 0 {
+    if !job.only_beside {
         return room.holds(&job.spec.needs);
     }
+    // Beside work on GPUs, not instead of it: alone it would keep the machine from who needs it.
+    if machine.capacity.milli_gpus > 0 && machine.used.milli_gpus == 0 {
+        return 0;
+    }
     beside_gpus(room, &machine.capacity).holds(&job.spec.needs)
 }
 
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -77,6 +77,8 @@
     /// from the higher work of other teams, and only what lies beyond it falls to their guaranteed
     /// work of lower priority.
     pub entitled: bool,
+    /// On machines with GPUs it runs beside work that uses them, and takes nothing from it.
+    pub only_beside: bool,
     /// The gang's tasks have been seen running.
     pub gang_started: bool,
 }
@@ -150,6 +152,7 @@
             stranded: false,
             guaranteed: false,
             entitled: false,
+            only_beside: false,
             gang_started: false,
         }
     }
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -176,7 +176,7 @@
     fn stops_on(&self, search: &Search<'_>, machine: &Machine) -> Option<Stops> {
         let Search { entry, job, why, now, .. } = *search;
         // What needs no GPUs runs beside them, and stops nothing for that.
-        let displaces = machine.capacity.milli_gpus > 0 && job.spec.needs.milli_gpus == 0;
+        let displaces = machine.capacity.milli_gpus > 0 && job.only_beside;
         if !self.admits(job, machine, now)
             || !zone_allowed(job, &machine.zone, &search.zones)
             || self.held_from(job, machine, now)
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -11,6 +11,7 @@
 use queue::{QueueConfig, SchedulingQueue};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
+use wire::cloud::MachineType;
 
 /// An entry of the queue: a task, or a whole gang.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -156,6 +157,10 @@
     pub(crate) short: bool,
     /// Zones in which machines can be had, the nearest first.
     pub zones: Vec<ZoneName>,
+    /// Gangs that have failed to fit and wait, one of each kind.
+    pub(crate) waiting_gangs: Vec<JobId>,
+    /// Types of machines that can be had, see [`Share::know_types`].
+    pub(crate) types: Vec<MachineType>,
     /// Machines kept for gangs that have failed to fit.
     pub(crate) gang_holds: BTreeMap<JobId, GangHold>,
     pub jobs: BTreeMap<JobId, Job>,
@@ -211,6 +216,8 @@
             goals: BTreeMap::new(),
             short: false,
             zones: Vec::new(),
+            waiting_gangs: Vec::new(),
+            types: Vec::new(),
             gang_holds: BTreeMap::new(),
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
@@ -247,6 +254,15 @@
         Span(self.report.0 * 5 / 4) + self.policy.silence
     }
 
+    /// Which types of machines can be had: work without GPUs runs on such with GPUs beside others only,
+    /// unless no other type holds it.
+    pub fn know_types(&mut self, types: &[MachineType]) {
+        self.types = types.to_vec();
+        for job in self.jobs.values_mut() {
+            job.only_beside = job.spec.does_without_gpus(types);
+        }
+    }
+
     /// A number that no start of any task has had: terms only rise.
     pub(crate) fn new_attempt(&mut self) -> Attempt {
         self.attempts += 1;
@@ -268,6 +284,7 @@
         }
         let mut job = Job::new(spec, order, now);
         job.set_back = self.set_back_of(&job.spec);
+        job.only_beside = job.spec.does_without_gpus(&self.types);
         job.goal = job.spec.deadline.or_else(|| self.goals.get(&job.spec.class).copied());
         for (chunk, body) in chunks {
             job.restore(*chunk, body, now);
