Gangs fill zones by best fit and fetch in step; machines are ceded by backlog, and only those soon empty

Cause: small gangs broke up the zones that large ones need; gangs whose machines partly had the image began anew when the others waited for longer than gang_wait_s (one gang eight times); machines stood half empty for 40 s before they changed hands, also towards partitions with less waiting.

--- a/crates/coordination/src/node/rebuild.rs
+++ b/crates/coordination/src/node/rebuild.rs
@@ -128,6 +128,7 @@
             holding.term(),
         );
         share.report = workers.report;
+        share.gang_wait = workers.gang_wait;
         share.goals = self.settings.goals.clone();
         share.entitled_until = holding.entitled_until;
         share.held_since = holding.since;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -522,6 +522,11 @@
             }
             let of_use = self.types.iter().filter(|t| want.types.contains(&t.name.as_str()));
             let slots = of_use.map(|t| size_of(t).holds(&want.per)).max().unwrap_or(1).max(1);
+            let waits = |partition: PartitionId| -> u64 {
+                let of = |w: &&Want| self.needs[w.need].partition == partition;
+                let alike = wants.iter().filter(of).filter(|w| w.types == want.types);
+                alike.map(|w| w.waiting.div_ceil(slots)).sum()
+            };
             let mut asked: BTreeMap<PartitionId, u32> = BTreeMap::new();
             for _ in 0..want.waiting.div_ceil(slots).min(u64::from(MOST_AT_ONCE)) {
                 let own = held.get(&to).copied().unwrap_or(0);
@@ -533,7 +538,9 @@
                     .filter(|(count, _)| *count > 0)
                     .max();
                 let Some((count, from)) = richest else { break };
-                if !urgent && count < own + own / 4 + CEDE_SLACK {
+                // Nor where as much waits for each machine.
+                let worse_off = waits(from) as i64 * own > waits(to) as i64 * count;
+                if !urgent && (count < own + own / 4 + CEDE_SLACK || worse_off) {
                     break;
                 }
                 *fits.entry(from).or_default() -= 1;
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -39,6 +39,11 @@
         let tasks: Vec<TaskId> = machine.tasks.iter().copied().collect();
         let mut launches = Vec::new();
         for task in tasks {
+            let waits = |share: &Share| {
+                let job = share.jobs.get(&task.job)?;
+                Some(share.waits_for_fetches(job, share.machines.get(name)?))
+            };
+            let waits = waits(self) == Some(true);
             let Some(job) = self.jobs.get_mut(&task.job) else { continue };
             let cancelled = job.cancelled;
             let Some(p) = job.placed.get_mut(&task.index) else { continue };
@@ -56,6 +61,7 @@
                 && p.seen.is_none()
                 && launches_allowed
                 && !cancelled
+                && !(waits && p.launched.is_none())
                 && !(noticed && p.launched.is_none())
             {
                 // A direct launch that waits for its answer is not doubled by another.
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -389,6 +389,8 @@
             .values()
             .filter(suits)
             .map(|m| (!self.only_best_effort(m, now), ends(m), m.name.clone()))
+            // One that runs for longer would only stand half empty meanwhile.
+            .filter(|(regular, ends, _)| !regular || *ends <= CEDE_PATIENCE)
             .collect();
         machines.sort_unstable();
         for (regular, _, name) in machines.into_iter().take(missing) {
--- a/crates/scheduler/src/gangs.rs
+++ b/crates/scheduler/src/gangs.rs
@@ -12,6 +12,7 @@
 use crate::share::{rank_of, EntryKey, GangHold, Share};
 use model::{JobId, JobKind, MachineName, Moment, Resources, Span, TaskId, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
+use wire::workers::TaskState;
 
 /// How long machines are kept for a gang before they are chosen anew.
 const GANG_HOLD: Span = Span(60_000);
@@ -60,10 +61,14 @@
         let per_zone = u64::from(job.spec.zone_limit());
         let total = |list: &[(&Machine, u64)]| list.iter().map(|(_, n)| *n).sum::<u64>();
         let mut zones: Vec<Vec<(&Machine, u64)>> = by_zone.into_values().collect();
-        // The roomiest zone first keeps a gang together where it may be.
-        zones.sort_by_key(|list| std::cmp::Reverse(total(list)));
         if job.spec.one_zone {
+            // The zone that it fills best leaves the others whole for larger gangs.
+            zones.retain(|list| total(list) >= wanted);
+            zones.sort_by_key(|list| total(list));
             zones.truncate(1);
+        } else {
+            // The roomiest zone first keeps a gang together where it may be.
+            zones.sort_by_key(|list| std::cmp::Reverse(total(list)));
         }
         let mut places = Vec::new();
         for mut list in zones {
@@ -88,12 +93,35 @@
             return false;
         }
         let goes_before = self.jobs.get(&hold.job).is_some_and(|g| rank_of(g) < rank_of(job));
-        // Estimates are often wrong by half.
-        let lasts = fetch_time(job, machine) + Span(job.spec.estimate.0 * 2);
-        let ends = job.spec.kind == JobKind::Array && now + lasts <= hold.ready_at;
+        // Estimates are often wrong by half; of a gang's few tasks fewer are than of an array's many.
+        let times = if job.spec.kind == JobKind::Gang { 1 } else { 2 };
+        let lasts = fetch_time(job, machine) + job.spec.estimate * times;
+        let ends = job.spec.kind != JobKind::Service && now + lasts <= hold.ready_at;
         goes_before && !ends
     }
 
+    /// Whether a gang's task that needs no fetch is launched later, when those that do are through: it would
+    /// wait for longer than tasks of a gang wait for each other, and the gang would begin anew, again and
+    /// again where an image is large.
+    pub(crate) fn waits_for_fetches(&self, job: &Job, machine: &Machine) -> bool {
+        if job.spec.kind != JobKind::Gang || !machine.has_image(&job.spec.image) {
+            return false;
+        }
+        job.placed.values().any(|other| {
+            let Some(on) = self.machines.get(&other.machine) else { return false };
+            let fetches = matches!(other.seen, None | Some(TaskState::Fetching));
+            fetches && fetch_time(job, on) * 2 > self.gang_wait
+        })
+    }
+
+    /// A task of a gang has its image: those that waited for that are launched.
+    pub(crate) fn gang_fetched(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let waits = job.placed.values().filter(|p| p.launched.is_none() && p.stop.is_none());
+        let machines: Vec<MachineName> = waits.map(|p| p.machine.clone()).collect();
+        self.urgent.extend(machines);
+    }
+
     /// Notes what kinds of gangs have failed to fit and still wait.
     pub(crate) fn note_waiting_gangs(&mut self) {
         self.waiting_gangs.clear();
--- a/crates/scheduler/src/observe.rs
+++ b/crates/scheduler/src/observe.rs
@@ -115,6 +115,7 @@
                 let since = placement.placed_at;
                 job.seen_running(since, now);
             }
+            TaskState::Waiting => self.gang_fetched(task.job),
             _ => {}
         }
     }
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -141,6 +141,8 @@
 pub struct Share {
     pub policy: Policy,
     pub lease: Span,
+    /// How long tasks of a gang wait for each other.
+    pub gang_wait: Span,
     /// How often workers report as a rule; they may take a quarter longer.
     pub report: Span,
     /// Since when we have been running without a stop. Silence before that was our own.
@@ -175,7 +177,7 @@
     /// Jobs that are done, or cancelled with every task gone.
     finished: Vec<JobId>,
     /// Machines to be sent commands at once.
-    urgent: BTreeSet<MachineName>,
+    pub(crate) urgent: BTreeSet<MachineName>,
     /// Room kept for entries for which tasks are being stopped.
     pub(crate) promises: HashMap<EntryKey, Promise>,
     /// The machines by room and image, those that take nothing left out.
@@ -208,6 +210,7 @@
         Share {
             policy,
             lease,
+            gang_wait: Span(u64::MAX),
             report: Span::ZERO,
             awake_since: Moment::default(),
             held_since: Moment::default(),
