--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -617,6 +617,7 @@
                 loaded.share.describe(*partition, now);
             }
             loaded.share.tidy_best_effort(now);
+            loaded.share.tidy_beside(now);
             loaded.share.look_for_shortage();
             loads.push(PartitionLoad {
                 partition: partition.0,
--- /dev/null
+++ b/crates/scheduler/src/beside.rs
@@ -0,0 +1,72 @@
+//! Work without GPUs on machines that have them.
+//!
+//! Such machines cost a hundred times as much as others. While GPU work runs there, the CPUs and memory
+//! that its GPUs leave over cost nothing, and tasks that need no GPUs may take them: never the part that
+//! free GPUs need. They are no reason to rent or keep such a machine: once no GPU work is left on it, they
+//! are stopped, so that it can go where it is needed or back to the cloud. A job that no other type of
+//! machine holds is not concerned.
+
+use crate::job::Job;
+use crate::machine::Machine;
+use crate::share::Share;
+use model::{Moment, Resources, Span, TaskId};
+
+/// How long a machine may be without GPU work before what ran beside that is stopped.
+const LINGER: Span = Span(3_000);
+/// What ends within this time is not stopped.
+const SOON: Span = Span(3_000);
+
+/// Whether tasks of a job run on a machine only beside GPU work.
+pub(crate) fn beside(machine: &Machine, job: &Job) -> bool {
+    job.only_beside && machine.capacity.milli_gpus > 0
+}
+
+/// How many tasks of a job a room on a machine takes, if free GPUs keep their part of it.
+pub(crate) fn room_beside(job: &Job, machine: &Machine, room: Resources) -> u64 {
+    if !beside(machine, job) {
+        return room.holds(&job.spec.needs);
+    }
+    if machine.used.milli_gpus == 0 {
+        return 0;
+    }
+    left_by_gpus(room, &machine.capacity).holds(&job.spec.needs)
+}
+
+/// What of a room is beyond the even part of CPUs and memory of each free GPU.
+fn left_by_gpus(free: Resources, capacity: &Resources) -> Resources {
+    let part = |all: u64| all * free.milli_gpus / capacity.milli_gpus.max(1);
+    free.less(&Resources {
+        milli_cpus: part(capacity.milli_cpus),
+        milli_gpus: 0,
+        memory_mb: part(capacity.memory_mb),
+    })
+}
+
+impl Share {
+    /// Stops what runs on machines with GPUs on which no GPU work is left.
+    pub fn tidy_beside(&mut self, now: Moment) {
+        let mut stops: Vec<TaskId> = Vec::new();
+        for machine in self.machines.values_mut().filter(|m| m.capacity.milli_gpus > 0) {
+            if machine.used.milli_gpus > 0 || machine.tasks.is_empty() {
+                machine.no_gpu_work_since = None;
+                continue;
+            }
+            if now.since(*machine.no_gpu_work_since.get_or_insert(now)) < LINGER {
+                continue;
+            }
+            for task in &machine.tasks {
+                let Some(job) = self.jobs.get(&task.job) else { continue };
+                let Some(placement) = job.placed.get(&task.index) else { continue };
+                let ran = now.since(placement.placed_at).0;
+                let left = Span(job.spec.estimate.0.saturating_sub(ran));
+                if job.only_beside && placement.stop.is_none() && left > SOON {
+                    stops.push(*task);
+                }
+            }
+        }
+        for task in stops {
+            let grace = self.grace_of(task);
+            self.stop_task(task, grace, now);
+        }
+    }
+}
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -1,11 +1,11 @@
 //! The scheduling cycle: one entry of the queue is tried on the share's machines.
 
-use crate::gangs::room_beside;
+use crate::beside::room_beside;
 use crate::job::Job;
 use crate::machine::Machine;
 use crate::rooms::MOST_PINNED;
 use crate::share::{EntryKey, Share};
-use model::{JobId, JobKind, MachineName, Moment, Resources, Span, TaskId, ZoneName};
+use model::{JobId, JobKind, MachineName, Moment, Span, TaskId, ZoneName};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// How long freed room is left to a job that found none: its backoff lasts as long at most.
@@ -200,17 +200,6 @@
     together && spread
 }
 
-/// What work without GPUs may take of the room on a machine.
-pub(crate) fn beside_gpus(free: Resources, capacity: &Resources) -> Resources {
-    let Some(gpus) = std::num::NonZeroU64::new(capacity.milli_gpus) else { return free };
-    let part = |all: u64| all * free.milli_gpus / gpus;
-    free.less(&Resources {
-        milli_cpus: part(capacity.milli_cpus),
-        milli_gpus: 0,
-        memory_mb: part(capacity.memory_mb),
-    })
-}
-
 /// How long the machine would have to fetch the job's image.
 pub(crate) fn fetch_time(job: &Job, machine: &Machine) -> Span {
     if machine.has_image(&job.spec.image) {
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -1,7 +1,7 @@
 //! What the share lacks and what it could spare.
 
+use crate::beside::{beside, room_beside};
 use crate::cycle::zone_allowed;
-use crate::gangs::room_beside;
 use crate::job::Job;
 use crate::machine::{Ceding, Machine};
 use crate::share::{EntryKey, Share};
@@ -378,7 +378,8 @@
         };
         let ends = |m: &Machine| {
             let left = m.tasks.iter().filter_map(|task| {
-                let job = self.jobs.get(&task.job)?;
+                // What runs beside GPU work is stopped once that is over.
+                let job = self.jobs.get(&task.job).filter(|job| !beside(m, job))?;
                 let placement = job.placed.get(&task.index)?;
                 Some((placement.placed_at + job.spec.estimate).since(now))
             });
--- a/crates/scheduler/src/gangs.rs
+++ b/crates/scheduler/src/gangs.rs
@@ -6,7 +6,8 @@
 //! and would not be gone by then is stopped. No two gangs wait for each other: a gang takes nothing that
 //! is kept for one before it in the order, and keeps nothing that one before it may take.
 
-use crate::cycle::{beside_gpus, fetch_time, score, Unplaced};
+use crate::beside::room_beside;
+use crate::cycle::{fetch_time, score, Unplaced};
 use crate::job::Job;
 use crate::machine::Machine;
 use crate::share::{rank_of, EntryKey, GangHold, Share};
@@ -322,18 +323,6 @@
     }
 }
 
-/// How many tasks of a job a room on a machine takes, if free GPUs keep their part of it.
-pub(crate) fn room_beside(job: &Job, machine: &Machine, room: Resources) -> u64 {
-    if !job.only_beside {
-        return room.holds(&job.spec.needs);
-    }
-    // Beside work on GPUs, not instead of it: alone it would keep the machine from who needs it.
-    if machine.capacity.milli_gpus > 0 && machine.used.milli_gpus == 0 {
-        return 0;
-    }
-    beside_gpus(room, &machine.capacity).holds(&job.spec.needs)
-}
-
 /// The machines of a list on which a gang could start soonest, and when that is.
 fn soonest(
     job: &Job,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -5,6 +5,7 @@
 //! times, writes what [`Share::take_dirty`] hands out, and sends what
 //! [`Share::commands_for`] says.
 
+mod beside;
 pub mod best_effort;
 pub mod blame;
 pub mod commands;
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -65,6 +65,8 @@
     pub(crate) promised: Resources,
     /// A gang for which it is kept.
     pub(crate) held_for: Option<JobId>,
+    /// Since when a machine with GPUs has had other work only.
+    pub(crate) no_gpu_work_since: Option<Moment>,
     /// Where it stands in the index of rooms.
     pub(crate) place: Option<Place>,
     pub tasks: BTreeSet<TaskId>,
@@ -174,6 +176,7 @@
             used: Resources::default(),
             promised: Resources::default(),
             held_for: None,
+            no_gpu_work_since: None,
             place: None,
             tasks: BTreeSet::new(),
             pinned: 0,
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -3,6 +3,7 @@
 //! A job of higher priority may stop lower work. Work inside its team's guarantee may also
 //! stop work of any priority that another team runs beyond its own guarantee.
 
+use crate::beside::beside;
 use crate::cycle::{fetch_time, zone_allowed, Unplaced};
 use crate::job::{Job, Placement};
 use crate::machine::Machine;
@@ -175,12 +176,10 @@
     /// The cheapest stops on a machine that let the entry in, if there are any.
     fn stops_on(&self, search: &Search<'_>, machine: &Machine) -> Option<Stops> {
         let Search { entry, job, why, now, .. } = *search;
-        // What needs no GPUs runs beside them, and stops nothing for that.
-        let displaces = machine.capacity.milli_gpus > 0 && job.only_beside;
         if !self.admits(job, machine, now)
             || !zone_allowed(job, &machine.zone, &search.zones)
             || self.held_from(job, machine, now)
-            || displaces
+            || beside(machine, job)
         {
             return None;
         }
