--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -41,6 +41,7 @@
         self.expire_promises(now);
         self.expire_holds(now);
         self.note_waiting_gangs();
+        self.keep_limits();
         // Tasks of one job are alike: where one has found no place just now, the next will not.
         let mut placeless: HashMap<JobId, Unplaced> = HashMap::new();
         let mut helpless: HashSet<JobId> = HashSet::new();
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -99,8 +99,9 @@
         for ((last, _, id), tasks) in waiting {
             let Some(job) = self.jobs.get(&id) else { continue };
             let Some(team) = self.teams.get(&job.spec.team) else { continue };
-            let left =
-                room.entry(job.spec.team.clone()).or_insert_with(|| team.limit.less(&team.used));
+            let left = room
+                .entry(job.spec.team.clone())
+                .or_insert_with(|| team.limit.less(&(team.used + team.held)));
             let per = Resources { memory_mb: 0, ..job.spec.needs };
             let foothold = last && job.stranded && job.placed.is_empty();
             // Those who wait for machines that run already need no others.
@@ -109,8 +110,8 @@
             }
             let wanted = tasks.min(if foothold { 1 } else { u64::MAX });
             let tasks = wanted.min(left.holds(&per));
-            // A gang that has no machines in sight takes nothing of the limit before others do.
-            if job.spec.kind != JobKind::Gang || self.gang_holds.contains_key(&id) {
+            // What gangs need of the limit is kept with their machines.
+            if job.spec.kind != JobKind::Gang {
                 *left -= per.times(tasks);
             }
             let tasks = tasks + beside.take(self, job, wanted - tasks);
--- a/crates/scheduler/src/gangs.rs
+++ b/crates/scheduler/src/gangs.rs
@@ -18,7 +18,10 @@
 /// How long machines are kept for a gang before they are chosen anew.
 const GANG_HOLD: Span = Span(60_000);
 /// How long a job leaves machines to gangs for which it has others to run on.
-const LEFT_FOR: Span = Span(60_000);
+const LEFT_FOR: Span = Span(120_000);
+/// A machine on which tasks have to be stopped counts as free after so long: one that empties by itself
+/// before costs nothing.
+const STOPPING: Span = Span(20_000);
 /// What is left of a task that has outrun its estimate, at the least.
 const OVERDUE: Span = Span(5_000);
 /// Rentals take longer than this: a gang whose machines are free before is no demand.
@@ -123,6 +126,22 @@
         self.urgent.extend(machines);
     }
 
+    /// Notes what is kept of each team's limit for its gangs. As a gang's machines empty, what used the
+    /// limit there frees it; without this, arrays took each freed part of it.
+    pub(crate) fn keep_limits(&mut self) {
+        self.teams.values_mut().for_each(|team| team.held = Resources::default());
+        for hold in self.gang_holds.values() {
+            let Some(job) = self.jobs.get(&hold.job) else { continue };
+            let Some(team) = self.teams.get_mut(&job.spec.team) else { continue };
+            let mut left = u64::from(job.spec.tasks);
+            for machine in hold.machines.iter().filter_map(|name| self.machines.get(name)) {
+                let count = machine.capacity.holds(&job.spec.needs).min(left);
+                left -= count;
+                team.held += job.spec.needs.times(count).less(&machine.used);
+            }
+        }
+    }
+
     /// Notes what kinds of gangs have failed to fit and still wait.
     pub(crate) fn note_waiting_gangs(&mut self) {
         self.waiting_gangs.clear();
@@ -254,10 +273,7 @@
                 let ends = if placement.stop.is_some() {
                     now + other.spec.save
                 } else if self.may_stop(job, other, placement) {
-                    now + other
-                        .spec
-                        .save
-                        .min(self.ends_at(other, placement.placed_at, now).since(now))
+                    self.ends_at(other, placement.placed_at, now).min(now + STOPPING)
                 } else if other.spec.kind == JobKind::Service {
                     return None;
                 } else {
--- a/crates/scheduler/src/promises.rs
+++ b/crates/scheduler/src/promises.rs
@@ -6,7 +6,7 @@
 use crate::job::Job;
 use crate::machine::Machine;
 use crate::share::{EntryKey, Promise, Share};
-use model::{JobId, MachineName, Moment, Resources};
+use model::{JobId, JobKind, MachineName, Moment, Resources};
 
 impl Share {
     /// Keeps room on a machine for an entry, instead of what was kept for it before.
@@ -65,7 +65,11 @@
         let own = self.promises.get(&entry).filter(|promise| promise.limit_of.is_some());
         let own = own.map_or(Resources::default(), |promise| promise.needs);
         self.teams.get(&job.spec.team).is_some_and(|team| {
-            let kept = team.promised.less(&own);
+            let held = match entry {
+                EntryKey::Task(_) if job.spec.kind == JobKind::Array => team.held,
+                _ => Resources::default(),
+            };
+            let kept = team.promised.less(&own) + held;
             (team.used + kept + job.spec.needs.times(tasks)).fits_quota(&team.limit)
         })
     }
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -81,6 +81,8 @@
     pub used: Resources,
     /// What is kept of the limit for entries for which the team's own tasks are being stopped.
     pub(crate) promised: Resources,
+    /// What gangs need of it on machines that are kept for them, beyond what is used there now.
+    pub(crate) held: Resources,
     /// Since when its best-effort work has had hardly any place.
     pub thin_since: Option<Moment>,
     /// Its jobs that are neither ending nor cancelled, in the order of their submission.
