--- /dev/null
+++ b/crates/testkit/src/known.rs
@@ -0,0 +1,52 @@
+//! Whether accepted jobs stay known: job by job, not on average.
+
+use std::collections::BTreeMap;
+
+/// Once all troubles are over, a job about which no question is answered for so long is forgotten.
+const PATIENCE: u64 = 75_000;
+
+/// Since when questions about jobs have been without an answer.
+#[derive(Debug, Default)]
+pub struct Known {
+    unanswered: BTreeMap<String, u64>,
+}
+
+impl Known {
+    /// Somebody asks about a job.
+    pub fn asked(&mut self, id: &str, now: u64) {
+        self.unanswered.entry(id.to_owned()).or_insert(now);
+    }
+
+    /// A question about it was answered.
+    pub fn answered(&mut self, id: &str) {
+        self.unanswered.remove(id);
+    }
+
+    /// Jobs that count as forgotten from now on; each is named once.
+    pub fn forgotten(&mut self, now: u64) -> Vec<String> {
+        let over = |at: &u64| now >= *at + PATIENCE;
+        if !self.unanswered.values().any(over) {
+            return Vec::new();
+        }
+        self.unanswered.extract_if(.., |_, at| over(at)).map(|(id, _)| id).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// However many others are answered.
+    #[test]
+    fn one_job_without_an_answer_for_75_s_is_forgotten() {
+        let mut known = Known::default();
+        for now in (0..80_000).step_by(5_000) {
+            for id in ["a", "b"] {
+                known.asked(id, now);
+            }
+            known.answered("a");
+            let expected: &[&str] = if now == 75_000 { &["b"] } else { &[] };
+            assert_eq!(known.forgotten(now), expected, "{now}");
+        }
+    }
+}
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -32,7 +32,8 @@
         Rules { cancel, ..Rules::default() }
     }
 
-    fn broke(&mut self, rule: &'static str, what: impl Into<String>, at: u64) {
+    /// Notes a broken rule.
+    pub fn broke(&mut self, rule: &'static str, what: impl Into<String>, at: u64) {
         self.broken.push(Broken { rule, what: what.into(), at });
     }
 
--- a/crates/testkit/src/world/faults.rs
+++ b/crates/testkit/src/world/faults.rs
@@ -69,6 +69,18 @@
                 self.cut(Cut::Users(1), ms);
                 (Cut::Zone, ms)
             }
+            Fault::Unreached { count, ms } => {
+                for name in self.some(&names, count) {
+                    self.cut(Cut::Unreached(name), ms);
+                }
+                return;
+            }
+            Fault::UnreachedZone { ms } => (Cut::UnreachedZone, ms),
+            Fault::Copies { ms } => (Cut::Copies, ms),
+            Fault::Blind { node, ms, refused } => {
+                self.cut(Cut::Mesh(node), ms);
+                (if refused { Cut::Refuse(Some(node)) } else { Cut::State(node) }, ms)
+            }
             Fault::SlowState { times, ms } => (Cut::Slow(times), ms),
             Fault::CrashAt { node, nth } => {
                 self.ends_at.insert(node, (0, nth));
--- a/crates/testkit/src/world/kinds.rs
+++ b/crates/testkit/src/world/kinds.rs
@@ -57,6 +57,10 @@
     Fault(Fault),
     Heal(Cut),
     Flush,
+    /// A copy of something that was sent before comes.
+    Copy(Box<Message>),
+    /// Every accepted job is asked about.
+    AskAll,
     Thaw {
         node: usize,
         life: u64,
@@ -89,6 +93,9 @@
     Heavy,
     Zone,
     Slow(u64),
+    Unreached(String),
+    UnreachedZone,
+    Copies,
 }
 
 pub(super) struct Running {
--- a/crates/testkit/src/world/mod.rs
+++ b/crates/testkit/src/world/mod.rs
@@ -13,6 +13,7 @@
 pub use plan::{Fault, Plan, Sabotage};
 
 use crate::cloud::{Boots, Cloud};
+use crate::known::Known;
 use crate::rules::Rules;
 use crate::served::{least, Served, Share};
 use crate::state::StateService;
@@ -68,6 +69,10 @@
     pub accept_ms: Vec<u64>,
     pub rules: Rules,
     pub takeovers: Takeovers,
+    /// Whether questions are answered once all troubles are over.
+    known: Known,
+    /// Since when each node has been healthy without a break.
+    healthy_since: [Option<u64>; NODES],
     served: Served,
     /// Nodes that end as they are about to do something: what they have done so far, and at which
     /// deed they end.
@@ -110,6 +115,8 @@
             accept_ms: Vec::new(),
             rules: Rules::new(terms.cancel),
             takeovers: Takeovers::default(),
+            known: Known::default(),
+            healthy_since: [None; NODES],
             served: Served::default(),
             ends_at: HashMap::new(),
             released_alive: 0,
@@ -122,6 +129,8 @@
         }
         world.at(0, Happening::Workers);
         world.at(1_500, Happening::Submit);
+        let over = world.plan.faults.iter().map(|(at, fault)| at + fault.lasts()).max();
+        world.at(over.unwrap_or(0).max(60_000), Happening::AskAll);
         for (at, fault) in world.plan.faults.clone() {
             world.at(at, Happening::Fault(fault));
         }
@@ -222,6 +231,9 @@
                 continue;
             }
             self.rules.check(&self.workers, &self.jobs, &self.limits, self.now);
+            for id in self.known.forgotten(self.now) {
+                self.rules.broke("forgotten", format!("{id}: no answer for 75 s"), self.now);
+            }
         }
     }
 
@@ -377,7 +389,8 @@
             }
             Happening::Thaw { node, life } => self.thaw(node, life),
             Happening::Mend { key, value } => self.write_past(&key, value),
-            Happening::Deliver(message) => self.deliver(*message),
+            Happening::Deliver(message) | Happening::Copy(message) => self.deliver(*message),
+            Happening::AskAll => self.ask_all(),
             Happening::Timeout { node, life, call, event } => {
                 if self.live(node, life) && self.pending.remove(&(node, life, call)) {
                     self.feed(node, *event);
@@ -401,6 +414,11 @@
                     self.older = self.state.clone();
                 }
                 self.step_workers();
+                for node in 0..NODES {
+                    let healthy = self.nodes[node].as_ref().is_some_and(|r| r.node.healthy());
+                    let since = self.healthy_since[node].filter(|_| healthy);
+                    self.healthy_since[node] = since.or(healthy.then_some(self.now));
+                }
                 let (accepted, asked) = (&self.rules.accepted, &self.rules.cancel_asked);
                 self.served.look(&self.workers, &self.jobs, accepted, asked, self.now);
                 self.at(self.now + self.terms.step, Happening::Workers);
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -41,13 +41,54 @@
                 let inside = |place| self.zone_of(place).is_some_and(|zone| zone == "b");
                 inside(from) != inside(to)
             }
+            // What is lost on one way is not held back.
+            Cut::Unreached(_) | Cut::UnreachedZone | Cut::Copies => false,
             Cut::Refuse(_) | Cut::Cloud | Cut::Users(_) | Cut::Slow(_) => false,
             Cut::Boots | Cut::Mistakes | Cut::Questions | Cut::Heavy => false,
         })
     }
 
+    /// Whether a message is lost on its way to a machine.
+    fn is_lost(&self, from: Place, to: Place) -> bool {
+        let (Place::Node(_), Place::Machine(_)) = (from, to) else { return false };
+        self.cuts.iter().any(|cut| match cut {
+            Cut::Unreached(name) => self.machine(name) == to,
+            Cut::UnreachedZone => self.zone_of(to).is_some_and(|zone| zone == "b"),
+            _ => false,
+        })
+    }
+
+    /// Has copies of a message come later, if there are such at present.
+    fn copy(&mut self, message: &Message) {
+        let copied = match message {
+            Message::Report { .. } | Message::Direct { .. } => true,
+            Message::State { request, .. } => matches!(request, StateRequest::Txn(_)),
+            Message::Cloud { request, .. } => !matches!(request, CloudRequest::List { .. }),
+            _ => false,
+        };
+        if !copied || !self.cuts.contains(&Cut::Copies) || !self.rng.random_bool(0.3) {
+            return;
+        }
+        for _ in 0..self.rng.random_range(1..4) {
+            let mut copy = message.clone();
+            if let Message::Report { node, number, report, .. } = &mut copy {
+                // Its answer goes to nobody.
+                (*node, *number) = (self.rng.random_range(0..NODES), 0);
+                if self.plan.sabotage == Some(Sabotage::CopiesTrusted) {
+                    report.seq += 1_000_000;
+                }
+            }
+            let after = self.rng.random_range(1_000..3 * self.terms.lease);
+            self.at(self.now + after, Happening::Copy(Box::new(copy)));
+        }
+    }
+
     /// Sends a message; a cut holds it back until it heals.
     pub(super) fn send(&mut self, from: Place, to: Place, message: Message) {
+        self.copy(&message);
+        if self.is_lost(from, to) {
+            return;
+        }
         if self.is_cut(from, to) {
             self.held.push((from, to, message));
             return;
--- a/crates/testkit/src/world/plan.rs
+++ b/crates/testkit/src/world/plan.rs
@@ -57,6 +57,17 @@
     /// Ends a node as it is about to do the nth thing that others would see: a write, an order, a
     /// rental, a message, an answer. It is back after 6 s.
     CrashAt { node: usize, nth: u64 },
+    /// So many machines are heard and not reached: their reports arrive, answers and commands to them are
+    /// lost.
+    Unreached { count: usize, ms: u64 },
+    /// So are all machines of zone b.
+    UnreachedZone { ms: u64 },
+    /// Copies of reports, commands, writes, rentals and releases come again, after a second to three
+    /// leases, reports to any node.
+    Copies { ms: u64 },
+    /// A node loses the state service and the other nodes, by cuts or refusals, but neither its workers
+    /// nor users.
+    Blind { node: usize, ms: u64, refused: bool },
     /// Garbage stands on a ledger page of a partition for a time.
     SpoilPage { partition: u32, ms: u64 },
 }
@@ -85,6 +96,10 @@
     HintsLie,
     /// Parts of what followers are told are lost, held back or say less than they claim.
     HintsLost,
+    /// Copies of reports pass for new ones.
+    CopiesTrusted,
+    /// Questions about every seventh job are not answered.
+    SomeUnanswered,
 }
 
 /// What a run consists of.
@@ -99,3 +114,41 @@
     /// How many times the smallest site this one is: teams, machines and jobs.
     pub size: u64,
 }
+
+impl Fault {
+    /// How long it lasts, in ms.
+    pub fn lasts(&self) -> u64 {
+        match self {
+            Fault::Crash { back, .. } => *back,
+            Fault::CutState { ms, .. }
+            | Fault::Refuse { ms, .. }
+            | Fault::CutWorkers { ms, .. }
+            | Fault::CutMesh { ms, .. }
+            | Fault::CutZones { ms }
+            | Fault::CutMachine { ms, .. }
+            | Fault::Hang { ms, .. }
+            | Fault::CloudOutage { ms }
+            | Fault::Freeze { ms, .. }
+            | Fault::Isolate { ms, .. }
+            | Fault::Boots { ms, .. }
+            | Fault::Mistakes { ms }
+            | Fault::Questions { ms }
+            | Fault::Heavy { ms }
+            | Fault::HangMany { ms, .. }
+            | Fault::CutZone { ms }
+            | Fault::SlowState { ms, .. }
+            | Fault::Unreached { ms, .. }
+            | Fault::UnreachedZone { ms }
+            | Fault::Copies { ms }
+            | Fault::Blind { ms, .. }
+            | Fault::SpoilPage { ms, .. } => *ms,
+            Fault::CrashAt { .. } => 6_000,
+            Fault::Kill { .. }
+            | Fault::Sick { .. }
+            | Fault::Guests { .. }
+            | Fault::Burst { .. }
+            | Fault::KillMany { .. }
+            | Fault::SickMany { .. } => 0,
+        }
+    }
+}
--- a/crates/testkit/src/world/users.rs
+++ b/crates/testkit/src/world/users.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// How long a node must have been healthy before a load balancer counts on it.
+const BALANCER: u64 = 3_000;
+
 impl World {
     pub(super) fn submit(&mut self) {
         if self.now > self.plan.submit_ms {
@@ -122,6 +125,10 @@
             return;
         }
         let node = alive[self.rng.random_range(0..alive.len())];
+        self.ask_node(node, request, id, tries);
+    }
+
+    fn ask_node(&mut self, node: usize, request: UserRequest, id: String, tries: u32) {
         let Some(life) = self.nodes[node].as_ref().map(|r| r.life) else { return };
         self.next_ticket += 1;
         let ticket = self.next_ticket;
@@ -130,9 +137,44 @@
         self.feed(node, Event::User { ticket, request });
     }
 
+    /// Asks about every accepted job, also those long over, by a question or by submitting it again,
+    /// through nodes that a load balancer would choose.
+    pub(super) fn ask_all(&mut self) {
+        let ids: Vec<String> = self.rules.accepted.keys().cloned().collect();
+        // A large site is asked more slowly.
+        let pause = if ids.len() > 300 { 20_000 } else { 5_000 };
+        let serves = |n: &usize| {
+            let long = self.healthy_since[*n].is_some_and(|at| self.now >= at + BALANCER);
+            long && self.nodes[*n].is_some() && !self.cuts.contains(&Cut::Users(*n))
+        };
+        let nodes: Vec<usize> = (0..NODES).filter(serves).collect();
+        for (nth, id) in ids.into_iter().enumerate() {
+            self.known.asked(&id, self.now);
+            let (Some(job), Some(number)) = (self.jobs.get(&id).cloned(), JobId::parse(&id)) else {
+                continue;
+            };
+            let request = if nth % 3 == 0 {
+                UserRequest::Submit(Box::new(job))
+            } else {
+                UserRequest::Get(number)
+            };
+            let Some(node) = nodes.get(self.rng.random_range(0..nodes.len().max(1))) else {
+                continue;
+            };
+            // Not made again if refused: the next one comes soon.
+            self.ask_node(*node, request, id, 60);
+        }
+        self.at(self.now + pause, Happening::AskAll);
+    }
+
     pub(super) fn user_answer(&mut self, asked: Asked, reply: UserReply) {
         let Asked { request, id, tries, asked } = asked;
         let now = self.now;
+        let unanswered = self.plan.sabotage == Some(Sabotage::SomeUnanswered)
+            && JobId::parse(&id).is_some_and(|job| job.0 % 49 == 0);
+        if matches!(reply, UserReply::Status(_)) && !unanswered {
+            self.known.answered(&id);
+        }
         match reply {
             UserReply::Created(_) => {
                 let first = self.submitted.get(&id).copied().unwrap_or(now);
--- /dev/null
+++ b/crates/testkit/tests/end_of_day.rs
@@ -0,0 +1,120 @@
+//! What is checked at the end of a day: every accepted job is known or runs, each class, team and the
+//! largest jobs are served, under the troubles that came last: machines that are heard and not reached,
+//! late copies, controllers without state service and peers, all back within a fraction of a second.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use testkit::{Fault, Plan, Sabotage, World};
+
+/// Troubles of the last kind, drawn alone and together, with ends and outages among them.
+fn troubles(seed: u64, count: usize, size: u64) -> Vec<(u64, Fault)> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0xe0d);
+    let draw = |_| {
+        let at = rng.random_range(20_000..150_000);
+        let ms = rng.random_range(2_000..40_000);
+        let node = rng.random_range(0..3);
+        let count = rng.random_range(1..4 * size as usize);
+        let fault = match rng.random_range(0..12) {
+            0 | 1 => Fault::Unreached { count, ms },
+            2 => Fault::UnreachedZone { ms },
+            3 | 4 => Fault::Copies { ms },
+            5..=7 => Fault::Blind { node, ms, refused: rng.random_bool(0.5) },
+            8 | 9 => Fault::Crash { node, back: rng.random_range(50..1_000) },
+            10 => Fault::Refuse { node: None, ms: ms.min(20_000) },
+            _ => Fault::KillMany { count },
+        };
+        (at, fault)
+    };
+    (0..count).map(draw).collect()
+}
+
+fn plan(seed: u64, size: u64, faults: Vec<(u64, Fault)>) -> Plan {
+    Plan { seed, ms: 300_000, faults, sabotage: None, submit_ms: 150_000, size }
+}
+
+/// Runs a day and checks its end.
+fn day(what: &str, plan: Plan) -> World {
+    let said = format!("{what}, seed {}: {:?}", plan.seed, plan.faults);
+    let mut world = World::new(plan);
+    world.run();
+    assert_eq!(world.rules.broken, [], "{said}");
+    let (of, part) = world.least_served(75_000).expect("something was asked for");
+    println!("{what}: least served {of}, {part:.2}; {} starts", world.rules.started);
+    assert!(part >= 0.5, "{said}: {part:.2} of {of}");
+    world
+}
+
+#[test]
+fn machines_that_are_heard_and_not_reached() {
+    for seed in 1..=6 {
+        let ms = 4_000 + seed * 9_000;
+        let faults = vec![
+            (60_000 + seed * 97, Fault::Unreached { count: 3, ms }),
+            (130_000, Fault::UnreachedZone { ms: ms.min(25_000) }),
+        ];
+        let world = day("unreached", plan(seed, 1 + seed % 2, faults));
+        assert_eq!(world.unfinished(), Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+#[test]
+fn late_copies_prove_nothing() {
+    for seed in 1..=8 {
+        let back = 50 + seed * 100;
+        let faults = vec![
+            (15_000, Fault::Copies { ms: 140_000 }),
+            (50_000 + seed * 131, Fault::Crash { node: 0, back }),
+            (80_000, Fault::KillMany { count: 2 }),
+            (100_000 + seed * 77, Fault::Crash { node: 1, back }),
+            (100_300 + seed * 77, Fault::Crash { node: 2, back }),
+        ];
+        let world = day("copies", plan(seed, 1 + seed % 2, faults));
+        assert_eq!(world.unfinished(), Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// It leaves its workers to others in time: no task dies of its lease.
+#[test]
+fn a_controller_without_state_and_peers() {
+    for seed in 1..=8 {
+        let node = (seed % 3) as usize;
+        let faults = vec![
+            (50_000, Fault::Blind { node, ms: 3_000 + seed * 4_000, refused: seed % 2 == 0 }),
+            (110_000, Fault::Blind { node: (node + 1) % 3, ms: 30_000, refused: seed % 2 == 1 }),
+            (112_000, Fault::Crash { node: (node + 2) % 3, back: 100 }),
+        ];
+        let world = day("blind", plan(seed, 1 + seed % 2, faults));
+        assert_eq!(world.killed_by_lease(), 0, "seed {seed}");
+        assert_eq!(world.unfinished(), Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+#[test]
+fn the_last_troubles_together() {
+    for seed in 1..=30 {
+        let size = 1 + seed % 2;
+        day("together", plan(seed, size, troubles(seed, 7, size)));
+    }
+}
+
+/// What a checker must tell.
+fn is_caught(sabotage: Sabotage, rules: &[&str]) {
+    let caught = (1..=12).any(|seed| {
+        let faults = troubles(seed, 7, 1);
+        let faults = faults.into_iter().chain([(30_000, Fault::Copies { ms: 100_000 })]).collect();
+        let mut world = World::new(Plan { sabotage: Some(sabotage), ..plan(seed, 1, faults) });
+        world.run();
+        world.rules.broken.iter().any(|broken| rules.contains(&broken.rule))
+    });
+    assert!(caught, "{sabotage:?}");
+}
+
+#[test]
+fn copies_that_pass_for_new_reports_are_caught() {
+    is_caught(Sabotage::CopiesTrusted, &["ran_twice", "quota", "wrong_place", "ran_cancelled"]);
+}
+
+#[test]
+fn jobs_about_which_no_question_is_answered_are_caught() {
+    is_caught(Sabotage::SomeUnanswered, &["forgotten"]);
+}
