A late copy of a launch that was carried out starts nothing: exited tasks are kept until a token is raised

Only launches whose answer had not come were voided before. Change: a machine keeps which attempts were launched directly under which token and session; an exited one is forgotten once the worker has seen a higher token or begun a newer session, or if it was completed (its result is kept). Tokens are raised for such after 30 s, for all machines at once. The stand-in of a worker keeps results of gangs as PROTOCOL says.

--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -518,7 +518,7 @@
     fn raise_tokens(&mut self, partition: PartitionId) {
         let Some(share) = self.holdings.get(&partition).and_then(|h| h.share()) else { return };
         for machine in share.machines.values() {
-            if machine.wants_token() {
+            if machine.wants_token(self.now) {
                 self.machine_changes.want(&machine.name, MachineChange::Raise);
             }
         }
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -26,6 +26,7 @@
                 commands.push(Command::Stop { task, attempt, grace_s: 0.0 });
             } else if !self.unsaved.contains(&(stray.task, stray.attempt))
                 && machine.lost_launch.is_none()
+                && machine.may_forget(stray)
                 // A worker that has forgotten the attempt would start it when the launch in a
                 // late answer reaches it.
                 && !machine.answer_launches.contains(&(stray.task, stray.attempt))
@@ -78,8 +79,13 @@
         }
         if let Some(machine) = self.machines.get_mut(name) {
             match route {
-                Route::Direct if !launches.is_empty() => machine.direct_at = now,
-                Route::Direct => {}
+                Route::Direct => {
+                    if !launches.is_empty() {
+                        machine.direct_at = now;
+                    }
+                    let sent = launches.iter().map(|(id, _)| (*id, (token, session)));
+                    machine.direct.extend(sent);
+                }
                 Route::Answer => {
                     machine.answer_launches = launches.iter().map(|(id, _)| *id).collect();
                 }
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -10,6 +10,9 @@
 use wire::cloud::MachineType;
 use wire::workers::{ExitCause, TaskState};
 
+/// How long exited tasks are kept before a token is raised for them: those of some time at once.
+const KEPT_EXITED: Span = Span(30_000);
+
 /// A task in the newest report that has no placement here.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Stray {
@@ -116,6 +119,11 @@
     /// Launches in the newest answer to a report, which may still be under way: only the next
     /// report shows that it has arrived or was dropped.
     pub answer_launches: Vec<(TaskId, Attempt)>,
+    /// Direct launches of ours whose attempts the worker may still remember: under which token and in which
+    /// session. A copy of one may come at any later time, also of one that was answered.
+    pub(crate) direct: BTreeMap<(TaskId, Attempt), (Token, Session)>,
+    /// Since when it has had exited tasks that must not be forgotten before it has seen a higher token.
+    pub(crate) kept_since: Option<Moment>,
     /// Token and session of a lost direct launch. Only a worker that has seen a higher token or
     /// has begun a newer session will not execute it any more.
     pub lost_launch: Option<(Token, Session)>,
@@ -203,6 +211,8 @@
             ceding: None,
             emptied_until: None,
             answer_launches: Vec::new(),
+            direct: BTreeMap::new(),
+            kept_since: None,
             lost_launch: None,
         }
     }
@@ -250,9 +260,33 @@
         self.lost_launch = Some((old.max(token), before.max(session)));
     }
 
-    /// Whether its record must get a higher token to void a lost launch.
-    pub fn wants_token(&self) -> bool {
-        self.lost_launch.is_some() && self.seen_token >= self.token
+    /// Whether no launch of an exited task can arrive any more that the worker would execute. An attempt
+    /// that it remembers has no effect, so a copy of a launch does harm only after its forget, and none
+    /// where the task was completed: its result is kept, and it exits at once.
+    pub(crate) fn may_forget(&self, stray: &Stray) -> bool {
+        stray.why == Some(ExitCause::Done)
+            || self
+                .direct
+                .get(&(stray.task, stray.attempt))
+                .is_none_or(|(token, session)| self.seen_token > *token || self.session > *session)
+    }
+
+    /// Notes which exited tasks are kept, and what need not be known of launches any more.
+    pub(crate) fn keep_exited(&mut self, now: Moment) {
+        let strays = std::mem::take(&mut self.strays);
+        let kept = strays.iter().any(|s| s.state == TaskState::Exited && !self.may_forget(s));
+        self.kept_since = kept.then(|| self.kept_since.unwrap_or(now));
+        let tasks = &self.tasks;
+        self.direct.retain(|(task, attempt), _| {
+            tasks.contains(task) || strays.iter().any(|s| s.task == *task && s.attempt == *attempt)
+        });
+        self.strays = strays;
+    }
+
+    /// Whether its record must get a higher token to void a lost launch, or copies of others.
+    pub fn wants_token(&self, now: Moment) -> bool {
+        let kept = self.kept_since.is_some_and(|at| now.since(at) >= KEPT_EXITED);
+        (self.lost_launch.is_some() || kept) && self.seen_token >= self.token
     }
 
     /// Whether every task must be gone: nobody entitled has answered for a whole lease.
--- a/crates/scheduler/src/observe.rs
+++ b/crates/scheduler/src/observe.rs
@@ -69,7 +69,7 @@
         for task in placed {
             self.observe_placement(task, &name, &listed, has_token, source, now);
         }
-        self.find_strays(&name, &listed);
+        self.find_strays(&name, &listed, now);
         if let Some(machine) = self.machines.get_mut(&name) {
             if machine.usable(now, silence) {
                 self.rooms.enter(machine);
@@ -201,7 +201,7 @@
     }
 
     /// Tasks on the machine that have no placement here.
-    fn find_strays(&mut self, name: &MachineName, listed: &[(TaskId, &TaskReport)]) {
+    fn find_strays(&mut self, name: &MachineName, listed: &[(TaskId, &TaskReport)], now: Moment) {
         let mut strays = Vec::new();
         for (task, entry) in listed.iter().copied() {
             let attempt = Attempt(entry.attempt);
@@ -216,6 +216,7 @@
         }
         if let Some(machine) = self.machines.get_mut(name) {
             machine.strays = strays;
+            machine.keep_exited(now);
         }
     }
 
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -317,6 +317,9 @@
             held.state = state;
             held.why = why;
             self.changed = true;
+            if why == Some(ExitCause::Done) {
+                self.results.insert(key.0.clone());
+            }
         }
     }
 
--- a/crates/testkit/tests/end_of_day.rs
+++ b/crates/testkit/tests/end_of_day.rs
@@ -97,6 +97,34 @@
     }
 }
 
+/// By hand: `SEEDS=500 SIZE=160 cargo test --release -p testkit --test end_of_day -- --ignored`, minutes on
+/// all cores. Size 160 has half as many machines again as a fleet.
+#[test]
+#[ignore = "hundreds of seeds"]
+fn many_seeds() {
+    let number = |name: &str, usual: u64| {
+        std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(usual)
+    };
+    let (seeds, size) = (number("SEEDS", 500), number("SIZE", 160));
+    let next = std::sync::atomic::AtomicU64::new(1);
+    let cores = std::thread::available_parallelism().map_or(4, usize::from);
+    std::thread::scope(|scope| {
+        for _ in 0..cores {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                if seed > seeds {
+                    break;
+                }
+                let size = if size > 2 { size } else { 1 + seed % size };
+                // A large site is asked for what it has.
+                let submit_ms = if size > 100 { 60_000 } else { 150_000 };
+                let drawn = troubles(seed, 8, size.min(40));
+                day("many", Plan { submit_ms, ..plan(seed, size, drawn) });
+            });
+        }
+    });
+}
+
 /// What a checker must tell.
 fn is_caught(sabotage: Sabotage, rules: &[&str]) {
     let caught = (1..=12).any(|seed| {
