Machines heard and not reached are doubted; partitions whose machines all died are not given up in turn for ever

Change: commands without an answer, or a new session although the one before was answered, have a machine doubted until it answers (admin: unreached; metric: machines_unreached, without_state); who gave a partition up in the last 120 s is no better holder.

--- a/crates/coordination/src/node/admin.rs
+++ b/crates/coordination/src/node/admin.rs
@@ -277,12 +277,19 @@
                     "silent_ms": own.and_then(|m| m.reported_at).map(|at| self.now.since(at).0),
                     "tasks": own.map(|m| m.tasks.iter().map(|t| t.to_string()).collect::<Vec<_>>()),
                     "faulty": own.map(|m| m.faulty),
+                    "unreached": own.map(|m| m.is_unreached()),
                 })
             })
             .collect();
         json!({ "machines": list })
     }
 
+    /// Machines of ours that are heard and not reached.
+    fn unreached_machines(&self) -> usize {
+        let shares = self.holdings.values().filter_map(|h| h.share());
+        shares.flat_map(|s| s.machines.values()).filter(|m| m.is_unreached()).count()
+    }
+
     fn queues_view(&self) -> Value {
         let list: Vec<Value> = self
             .holdings
@@ -343,6 +350,8 @@
                 "machines": self.mirror.machines.len(),
                 "partitions_held": self.holdings.len(),
                 "partitions_in_step": self.partitions_in_step(),
+                "machines_unreached": self.unreached_machines(),
+                "without_state": u64::from(!self.in_contact(super::LAUNCH_CONTACT)),
             },
         })
     }
--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -206,9 +206,12 @@
         };
         let share = &mut loaded.share;
         let Some(machine) = share.machines.get_mut(name) else { return Vec::new() };
-        machine.answered_at = now;
         machine.token = machine.token.max(token);
-        if !share.observe(report, Source::Report, now) {
+        let newer = share.observe(report, Source::Report, now);
+        if let Some(machine) = share.machines.get_mut(name) {
+            machine.answer(newer, now);
+        }
+        if !newer {
             return Vec::new();
         }
         let mut commands = share.commands_for(name, Route::Answer, now);
--- a/crates/coordination/src/node/leader.rs
+++ b/crates/coordination/src/node/leader.rs
@@ -16,6 +16,9 @@
 /// How long an offer that was refused is left alone.
 const REFUSED: Span = Span(6_000);
 
+/// How long late reports, copies of them and old lists may speak of a machine that has been deleted.
+const GONE: Span = Span(120_000);
+
 /// Time between two looks at which machines lack a record or are to be released.
 const LOOK: Span = Span(50);
 
@@ -94,7 +97,7 @@
         now: Moment,
     ) {
         // One that has just been released may still be in a late report or an old list.
-        let gone = self.deleting.get(name).is_some_and(|at| now.since(*at) < Span(60_000));
+        let gone = self.deleting.get(name).is_some_and(|at| now.since(*at) < GONE);
         if gone || self.unrecorded.contains_key(name) {
             return;
         }
@@ -363,7 +366,7 @@
             self.leader.listed.insert(name, (machine, now));
         }
         self.leader.listed.retain(|_, (_, at)| now.since(*at) < Span(120_000));
-        self.leader.deleting.retain(|_, at| now.since(*at) < Span(120_000));
+        self.leader.deleting.retain(|_, at| now.since(*at) < GONE);
     }
 
     /// The fleet as the leader knows it.
--- a/crates/coordination/src/node/mod.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -281,7 +281,7 @@
     homeless_since: Option<Moment>,
     wishing: bool,
     /// When others told us that they gave a partition up.
-    given_up_at: HashMap<PartitionId, Moment>,
+    given_up_at: HashMap<PartitionId, HashMap<NodeName, Moment>>,
     /// Partitions given up since their workers do not reach us.
     shunned: HashMap<PartitionId, partitions::Shun>,
     alive_at: Moment,
@@ -455,12 +455,12 @@
         if self.synced && self.contact_at.is_some_and(contact) {
             return true;
         }
-        // When nobody has contact, going unhealthy helps nobody and costs time afterwards.
-        let peer_serves = self
-            .peers
-            .values()
-            .any(|p| p.state_contact && self.now.since(p.heard_at) <= Span(2_000));
-        self.synced && !peer_serves
+        // When nobody has contact, going unhealthy helps nobody and costs time afterwards. Who hears none
+        // of the others either is cut off itself: they may serve.
+        let heard = |p: &&PeerView| self.now.since(p.heard_at) <= Span(2_000);
+        let peer_serves = self.peers.values().filter(heard).any(|p| p.state_contact);
+        let alone = !self.peers.is_empty() && !self.peers.values().any(|p| heard(&p));
+        self.synced && !peer_serves && !alone
     }
 
     fn in_contact(&self, within: Span) -> bool {
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -186,8 +186,15 @@
     /// Gives a partition up whose workers do not reach us while other nodes may be reached: a
     /// holder that hears nobody keeps leases from being renewed and work from being placed.
     pub(super) fn give_up(&mut self, partition: PartitionId) {
-        let others = self.peers.values().any(|peer| {
-            peer.ready && peer.state_contact && self.now.since(peer.heard_at) <= PEER_SILENCE
+        // Whoever has given it up as well does no better: where all machines of a partition had died, its
+        // holders gave it up to each other for ever, each before it could find that out.
+        let gave_up = |name: &NodeName| {
+            let at = self.given_up_at.get(&partition).and_then(|by| by.get(name));
+            at.is_some_and(|at| self.now.since(*at) < LONGEST_SHUN)
+        };
+        let others = self.peers.iter().any(|(name, peer)| {
+            let lives = self.now.since(peer.heard_at) <= PEER_SILENCE;
+            peer.ready && peer.state_contact && lives && !gave_up(name)
         });
         let Some(holding) = self.holdings.get_mut(&partition) else { return };
         if !others || !holding.may_hand_over() {
@@ -262,7 +269,8 @@
     }
 
     fn was_given_up(&self, partition: PartitionId) -> bool {
-        self.given_up_at.get(&partition).is_some_and(|at| self.now.since(*at) < NOBODY)
+        let by = self.given_up_at.get(&partition);
+        by.is_some_and(|by| by.values().any(|at| self.now.since(*at) < NOBODY))
     }
 
     /// Writes a partition's record under the next term and under its new holder's lease,
@@ -525,7 +533,8 @@
                 }
             }
             MeshMessage::GaveUp { partition } => {
-                self.given_up_at.insert(PartitionId(partition), self.now);
+                let by = self.given_up_at.entry(PartitionId(partition)).or_default();
+                by.insert(from, self.now);
             }
             MeshMessage::WantHome { partition, lease, boot } => {
                 if self.peers.get(&from).is_some_and(|p| p.ready) {
--- a/crates/coordination/src/node/workers.rs
+++ b/crates/coordination/src/node/workers.rs
@@ -149,6 +149,9 @@
         let Some(share) = self.holdings.get_mut(&partition).and_then(|h| h.share_mut()) else {
             return;
         };
+        if let DirectReply::Unknown = reply {
+            share.was_unanswered(&machine, now);
+        }
         if let DirectReply::Answered(report) = reply {
             share.direct_answered(&machine, &launches);
             if report.machine == machine.as_str() {
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -92,6 +92,8 @@
     pub(crate) followed: Option<Followed>,
     /// What came of asking it directly whether it is there.
     pub(crate) asked: Asked,
+    /// Since when nothing shows that what we send reaches it, although it may be heard: see `silence.rs`.
+    pub(crate) doubted: Option<Moment>,
     /// When we answered it last.
     pub answered_at: Moment,
     /// When we last sent it a direct launch. A session that nobody answers still lives for one
@@ -198,6 +200,7 @@
             heard_at: None,
             followed: None,
             asked: Asked::default(),
+            doubted: None,
             answered_at: Moment::default(),
             direct_at: Moment::default(),
             reported_at: None,
@@ -249,6 +252,7 @@
             && self.emptied_until.is_none_or(|until| now >= until)
             && !self.faulty
             && self.lost_launch.is_none()
+            && self.doubted.is_none()
             && self.notice.is_none()
             && self.seen_token <= self.token
             && self.reported_at.is_some_and(|at| now.since(at) <= silence)
@@ -289,6 +293,23 @@
         (self.lost_launch.is_some() || kept) && self.seen_token >= self.token
     }
 
+    /// Whether we have answered it so lately that its lease should stand.
+    pub(crate) fn answered_lately(&self, lease: Span, now: Moment) -> bool {
+        self.answered_at > Moment::default() && now.since(self.answered_at) < lease
+    }
+
+    /// Whether it is heard and not reached: it reports, and nothing that we send gets there.
+    pub fn is_unreached(&self) -> bool {
+        self.doubted.is_some_and(|since| self.reported_at.is_some_and(|at| at > since))
+    }
+
+    /// We answer a report. One that is older than what is known was sent before that came in, so an answer
+    /// to it keeps the lease up for no longer: a copy that comes late does not put the end of a lease off.
+    pub fn answer(&mut self, newer: bool, now: Moment) {
+        let known = self.heard_at.unwrap_or_default();
+        self.answered_at = self.answered_at.max(if newer { now } else { known });
+    }
+
     /// Whether every task must be gone: nobody entitled has answered for a whole lease.
     pub fn lapsed(&self, now: Moment, entitled_until: Moment, lease: Span) -> bool {
         now > self.answered_at.max(self.direct_at).max(entitled_until) + lease.with_drift()
--- a/crates/scheduler/src/observe.rs
+++ b/crates/scheduler/src/observe.rs
@@ -30,6 +30,17 @@
             return false;
         }
         let first = machine.heard_at.is_none();
+        let reached = source == Source::Direct && machine.doubted.take().is_some();
+        if reached {
+            tracing::debug!(machine = %name, "reached again");
+        } else if source == Source::Report
+            && !first
+            && session > machine.session
+            && machine.answered_lately(self.lease, now)
+        {
+            // Its lease has ended although we answered: our answers do not reach it.
+            machine.doubted.get_or_insert(now);
+        }
         let returns = !machine.usable(now, silence);
         machine.session = session;
         machine.seq = seq;
@@ -75,7 +86,7 @@
                 self.rooms.enter(machine);
             }
         }
-        if first || source == Source::Report && returns {
+        if first || reached || source == Source::Report && returns {
             self.queue.move_all(now);
         }
         true
@@ -146,12 +157,16 @@
             }
             placement.inherited = false;
         }
+        let task_machine = placement.machine.clone();
         let was_seen = placement.seen.take().is_some();
         let was_launched = placement.launched.take().is_some();
         if placement.stop.is_some() || was_seen || (gang && was_launched && job.gang_started) {
             // It was there and is not any more (a new session), or it never got there and is
             // no longer wanted.
             self.drop_placement(task, now, true);
+        } else if self.machines.get(&task_machine).is_some_and(|m| m.doubted.is_some()) {
+            // What could still arrive is settled, and nothing that is sent again would.
+            self.drop_placement(task, now, true);
         }
         // Otherwise the launch was lost with its answer; it is sent again to the same place.
     }
--- a/crates/scheduler/src/silence.rs
+++ b/crates/scheduler/src/silence.rs
@@ -5,6 +5,11 @@
 //! lost, and having the cloud end it lets its tasks start elsewhere sooner than waiting for its
 //! lease. A first question without an answer has all machines of its zone asked at once: unless
 //! half of them are heard then, the network is at fault, and ending them would help nobody.
+//!
+//! A machine may also be heard and not reached: its reports arrive, our answers and commands do not. That
+//! something was sent shows nothing. Commands without an answer, or a new session although we answered the
+//! one before, have it doubted: nothing new is placed there, launches that the worker has certainly not
+//! taken are placed elsewhere, and it is asked until it answers. It is used again as soon as it does.
 
 use crate::machine::Machine;
 use crate::share::Share;
@@ -20,6 +25,8 @@
 const ALARM: Span = Span(6_000);
 /// Pause between a question without an answer and the next.
 const AGAIN: Span = Span(250);
+/// Pause between two questions to one that is doubted.
+const DOUBTED: Span = Span(1_000);
 /// Questions without an answer after which a machine is lost.
 const LOST: u32 = 2;
 /// Machines asked in one look.
@@ -51,7 +58,9 @@
                 }
                 continue;
             }
-            if machine.tasks.is_empty() || machine.asked.pending || machine.leaving {
+            let doubted = machine.doubted.is_some() && now.since(machine.asked.at) >= DOUBTED;
+            let asks = !machine.tasks.is_empty() || doubted;
+            if !asks || machine.asked.pending || machine.leaving {
                 continue;
             }
             let (Some(heard), Some(address)) = (machine.heard_at, &machine.address) else {
@@ -64,8 +73,8 @@
                 (0, false, true) => QUIET.min(overdue),
                 (0, false, false) => overdue,
             };
-            if now.since(heard.max(since).max(machine.asked.at)) >= quiet && list.len() < MOST_ASKED
-            {
+            let quiet = now.since(heard.max(since).max(machine.asked.at)) >= quiet;
+            if (quiet || doubted) && list.len() < MOST_ASKED {
                 machine.asked.pending = true;
                 list.push(Question {
                     machine: machine.name.clone(),
@@ -101,6 +110,13 @@
         }
     }
 
+    /// Commands to a machine were not answered.
+    pub fn was_unanswered(&mut self, name: &MachineName, now: Moment) {
+        if let Some(machine) = self.machines.get_mut(name) {
+            machine.doubted.get_or_insert(now);
+        }
+    }
+
     /// Machines with tasks that did not answer, while most of their zone have been heard since
     /// their own first question was in vain. What was heard before that proves nothing: we may
     /// have been cut off meanwhile.
@@ -125,6 +141,7 @@
         self.machines
             .values()
             .filter(|m| !m.tasks.is_empty() && m.asked.missed >= LOST && !m.leaving)
+            .filter(|m| !m.is_unreached())
             .filter(|m| mostly_there(m))
             .map(|m| m.name.clone())
             .collect()
--- a/crates/scheduler/tests/share.rs
+++ b/crates/scheduler/tests/share.rs
@@ -661,3 +661,84 @@
     assert_eq!(asked(true, false), []);
     assert_eq!(asked(true, true), [], "they were heard before we were cut off");
 }
+
+/// Its reports arrive; nothing that is sent to it does. It was given task after task, each of which waited
+/// there for ever.
+#[test]
+fn a_machine_that_is_heard_and_not_reached_takes_nothing_until_it_answers() {
+    let mut share = share();
+    let name = MachineName::from("host-000001");
+    share.observe(&report(1, None, Vec::new()), Source::Report, Moment(100));
+    share.add_job(job(1, "t", JobKind::Array, Priority::Normal, 1), 1, &[], Moment(100));
+    share.run_cycles(Moment(100), 100);
+    make_durable(&mut share);
+    assert_eq!(share.commands_for(&name, Route::Direct, Moment(100)).len(), 1);
+    share.was_unanswered(&name, Moment(2_600));
+    share.add_job(job(2, "t", JobKind::Array, Priority::Normal, 1), 2, &[], Moment(3_000));
+    for (seq, at) in [(2, 3_000), (3, 9_000)] {
+        share.observe(&report(seq, None, Vec::new()), Source::Report, Moment(at));
+        share.run_cycles(Moment(at), 100);
+        assert_eq!(share.jobs[&model::JobId(2)].placed.len(), 0, "nothing new goes there");
+        assert_eq!(share.jobs[&model::JobId(1)].placed.len(), 1, "the launch may yet arrive");
+        assert!(share.machines[&name].is_unreached());
+        let asked = share.to_be_asked(Moment(0), Moment(at + 1_000));
+        assert_eq!(asked.len(), 1, "it is asked");
+        share.was_asked(&name, false, Moment(at + 1_900));
+    }
+    assert_eq!(share.lost(), [], "it is heard, so it lives");
+    // Its lease has ended: the launch named the session before.
+    let new = Report { session: 2, ..report(4, None, Vec::new()) };
+    share.observe(&new, Source::Report, Moment(13_000));
+    assert_eq!(share.jobs[&model::JobId(1)].placed.len(), 0, "proven gone");
+    let answer = Report { session: 2, ..report(5, None, Vec::new()) };
+    share.observe(&answer, Source::Direct, Moment(14_000));
+    share.run_cycles(Moment(14_000), 100);
+    assert_eq!(share.jobs[&model::JobId(2)].placed.len(), 1, "used again without ceremony");
+}
+
+/// A worker that has forgotten an attempt would start it again on a copy of its launch.
+#[test]
+fn a_stopped_task_is_forgotten_only_when_no_copy_of_its_launch_has_an_effect() {
+    let mut share = share();
+    let name = MachineName::from("host-000001");
+    share.observe(&report(1, None, Vec::new()), Source::Report, Moment(100));
+    share.add_job(job(1, "t", JobKind::Service, Priority::High, 1), 1, &[], Moment(100));
+    share.run_cycles(Moment(100), 100);
+    make_durable(&mut share);
+    let launch = share.commands_for(&name, Route::Direct, Moment(100));
+    let Some(Command::Start { task, attempt }) = launch.first().cloned() else {
+        panic!("{launch:?}")
+    };
+    let id = model::TaskId::parse(&task).expect("a task");
+    let running = vec![entry(&task, attempt, TaskState::Running, None)];
+    share.direct_answered(&name, &[(id, model::Attempt(attempt))]);
+    share.observe(&report(2, None, running), Source::Direct, Moment(110));
+    share.cancel_job(model::JobId(1), Moment(200));
+    let stopped = || vec![entry(&task, attempt, TaskState::Exited, Some(ExitCause::Stopped))];
+    let forgets = |share: &mut Share, at: u64| {
+        let commands = share.commands_for(&name, Route::Answer, Moment(at));
+        commands.iter().filter(|c| matches!(c, Command::Forget { .. })).count()
+    };
+    share.observe(&report(3, None, stopped()), Source::Report, Moment(300));
+    make_durable(&mut share);
+    assert_eq!(forgets(&mut share, 300), 0);
+    assert!(!share.machines[&name].wants_token(Moment(300)), "some are voided at once, later");
+    assert!(share.machines[&name].wants_token(Moment(31_000)));
+    let seen = Report { token: 6, ..report(4, None, stopped()) };
+    share.observe(&seen, Source::Report, Moment(32_000));
+    assert_eq!(forgets(&mut share, 32_000), 1);
+}
+
+/// A lease counted from the arrival of a late copy would put the proof off by as much.
+#[test]
+fn a_late_copy_does_not_put_the_end_of_a_lease_off() {
+    let mut share = share();
+    let name = MachineName::from("host-000001");
+    let first = report(1, None, Vec::new());
+    for at in [100, 9_000] {
+        let newer = share.observe(&first, Source::Report, Moment(at));
+        let machine = share.machines.get_mut(&name).expect("it is there");
+        machine.answer(newer, Moment(at));
+        assert_eq!(machine.answered_at, Moment(100));
+    }
+}
--- a/crates/testkit/tests/end_of_day.rs
+++ b/crates/testkit/tests/end_of_day.rs
@@ -89,6 +89,16 @@
     }
 }
 
+/// Its holders gave each partition up to each other for ever, since none of its machines reached them.
+#[test]
+fn all_machines_die_at_once() {
+    for seed in 1..=4 {
+        let faults = vec![(60_000 + seed * 777, Fault::KillMany { count: 1_000 })];
+        let world = day("all die", plan(seed, 1 + seed % 2, faults));
+        assert_eq!(world.unfinished(), Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 #[test]
 fn the_last_troubles_together() {
     for seed in 1..=30 {
