--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -577,6 +577,7 @@
                     // Nothing is placed here from now on, whether or not the write succeeds.
                     machine.leaving = true;
                 }
+                tracing::debug!(machine = %name, %to, "empty: handed over");
                 self.machine_changes.want(&name, MachineChange::Shift(to));
             }
         }
--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -398,6 +398,7 @@
         machines.sort_unstable();
         for (regular, _, name) in machines.into_iter().take(missing) {
             let Some(machine) = self.machines.get_mut(&name) else { continue };
+            tracing::debug!(machine = %name, %to, tasks = machine.tasks.len(), "to be handed over once empty");
             machine.ceding = Some(Ceding { to, until: now + CEDE_PATIENCE });
             if !regular {
                 let tasks = machine.tasks.iter().copied().collect();
@@ -412,6 +413,7 @@
         for machine in self.machines.values_mut() {
             let Some(ceding) = machine.ceding else { continue };
             if ceding.until <= now {
+                tracing::debug!(machine = %machine.name, to = %ceding.to, tasks = machine.tasks.len(), "not empty in time: kept");
                 machine.ceding = None;
             } else if machine.tasks.is_empty() && !machine.leaving {
                 ready.push((machine.name.clone(), ceding.to));
