--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -5,7 +5,7 @@
 use super::{Node, Purpose};
 use crate::budget::Importance;
 use crate::ledger::{Ledger, Round};
-use crate::records::{demand_key, DemandRecord};
+use crate::records::{demand_key, partition_key, DemandRecord, COUNTER};
 use model::{JobId, MachineName, Moment, NodeName, PartitionId, Revision, Span, Token, Version};
 use scheduler::{Question, Route, Share, Source, Written};
 use standby::checks::Check;
@@ -28,6 +28,8 @@
 const LOOK: Span = Span(100);
 /// Patience with a machine that is asked whether it is there.
 const ASK_TIMEOUT: Span = Span(900);
+/// Time between two tries to take a higher token for all machines of a partition.
+const RAISE_PACE: Span = Span(2_000);
 /// Entries tried in one step; the rest follow in the next.
 const CYCLES: usize = 400;
 
@@ -42,6 +44,10 @@
 #[derive(Debug)]
 pub(crate) struct Holding {
     term: Token,
+    /// A higher token for all its machines, taken from the counter since.
+    raised: Token,
+    raising: bool,
+    raise_at: Moment,
     version: Version,
     pub(super) since: Moment,
     /// Present once the ledger has been read and all checks held.
@@ -88,6 +94,9 @@
     ) -> Self {
         Holding {
             term,
+            raised: Token(0),
+            raising: false,
+            raise_at: Moment::default(),
             version,
             since: now,
             loaded: None,
@@ -116,6 +125,10 @@
     pub(super) fn term(&self) -> Token {
         self.term
     }
+    /// The least token that its machines are answered with.
+    pub(super) fn token(&self) -> Token {
+        self.term.max(self.raised)
+    }
     pub(super) fn version(&self) -> Version {
         self.version
     }
@@ -274,16 +287,17 @@
         }
         let mut add = None;
         for (partition, holding) in &mut self.holdings {
+            let least = holding.token();
             let Some(loaded) = holding.loaded.as_mut() else { continue };
             match &record {
                 Some(record) if record.partition == *partition => {
                     match loaded.share.machines.get_mut(name) {
                         Some(machine) => {
-                            machine.token = holding.term.max(Token(record.token));
+                            machine.token = least.max(Token(record.token));
                             machine.leaving =
                                 record.leaving || self.machine_changes.take_away(name);
                         }
-                        None => add = Some((*partition, record.clone(), holding.term)),
+                        None => add = Some((*partition, record.clone(), least)),
                     }
                 }
                 // Deleted only after the cloud has confirmed its release; moved only while idle.
@@ -354,6 +368,7 @@
         self.send_direct(partition);
         if look {
             self.raise_tokens(partition);
+            self.raise_all(partition);
             self.hand_over_ceded(partition);
             self.ask_quiet(partition);
             self.give_up_silent(partition);
@@ -521,12 +536,57 @@
     fn raise_tokens(&mut self, partition: PartitionId) {
         let Some(share) = self.holdings.get(&partition).and_then(|h| h.share()) else { return };
         for machine in share.machines.values() {
-            if machine.wants_token(self.now) {
+            if machine.wants_token() {
                 self.machine_changes.want(&machine.name, MachineChange::Raise);
             }
         }
     }
 
+    /// Takes a higher token for all machines of a partition, where some have kept exited tasks for long: a
+    /// worker that has seen it executes no copy of an earlier launch, and may forget them. The counter is
+    /// written first, so whoever comes after us has a higher one still; the record of the partition and
+    /// its term stay as they are.
+    fn raise_all(&mut self, partition: PartitionId) {
+        let now = self.now;
+        let Some(holding) = self.holdings.get_mut(&partition) else { return };
+        let keeps = |share: &Share| share.machines.values().any(|m| m.keeps_exited(now));
+        if holding.raising || now < holding.raise_at || !holding.share().is_some_and(keeps) {
+            return;
+        }
+        (holding.raising, holding.raise_at) = (true, now + RAISE_PACE);
+        let (version, term) = (holding.version.0, holding.term.0);
+        let token = self.mirror.next_token();
+        let mut counter =
+            self.mirror.counter.as_ref().map(|c| c.record.clone()).unwrap_or_default();
+        counter.next = token + 1;
+        let value = serde_json::to_value(counter).unwrap_or_default();
+        let txn = Txn::default()
+            .when(partition_key(partition), version)
+            .when(COUNTER, self.mirror.counter_version())
+            .write(Write::put(COUNTER, value));
+        let purpose = Purpose::RaiseAll { partition, term, token };
+        self.state(Importance::Placement, StateRequest::Txn(txn), purpose);
+    }
+
+    pub(super) fn on_raised(
+        &mut self,
+        partition: PartitionId,
+        term: u64,
+        token: u64,
+        reply: StateReply,
+    ) {
+        let Some(holding) = self.current(partition, term) else { return };
+        holding.raising = false;
+        // Whatever else came of it: a number that nobody uses, and another is taken.
+        if let StateReply::Committed { .. } = reply {
+            holding.raised = holding.raised.max(Token(token));
+            let token = holding.token();
+            if let Some(share) = holding.share_mut() {
+                share.machines.values_mut().for_each(|m| m.token = m.token.max(token));
+            }
+        }
+    }
+
     /// The leader asks for an idle machine, for another partition or for the cloud.
     pub(super) fn on_release_asked(&mut self, machine: &str, to: Option<u32>) {
         let name = MachineName::from(machine);
--- a/crates/coordination/src/node/machines.rs
+++ b/crates/coordination/src/node/machines.rs
@@ -88,7 +88,7 @@
                 machine.is_some_and(|m| m.tasks.is_empty() && m.leaving)
                     && known.is_some_and(|r| r.partition != *to && !r.leaving)
             }
-            MachineChange::Raise => machine.is_some_and(|m| m.wants_token(self.now)),
+            MachineChange::Raise => machine.is_some_and(|m| m.wants_token()),
         }
     }
 
--- a/crates/coordination/src/node/mod.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -148,6 +148,12 @@
         partition: PartitionId,
         to: NodeName,
     },
+    /// A higher token for all machines of a partition.
+    RaiseAll {
+        partition: PartitionId,
+        term: u64,
+        token: u64,
+    },
     /// A wish for our home partition.
     Wish,
     /// What a partition lacks.
--- a/crates/coordination/src/node/rebuild.rs
+++ b/crates/coordination/src/node/rebuild.rs
@@ -138,7 +138,7 @@
         }
         for (name, record) in &self.mirror.machines {
             if record.record.partition == partition {
-                if let Some(machine) = self.machine_from(name, &record.record, holding.term()) {
+                if let Some(machine) = self.machine_from(name, &record.record, holding.token()) {
                     share.add_machine(machine, self.now);
                 }
             }
--- a/crates/coordination/src/node/sync.rs
+++ b/crates/coordination/src/node/sync.rs
@@ -110,6 +110,9 @@
             Purpose::Wish => self.wishing = false,
             Purpose::Demand => {}
             Purpose::GiveUp(partition) => self.on_given_up(partition, reply),
+            Purpose::RaiseAll { partition, term, token } => {
+                self.on_raised(partition, term, token, reply);
+            }
             Purpose::LedgerList { partition, term } => self.on_ledger(partition, term, reply),
             Purpose::LedgerWrite { partition, term } => self.on_round(partition, term, reply),
             Purpose::LedgerProof { partition, term, number } => {
--- a/crates/coordination/src/node/workers.rs
+++ b/crates/coordination/src/node/workers.rs
@@ -44,7 +44,7 @@
         if !entitled || holding.is_yielding() {
             return ReportReply::Unavailable;
         }
-        let token = holding.term().max(recorded);
+        let token = holding.token().max(recorded);
         if Token(report.token) > token {
             // Someone with a newer right has spoken to it.
             return ReportReply::Redirect(None);
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -10,8 +10,8 @@
 use wire::cloud::MachineType;
 use wire::workers::{ExitCause, TaskState};
 
-/// How long exited tasks are kept before a token is raised for them: those of some time at once.
-const KEPT_EXITED: Span = Span(30_000);
+/// How long exited tasks are kept before tokens are raised for them: those of some time at once.
+const KEPT_EXITED: Span = Span(45_000);
 
 /// A task in the newest report that has no placement here.
 #[derive(Debug, Clone, PartialEq)]
@@ -265,14 +265,12 @@
     }
 
     /// Whether no launch of an exited task can arrive any more that the worker would execute. An attempt
-    /// that it remembers has no effect, so a copy of a launch does harm only after its forget, and none
-    /// where the task was completed: its result is kept, and it exits at once.
+    /// that it remembers has no effect, so a copy of a launch does harm only after its forget; even where
+    /// the task was completed, since its job may have been cancelled after that.
     pub(crate) fn may_forget(&self, stray: &Stray) -> bool {
-        stray.why == Some(ExitCause::Done)
-            || self
-                .direct
-                .get(&(stray.task, stray.attempt))
-                .is_none_or(|(token, session)| self.seen_token > *token || self.session > *session)
+        self.direct
+            .get(&(stray.task, stray.attempt))
+            .is_none_or(|(token, session)| self.seen_token > *token || self.session > *session)
     }
 
     /// Notes which exited tasks are kept, and what need not be known of launches any more.
@@ -287,10 +285,16 @@
         self.strays = strays;
     }
 
-    /// Whether its record must get a higher token to void a lost launch, or copies of others.
-    pub fn wants_token(&self, now: Moment) -> bool {
+    /// Whether its record must get a higher token to void a lost launch.
+    pub fn wants_token(&self) -> bool {
+        self.lost_launch.is_some() && self.seen_token >= self.token
+    }
+
+    /// Whether it has kept exited tasks for so long that all machines of the share should get a higher
+    /// token.
+    pub fn keeps_exited(&self, now: Moment) -> bool {
         let kept = self.kept_since.is_some_and(|at| now.since(at) >= KEPT_EXITED);
-        (self.lost_launch.is_some() || kept) && self.seen_token >= self.token
+        kept && self.seen_token >= self.token
     }
 
     /// Whether we have answered it so lately that its lease should stand.
