--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -199,7 +199,7 @@
         let mut zones = self.zones_of(job);
         let mut here = 0;
         let constrained = job.spec.one_zone || job.spec.spread;
-        let held = self.gang_holds.get(&job.spec.id).and_then(|hold| hold.machines.first());
+        let held = self.gang_holds.get(&job.spec.id).and_then(|hold| hold.machines.keys().next());
         let held = held.and_then(|name| self.machines.get(name)).map(|m| m.zone.clone());
         if job.spec.one_zone && zones.is_empty() {
             // The zone that is nearest to holding it all is where the rest should come from.
--- a/crates/scheduler/src/gangs.rs
+++ b/crates/scheduler/src/gangs.rs
@@ -96,7 +96,16 @@
         if hold.job == job.spec.id {
             return false;
         }
-        let goes_before = self.jobs.get(&hold.job).is_some_and(|g| rank_of(g) < rank_of(job));
+        let Some(gang) = self.jobs.get(&hold.job) else { return false };
+        let goes_before = rank_of(gang) < rank_of(job);
+        // What leaves the gang its room beside it is not in its way.
+        let kept = hold.machines.get(&machine.name).map(|count| gang.spec.needs.times(*count));
+        let free = machine.free();
+        let beside = job.spec.needs.fits(&free)
+            && kept.is_some_and(|kept| kept.fits(&free.less(&job.spec.needs)));
+        if beside {
+            return false;
+        }
         // Estimates are often wrong by half; of a gang's few tasks fewer are than of an array's many.
         let times = if job.spec.kind == JobKind::Gang { 1 } else { 2 };
         let lasts = fetch_time(job, machine) + job.spec.estimate * times;
@@ -116,7 +125,7 @@
             return format!("{state}: {gathered} of {} tasks wait for the others", job.spec.tasks);
         }
         if let Some(hold) = self.gang_holds.get(&job.spec.id) {
-            let first = hold.machines.first().and_then(|name| self.machines.get(name));
+            let first = hold.machines.keys().next().and_then(|name| self.machines.get(name));
             let zone = first.map(|m| m.zone.to_string()).unwrap_or_default();
             return format!(
                 "{} machines are kept for it (the first in {zone}), free in {} s, chosen anew in {} s",
@@ -163,11 +172,9 @@
         for hold in self.gang_holds.values() {
             let Some(job) = self.jobs.get(&hold.job) else { continue };
             let Some(team) = self.teams.get_mut(&job.spec.team) else { continue };
-            let mut left = u64::from(job.spec.tasks);
-            for machine in hold.machines.iter().filter_map(|name| self.machines.get(name)) {
-                let count = machine.capacity.holds(&job.spec.needs).min(left);
-                left -= count;
-                team.held += job.spec.needs.times(count).less(&machine.used);
+            for (name, count) in &hold.machines {
+                let used = self.machines.get(name).map_or(Resources::default(), |m| m.used);
+                team.held += job.spec.needs.times(*count).less(&used);
             }
         }
     }
@@ -210,7 +217,7 @@
     /// Gives up what is kept for a gang.
     pub(crate) fn release_hold(&mut self, id: JobId) {
         let Some(hold) = self.gang_holds.remove(&id) else { return };
-        for name in hold.machines {
+        for name in hold.machines.into_keys() {
             if let Some(machine) = self.machines.get_mut(&name) {
                 if machine.held_for == Some(id) {
                     machine.held_for = None;
@@ -229,7 +236,7 @@
                 let admits = self.jobs.get(&hold.job).is_some_and(|j| self.admits(j, machine, now));
                 machine.held_for == Some(hold.job) && admits
             };
-            now < hold.until && waits && hold.machines.iter().all(usable)
+            now < hold.until && waits && hold.machines.keys().all(usable)
         };
         let over: Vec<JobId> =
             self.gang_holds.values().filter(|hold| !stands(hold)).map(|hold| hold.job).collect();
@@ -248,9 +255,9 @@
             };
             // Gangs behind this one that had some of it choose anew.
             let taken: BTreeSet<JobId> =
-                hold.machines.iter().filter_map(|name| self.machines.get(name)?.held_for).collect();
+                hold.machines.keys().filter_map(|name| self.machines.get(name)?.held_for).collect();
             taken.into_iter().for_each(|other| self.release_hold(other));
-            for name in &hold.machines {
+            for name in hold.machines.keys() {
                 if let Some(machine) = self.machines.get_mut(name) {
                     machine.held_for = Some(id);
                 }
@@ -331,7 +338,7 @@
         let Some(hold) = self.gang_holds.get(&id) else { return };
         let Some(job) = self.jobs.get(&id) else { return };
         let mut stops = Vec::new();
-        for machine in hold.machines.iter().filter_map(|name| self.machines.get(name)) {
+        for machine in hold.machines.keys().filter_map(|name| self.machines.get(name)) {
             let mut room = self.room_for(EntryKey::Gang(id), machine);
             if room_beside(job, machine, room) > 0 {
                 continue;
@@ -374,11 +381,11 @@
 fn soonest(
     job: &Job,
     mut list: Vec<(Moment, &Machine, u64)>,
-) -> Option<(Moment, BTreeSet<MachineName>)> {
+) -> Option<(Moment, BTreeMap<MachineName, u64>)> {
     list.sort_by(|a, b| (a.0, score(job, a.1), &a.1.name).cmp(&(b.0, score(job, b.1), &b.1.name)));
     let mut zones: BTreeMap<&ZoneName, u64> = BTreeMap::new();
     let mut left = u64::from(job.spec.tasks);
-    let (mut kept, mut last) = (BTreeSet::new(), Moment::default());
+    let (mut kept, mut last) = (BTreeMap::new(), Moment::default());
     for (ready, machine, count) in list {
         let here = zones.entry(&machine.zone).or_default();
         let cap = u64::from(job.spec.zone_limit()).saturating_sub(*here);
@@ -387,7 +394,7 @@
             *here += count;
             left -= count;
             last = last.max(ready);
-            kept.insert(machine.name.clone());
+            kept.insert(machine.name.clone(), count);
         }
         if left == 0 {
             return Some((last, kept));
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -108,7 +108,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct GangHold {
     pub job: JobId,
-    pub machines: BTreeSet<MachineName>,
+    /// The machines, and how many of its tasks each is to take.
+    pub machines: BTreeMap<MachineName, u64>,
     /// When the last of them should have room.
     pub ready_at: Moment,
     pub until: Moment,
--- a/crates/testkit/src/served.rs
+++ b/crates/testkit/src/served.rs
@@ -15,6 +15,9 @@
 pub struct Served {
     looked_at: u64,
     replicas: BTreeMap<String, (u64, u64)>,
+    /// Tasks of each job that have started, and when enough of them had for the job to have begun.
+    started: BTreeMap<String, BTreeSet<String>>,
+    begun: BTreeMap<String, u64>,
 }
 
 /// One class of work: a team's, or a kind of jobs.
@@ -32,7 +35,67 @@
     }
 }
 
+/// Within this time the largest jobs are to begin, too.
+const BEGIN: u64 = 240_000;
+
+/// Of each kind, the largest jobs are those of the largest size and one in so many.
+const ONE_IN: usize = 10;
+
 impl Served {
+    /// A task has started. A job has begun with as many of its tasks as run at a time: an array's with as many
+    /// as `limit`, its team's in CPUs, permits, all of the others'.
+    pub fn started(&mut self, task: &str, job: &JobRequest, limit: f64, now: u64) {
+        if self.begun.contains_key(&job.id) {
+            return;
+        }
+        let needed = match job.kind {
+            JobKind::Array => job.tasks.min((limit / job.cpus.max(0.001)) as u64).max(1),
+            _ => job.tasks,
+        };
+        let tasks = self.started.entry(job.id.clone()).or_default();
+        tasks.insert(task.to_owned());
+        if tasks.len() as u64 >= needed {
+            self.begun.insert(job.id.clone(), now);
+            self.started.remove(&job.id);
+        }
+    }
+
+    /// The largest jobs of each kind, and those of them that have begun in time. Those whose time is not
+    /// over, and that have not begun, are not due; nor is what was cancelled first.
+    pub fn largest(
+        &self,
+        jobs: &HashMap<String, JobRequest>,
+        accepted: &BTreeMap<String, u64>,
+        cancelled: &BTreeSet<String>,
+        now: u64,
+    ) -> Vec<Share> {
+        let mut kinds: BTreeMap<String, Vec<(u64, &String, u64)>> = BTreeMap::new();
+        for (id, at) in accepted {
+            let Some(job) = jobs.get(id) else { continue };
+            let kind = format!("{:?}", job.kind).to_lowercase();
+            kinds.entry(kind).or_default().push((job.tasks, id, *at));
+        }
+        let mut shares = Vec::new();
+        for (kind, mut list) in kinds {
+            list.sort_unstable_by_key(|(tasks, id, _)| (std::cmp::Reverse(*tasks), *id));
+            let most = list.first().map_or(0, |(tasks, ..)| *tasks);
+            let tenth = list.len().div_ceil(ONE_IN);
+            let largest = list.iter().enumerate();
+            let largest = largest.filter(|(nth, (tasks, ..))| *nth < tenth || *tasks == most);
+            let mut share = Share { of: format!("largest {kind}s"), due: 0, served: 0 };
+            for (_, (_, id, at)) in largest {
+                let begun = self.begun.get(*id).is_some_and(|begun| begun - at <= BEGIN);
+                let open = now < at + BEGIN || cancelled.contains(*id);
+                share.due += u64::from(begun || !open);
+                share.served += u64::from(begun);
+            }
+            if share.due > 0 {
+                shares.push(share);
+            }
+        }
+        shares
+    }
+
     /// Looks at the replicas of all services that should be up.
     pub fn look(
         &mut self,
@@ -112,3 +175,30 @@
     let classes = classes.map(|share| (share.of.clone(), share.part()));
     classes.chain(teams).min_by(|a, b| a.1.total_cmp(&b.1))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Ten small gangs begin at once, one of eight tasks never does.
+    #[test]
+    fn a_largest_job_that_does_not_begin_is_told_however_many_small_ones_do() {
+        let mut served = Served::default();
+        let (mut jobs, mut accepted) = (HashMap::new(), BTreeMap::new());
+        for n in 0..11 {
+            let tasks = if n == 0 { 8 } else { 1 };
+            let job = crate::solo::job(n, JobKind::Gang, tasks);
+            let seen = if n == 0 { 7 } else { 1 };
+            (0..seen).for_each(|i| served.started(&format!("{}/{i}", job.id), &job, 100.0, 1_000));
+            accepted.insert(job.id.clone(), 0);
+            jobs.insert(job.id.clone(), job);
+        }
+        let largest =
+            |served: &Served, now| served.largest(&jobs, &accepted, &BTreeSet::new(), now);
+        let part = |due, served| Share { of: "largest gangs".into(), due, served };
+        assert_eq!(largest(&served, 239_000), [part(1, 1)], "its time is not over");
+        assert_eq!(largest(&served, 240_000), [part(2, 1)]);
+        served.started("j-000000/7", &jobs["j-000000"], 100.0, 250_000);
+        assert_eq!(largest(&served, 260_000), [part(2, 1)], "too late");
+    }
+}
--- a/crates/testkit/src/world/machines.rs
+++ b/crates/testkit/src/world/machines.rs
@@ -97,6 +97,11 @@
                         if let Some(on) = self.workers.get(&name) {
                             self.rules.started(&task, on, &self.workers, &self.jobs, now);
                         }
+                        let id = task.split('/').next().unwrap_or_default();
+                        if let Some(job) = self.jobs.get(id) {
+                            let limit = self.limits.get(&job.team).copied();
+                            self.served.started(&task, job, limit.unwrap_or(f64::MAX), now);
+                        }
                     }
                     Happened::Done(task) => {
                         self.rules.done_tasks.insert(task);
--- a/crates/testkit/src/world/mod.rs
+++ b/crates/testkit/src/world/mod.rs
@@ -179,7 +179,9 @@
     pub fn served(&self, patience: u64) -> Vec<Share> {
         let Rules { accepted, cancel_asked, done_told, .. } = &self.rules;
         let until = self.now.saturating_sub(patience);
-        self.served.shares(&self.jobs, accepted, cancel_asked, done_told, until)
+        let mut shares = self.served.shares(&self.jobs, accepted, cancel_asked, done_told, until);
+        shares.extend(self.served.largest(&self.jobs, accepted, cancel_asked, self.now));
+        shares
     }
 
     /// The class or team of which the least was served, see [`World::served`].
