--- a/crates/scheduler/src/gangs.rs
+++ b/crates/scheduler/src/gangs.rs
@@ -246,7 +246,7 @@
     /// A gang that has failed twice gets machines enough kept for it.
     pub(crate) fn hold_for_gang(&mut self, id: JobId, why: Unplaced, stops: bool, now: Moment) {
         let failures = self.queue.whereabouts(EntryKey::Gang(id)).map_or(0, |(_, n)| n);
-        if failures < 2 {
+        if failures < 2 || why != Unplaced::Room {
             return;
         }
         if !self.gang_holds.contains_key(&id) {
@@ -265,8 +265,7 @@
             tracing::debug!(job = %id, machines = hold.machines.len(), in_ms = hold.ready_at.since(now).0, "machines kept for a gang");
             self.gang_holds.insert(id, hold);
         }
-        // While its team's limit is in the way, room is of no use.
-        if stops && why == Unplaced::Room {
+        if stops {
             self.clear_for_gang(id, now);
         }
     }
