--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -340,7 +340,9 @@
         let own = self.teams.get(&spec.team).map(at_once).filter(limited);
         let largest = || self.teams.values().map(at_once).filter(limited).max();
         let at_once = own.or_else(largest).unwrap_or(1).max(1);
-        Span(spec.estimate.0 * u64::from(spec.tasks) / at_once * self.policy.set_back)
+        // A gang is one entry, and large ones would wait for ever behind small ones otherwise.
+        let tasks = if spec.kind == JobKind::Gang { 1 } else { u64::from(spec.tasks) };
+        Span(spec.estimate.0 * tasks / at_once * self.policy.set_back)
     }
 
     /// Adds a machine to the share.
--- a/crates/testkit/src/served.rs
+++ b/crates/testkit/src/served.rs
@@ -66,12 +66,13 @@
         &self,
         jobs: &HashMap<String, JobRequest>,
         accepted: &BTreeMap<String, u64>,
+        submitted: &HashMap<String, u64>,
         cancelled: &BTreeSet<String>,
         now: u64,
     ) -> Vec<Share> {
         let mut kinds: BTreeMap<String, Vec<(u64, &String, u64)>> = BTreeMap::new();
-        for (id, at) in accepted {
-            let Some(job) = jobs.get(id) else { continue };
+        for id in accepted.keys() {
+            let (Some(job), Some(at)) = (jobs.get(id), submitted.get(id)) else { continue };
             let kind = format!("{:?}", job.kind).to_lowercase();
             kinds.entry(kind).or_default().push((job.tasks, id, *at));
         }
@@ -84,7 +85,7 @@
             let largest = largest.filter(|(nth, (tasks, ..))| *nth < tenth || *tasks == most);
             let mut share = Share { of: format!("largest {kind}s"), due: 0, served: 0 };
             for (_, (_, id, at)) in largest {
-                let begun = self.begun.get(*id).is_some_and(|begun| begun - at <= BEGIN);
+                let begun = self.begun.get(*id).is_some_and(|begun| *begun <= at + BEGIN);
                 let open = now < at + BEGIN || cancelled.contains(*id);
                 share.due += u64::from(begun || !open);
                 share.served += u64::from(begun);
@@ -185,16 +186,19 @@
     fn a_largest_job_that_does_not_begin_is_told_however_many_small_ones_do() {
         let mut served = Served::default();
         let (mut jobs, mut accepted) = (HashMap::new(), BTreeMap::new());
+        let mut submitted = HashMap::new();
         for n in 0..11 {
             let tasks = if n == 0 { 8 } else { 1 };
             let job = crate::solo::job(n, JobKind::Gang, tasks);
             let seen = if n == 0 { 7 } else { 1 };
             (0..seen).for_each(|i| served.started(&format!("{}/{i}", job.id), &job, 100.0, 1_000));
-            accepted.insert(job.id.clone(), 0);
+            accepted.insert(job.id.clone(), 900);
+            submitted.insert(job.id.clone(), 0);
             jobs.insert(job.id.clone(), job);
         }
-        let largest =
-            |served: &Served, now| served.largest(&jobs, &accepted, &BTreeSet::new(), now);
+        let largest = |served: &Served, now| {
+            served.largest(&jobs, &accepted, &submitted, &BTreeSet::new(), now)
+        };
         let part = |due, served| Share { of: "largest gangs".into(), due, served };
         assert_eq!(largest(&served, 239_000), [part(1, 1)], "its time is not over");
         assert_eq!(largest(&served, 240_000), [part(2, 1)]);
--- a/crates/testkit/src/world/mod.rs
+++ b/crates/testkit/src/world/mod.rs
@@ -180,7 +180,13 @@
         let Rules { accepted, cancel_asked, done_told, .. } = &self.rules;
         let until = self.now.saturating_sub(patience);
         let mut shares = self.served.shares(&self.jobs, accepted, cancel_asked, done_told, until);
-        shares.extend(self.served.largest(&self.jobs, accepted, cancel_asked, self.now));
+        shares.extend(self.served.largest(
+            &self.jobs,
+            accepted,
+            &self.submitted,
+            cancel_asked,
+            self.now,
+        ));
         shares
     }
 
