--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -19,3 +19,20 @@
 pub use solo::Solo;
 pub use takeovers::Takeover;
 pub use world::{Fault, Plan, Sabotage, World};
+
+/// Runs something for each seed from 1 on, on all cores.
+pub fn for_seeds(seeds: u64, run: impl Fn(u64) + Sync) {
+    let next = std::sync::atomic::AtomicU64::new(1);
+    let cores = std::thread::available_parallelism().map_or(4, usize::from);
+    std::thread::scope(|scope| {
+        for _ in 0..cores {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                if seed > seeds {
+                    break;
+                }
+                run(seed);
+            });
+        }
+    });
+}
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -4,7 +4,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use testkit::{Fault, Plan, World};
+use testkit::{for_seeds, Fault, Plan, World};
 
 /// Half as many machines again as a fleet: 2,240 can be had.
 const LARGE: u64 = 160;
@@ -132,18 +132,8 @@
 #[ignore = "hundreds of seeds at the operators' size"]
 fn many_seeds_at_half_as_many_machines_again() {
     let seeds = std::env::var("SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(500);
-    let next = std::sync::atomic::AtomicU64::new(1);
-    let cores = std::thread::available_parallelism().map_or(4, usize::from);
-    std::thread::scope(|scope| {
-        for _ in 0..cores {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-                if seed > seeds {
-                    break;
-                }
-                day("drawn", seed, LARGE, 190_000, drawn(seed));
-            });
-        }
+    for_seeds(seeds, |seed| {
+        day("drawn", seed, LARGE, 190_000, drawn(seed));
     });
 }
 
--- a/crates/testkit/tests/end_of_day.rs
+++ b/crates/testkit/tests/end_of_day.rs
@@ -4,7 +4,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use testkit::{Fault, Plan, Sabotage, World};
+use testkit::{for_seeds, Fault, Plan, Sabotage, World};
 
 /// Troubles of the last kind, drawn alone and together, with ends and outages among them.
 fn troubles(seed: u64, count: usize, size: u64) -> Vec<(u64, Fault)> {
@@ -116,22 +116,12 @@
         std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(usual)
     };
     let (seeds, size) = (number("SEEDS", 500), number("SIZE", 160));
-    let next = std::sync::atomic::AtomicU64::new(1);
-    let cores = std::thread::available_parallelism().map_or(4, usize::from);
-    std::thread::scope(|scope| {
-        for _ in 0..cores {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-                if seed > seeds {
-                    break;
-                }
-                let size = if size > 2 { size } else { 1 + seed % size };
-                // A large site is asked for what it has.
-                let submit_ms = if size > 100 { 60_000 } else { 150_000 };
-                let drawn = troubles(seed, 8, size.min(40));
-                day("many", Plan { submit_ms, ..plan(seed, size, drawn) });
-            });
-        }
+    for_seeds(seeds, |seed| {
+        let size = if size > 2 { size } else { 1 + seed % size };
+        // A large site is asked for what it has.
+        let submit_ms = if size > 100 { 60_000 } else { 150_000 };
+        let drawn = troubles(seed, 8, size.min(40));
+        day("many", Plan { submit_ms, ..plan(seed, size, drawn) });
     });
 }
 
