A successor halts cancelled tasks before its ledger is read; late launches, rounds and terms are told apart

Cause: a holder answers reports for a whole span after its last read of changes, also before it has read its ledger, and then without any halt.

Such an answer bears halts by the records now. A machine is not answered past the span that a cancellation leaves while a direct launch of ours that has no answer could still come. A page of the ledger names the version of the partition's record, since a successor's round may have the number of one of ours that was voided. A holder whose idea of its partition was wrong takes it under the next term. Nodes tell each other of recorded cancellations, and tasks are stopped by that at once. Where cancel_s leaves little, half of it is used, and launches and watches keep within it.

--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -16,9 +16,21 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct Entry(u64, u32, ChunkBody);
 
+/// What tells a round from every other. Successors go on counting where the ledger stands, so that a round
+/// of theirs may have the number of one of ours that was never written: the version of the partition's
+/// record under which it was made belongs to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RoundId {
+    number: u64,
+    right: Version,
+}
+
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 struct PageBody {
     round: u64,
+    /// Version of the partition's record that the round names.
+    #[serde(default)]
+    right: u64,
     items: Vec<Entry>,
 }
 
@@ -42,6 +54,7 @@
 #[derive(Debug, Clone)]
 pub struct Round {
     pub txn: Txn,
+    right: Version,
     /// Chunks it writes anew.
     pub keys: Vec<ChunkKey>,
     pages: Vec<(usize, u64)>,
@@ -177,6 +190,7 @@
         let mut round = Round {
             txn: Txn::default()
                 .when(crate::records::partition_key(self.partition), partition_version.0),
+            right: partition_version,
             keys: Vec::new(),
             pages: Vec::new(),
             bodies: Vec::new(),
@@ -235,7 +249,8 @@
             let version = self.pages.get(page).map_or(0, |p| p.version.0);
             let items =
                 items.into_iter().map(|(key, (body, _))| Entry(key.0 .0, key.1, body)).collect();
-            let value = serde_json::to_value(PageBody { round: number, items }).unwrap_or_default();
+            let body = PageBody { round: number, right: partition_version.0, items };
+            let value = serde_json::to_value(body).unwrap_or_default();
             round.txn =
                 round.txn.when(self.key(page), version).write(Write::put(self.key(page), value));
             round.pages.push((page, number));
@@ -279,14 +294,16 @@
         }
     }
 
-    /// Key of a page that the round writes, with the number that proves it was written.
-    pub fn proof(&self, round: &Round) -> Option<(String, u64)> {
-        round.pages.first().map(|(page, number)| (self.key(*page), *number))
+    /// Key of a page that the round writes, with what proves that it was written.
+    pub fn proof(&self, round: &Round) -> Option<(String, RoundId)> {
+        let id = |number| RoundId { number, right: round.right };
+        round.pages.first().map(|(page, number)| (self.key(*page), id(*number)))
     }
 
-    /// Whether a page read back is the one written as `number`.
-    pub fn proves(value: &serde_json::Value, number: u64) -> bool {
-        PageBody::deserialize(value).is_ok_and(|body| body.round == number)
+    /// Whether a page read back was written by this round.
+    pub fn proves(value: &serde_json::Value, id: RoundId) -> bool {
+        let written = |body: PageBody| RoundId { number: body.round, right: Version(body.right) };
+        PageBody::deserialize(value).is_ok_and(|body| written(body) == id)
     }
 }
 
--- a/crates/coordination/src/node/admin.rs
+++ b/crates/coordination/src/node/admin.rs
@@ -339,6 +339,8 @@
                 "early_takeovers": c.early_takeovers,
                 "wrong_takeovers": c.wrong_takeovers,
                 "stood_still": c.stood_still,
+                "cancelled_by_word": c.cancelled_by_word,
+                "answers_withheld": c.answers_withheld,
                 "state_calls": c.state_calls,
                 "state_writes": c.state_writes,
                 "state_refused": c.state_refused,
@@ -351,6 +353,7 @@
                 "partitions_held": self.holdings.len(),
                 "partitions_in_step": self.partitions_in_step(),
                 "machines_unreached": self.unreached_machines(),
+                "answers_left_s": self.answers_left().as_secs(),
                 "without_state": u64::from(!self.in_contact(super::LAUNCH_CONTACT)),
             },
         })
--- a/crates/coordination/src/node/ends.rs
+++ b/crates/coordination/src/node/ends.rs
@@ -42,8 +42,12 @@
             return;
         }
         ending.jobs.retain(|id| self.mirror.jobs.contains_key(id));
-        let txn = if !ending.jobs.is_empty() {
-            write_ends(&self.mirror, &self.nodes, partition, &ending.jobs, room)
+        // One that is over by another node's word that it is cancelled waits for the record of that.
+        let all_done = |id: &JobId| share.jobs.get(id).is_some_and(scheduler::Job::all_done);
+        let recorded = |id: &&JobId| self.mirror.is_cancelled(**id) || all_done(id);
+        let over: BTreeSet<JobId> = ending.jobs.iter().filter(recorded).copied().collect();
+        let txn = if !over.is_empty() {
+            write_ends(&self.mirror, &self.nodes, partition, &over, room)
         } else if spare {
             match file_ends(&self.mirror, partition, most) {
                 Some(txn) => txn,
--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -4,7 +4,7 @@
 use super::machines::MachineChange;
 use super::{Node, Purpose};
 use crate::budget::Importance;
-use crate::ledger::{Ledger, Round};
+use crate::ledger::{Ledger, Round, RoundId};
 use crate::records::{demand_key, partition_key, DemandRecord, COUNTER};
 use model::{JobId, MachineName, Moment, NodeName, PartitionId, Revision, Span, Token, Version};
 use scheduler::{Question, Route, Share, Source, Written};
@@ -203,35 +203,41 @@
         Some((u64::from(job.done_count()), u64::from(job.running_count())))
     }
 
-    /// Takes in a report and returns the commands for its answer.
+    /// Takes in a report and returns the commands for its answer; none: it must not be answered. `halts`
+    /// are those of tasks that are cancelled by the records alone.
     pub(super) fn answer_report(
         &mut self,
         name: &MachineName,
         report: &Report,
         token: Token,
         launches: bool,
+        halts: Vec<Command>,
         now: Moment,
-    ) -> Vec<Command> {
+    ) -> Option<Vec<Command>> {
         let Some(loaded) = &mut self.loaded else {
-            // Keep the lease alive; what to do with the tasks is not known yet.
+            // Keep the lease alive; what to do with tasks is not known yet, but for those that a user
+            // has cancelled. Our token voids what a predecessor has under way.
             self.early.insert(name.clone(), (report.clone(), now));
-            return Vec::new();
+            return Some(halts);
         };
         let share = &mut loaded.share;
-        let Some(machine) = share.machines.get_mut(name) else { return Vec::new() };
+        let Some(machine) = share.machines.get_mut(name) else { return Some(halts) };
         machine.token = machine.token.max(token);
         let newer = share.observe(report, Source::Report, now);
+        if !share.may_answer(name, now) {
+            return None;
+        }
         if let Some(machine) = share.machines.get_mut(name) {
             machine.answer(newer, now);
         }
         if !newer {
-            return Vec::new();
+            return Some(halts);
         }
         let mut commands = share.commands_for(name, Route::Answer, now);
         if !launches {
             commands.retain(|c| !matches!(c, Command::Start { .. }));
         }
-        commands
+        Some(commands)
     }
 
     pub(super) fn wants_tick(&self, now: Moment) -> Option<Moment> {
@@ -267,6 +273,7 @@
         let Some(partition) = self.partition_of_team(&open.spec.team) else { return };
         let cancelled = self.mirror.is_cancelled(id);
         let now = self.now;
+        let until = self.contact_before.unwrap_or_default() + self.settings.blind_span();
         let Some(share) = self.holdings.get_mut(&partition).and_then(|h| h.share_mut()) else {
             return;
         };
@@ -275,9 +282,30 @@
         }
         if cancelled {
             share.cancel_job(id, now);
+            // It was confirmed after the contact before this one at the earliest.
+            share.bound_answers(id, until);
         }
     }
 
+    /// Another node says that a job is recorded as cancelled, which stays true whenever it comes. Its
+    /// tasks are stopped at once, also by a holder without the state service; what is said of the job, and
+    /// its end, follow the records.
+    pub(super) fn stop_cancelled(&mut self, id: JobId) {
+        let Some(team) = self.mirror.jobs.get(&id).map(|open| open.spec.team.clone()) else {
+            return;
+        };
+        let Some(partition) = self.partition_of_team(&team) else { return };
+        let now = self.now;
+        let until = self.contact_at.unwrap_or_default() + self.settings.blind_span();
+        let share = self.holdings.get_mut(&partition).and_then(|h| h.share_mut());
+        let Some(share) = share.filter(|s| s.jobs.get(&id).is_some_and(|j| !j.cancelled)) else {
+            return;
+        };
+        self.counters.cancelled_by_word += 1;
+        share.cancel_job(id, now);
+        share.bound_answers(id, until);
+    }
+
     /// A machine's record has changed.
     pub(super) fn machine_changed(&mut self, name: &MachineName) {
         let record = self.mirror.machines.get(name).map(|m| m.record.clone());
@@ -423,8 +451,8 @@
             }
             // Either an earlier copy of this very round was applied, or the right is lost.
             StateReply::Conflict { .. } => {
-                if let Some((key, number)) = loaded.ledger.proof(&writing.round) {
-                    let purpose = Purpose::LedgerProof { partition, term, number };
+                if let Some((key, id)) = loaded.ledger.proof(&writing.round) {
+                    let purpose = Purpose::LedgerProof { partition, term, id };
                     self.state(Importance::Placement, StateRequest::Get { key }, purpose);
                 }
             }
@@ -449,22 +477,22 @@
         &mut self,
         partition: PartitionId,
         term: u64,
-        number: u64,
+        id: RoundId,
         reply: StateReply,
     ) {
         let Some(holding) = self.current(partition, term) else { return };
         let Some(loaded) = holding.loaded.as_mut() else { return };
         let Some(writing) = &loaded.writing else { return };
         match reply {
-            StateReply::Item(item) if Ledger::proves(&item.value, number) => {
+            StateReply::Item(item) if Ledger::proves(&item.value, id) => {
                 loaded.ledger.commit(&writing.round, item.version);
                 loaded.share.confirm(&writing.written);
                 loaded.writing = None;
             }
             StateReply::Item(_) | StateReply::Missing => self.reload(partition),
             _ => {
-                if let Some((key, number)) = loaded.ledger.proof(&writing.round) {
-                    let purpose = Purpose::LedgerProof { partition, term, number };
+                if let Some((key, id)) = loaded.ledger.proof(&writing.round) {
+                    let purpose = Purpose::LedgerProof { partition, term, id };
                     let request = StateRequest::Get { key };
                     self.again(Span(150), Importance::Placement, request, purpose);
                 }
--- a/crates/coordination/src/node/intake.rs
+++ b/crates/coordination/src/node/intake.rs
@@ -9,6 +9,7 @@
 };
 use model::{JobId, JobState, Moment, Span};
 use std::collections::{HashSet, VecDeque};
+use wire::mesh::MeshMessage;
 use wire::state::{StateReply, StateRequest, Txn, Write};
 use wire::users::JobRequest;
 
@@ -245,7 +246,12 @@
     pub(super) fn on_cancels(&mut self, reply: StateReply) {
         match self.intake.cancelling.answered(reply, self.now) {
             // The job may have been done before: a read that begins now tells which came first.
-            Outcome::Written(polls) => self.questions.ask_all(polls),
+            Outcome::Written(polls) => {
+                // Their holder may be without the state service.
+                let jobs = polls.iter().map(|poll| poll.id.0).collect();
+                self.broadcast(MeshMessage::Cancelled { jobs });
+                self.questions.ask_all(polls);
+            }
             Outcome::Conflict(polls, _) | Outcome::Refused { what: polls, throttled: true } => {
                 for mut poll in polls {
                     match &mut poll.kind {
--- a/crates/coordination/src/node/mod.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -16,6 +16,7 @@
 mod workers;
 
 use crate::budget::{Bucket, Importance};
+use crate::ledger::RoundId;
 use crate::mirror::Mirror;
 use admin::{AdminReply, AdminRequest};
 use fleet::FleetPolicy;
@@ -178,7 +179,7 @@
     LedgerProof {
         partition: PartitionId,
         term: u64,
-        number: u64,
+        id: RoundId,
     },
     /// Accepted jobs.
     Intake,
@@ -235,6 +236,10 @@
     pub early_takeovers: u64,
     pub wrong_takeovers: u64,
     pub stood_still: u64,
+    /// Jobs that were stopped by another node's word, before the record of their cancellation was read.
+    pub cancelled_by_word: u64,
+    /// Reports that were not answered since a launch of a cancelled task could still have come.
+    pub answers_withheld: u64,
     pub state_calls: u64,
     pub state_writes: u64,
     pub state_refused: u64,
@@ -265,6 +270,8 @@
     clock_ahead: Span,
     /// Sending time of the last confirmed read of changes.
     contact_at: Option<Moment>,
+    /// The one before: what has changed since may have been so from then on.
+    contact_before: Option<Moment>,
     sent_at: HashMap<CallId, Moment>,
     lease: Option<LeaseId>,
     lease_pending: bool,
@@ -279,6 +286,9 @@
     holdings: BTreeMap<PartitionId, Holding>,
     /// Terms under which partitions were handed over: they are not taken up again.
     given_away: HashMap<PartitionId, Token>,
+    /// Partitions of ours that are to be taken anew, under a term of their own: our idea of them was wrong.
+    /// The term that was wrong, and when a new one was tried for.
+    renewed: HashMap<PartitionId, (Token, Moment)>,
     acquiring: HashSet<PartitionId>,
     vacant_since: HashMap<PartitionId, Moment>,
     peers: HashMap<NodeName, PeerView>,
@@ -344,6 +354,7 @@
             awake_since: Moment::default(),
             clock_ahead: Span::ZERO,
             contact_at: None,
+            contact_before: None,
             sent_at: HashMap::new(),
             lease: None,
             lease_pending: false,
@@ -356,6 +367,7 @@
             writes: Bucket::shared(limits.writes_per_s / count, limits.writes_per_s * 0.6),
             holdings: BTreeMap::new(),
             given_away: HashMap::new(),
+            renewed: HashMap::new(),
             acquiring: HashSet::new(),
             vacant_since: HashMap::new(),
             peers: HashMap::new(),
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -77,6 +77,7 @@
                 let ours = held.record.holder == *self.me() && held.record.boot == self.boot;
                 if ours && !self.holdings.contains_key(&partition) {
                     self.partition_changed(partition);
+                    self.renew_term(partition);
                 }
                 if !ours {
                     self.take_early(partition);
@@ -298,7 +299,7 @@
     }
 
     /// Writes our name into a partition's record, which must still have this version (0: none).
-    fn acquire(&mut self, partition: PartitionId, version: u64) {
+    pub(super) fn acquire(&mut self, partition: PartitionId, version: u64) {
         let Some(lease) = self.lease else { return };
         let record = PartitionRecord {
             holder: self.me().clone(),
@@ -541,6 +542,11 @@
                     self.hand_over(PartitionId(partition), &from, lease, boot);
                 }
             }
+            MeshMessage::Cancelled { jobs } => {
+                for id in jobs {
+                    self.stop_cancelled(model::JobId(id));
+                }
+            }
             MeshMessage::Progress { jobs } => {
                 for (id, done, running) in jobs {
                     let id = model::JobId(id);
--- a/crates/coordination/src/node/rebuild.rs
+++ b/crates/coordination/src/node/rebuild.rs
@@ -7,7 +7,7 @@
 use crate::budget::Importance;
 use crate::ledger::Ledger;
 use crate::records::{ledger_prefix, MachineRecord};
-use model::{MachineName, PartitionId, Revision, Span, Token, ZoneName};
+use model::{MachineName, Moment, PartitionId, Revision, Span, Token, ZoneName};
 use scheduler::{Machine, Share, Source};
 use standby::checks::{self, Check, Facts};
 use wire::state::{StateReply, StateRequest};
@@ -15,6 +15,8 @@
 /// Pause before the ledger is read again that could not be, and before one is that is not sound.
 const AGAIN: Span = Span(150);
 const UNSOUND: Span = Span(2_000);
+/// Time between two tries to take a partition of our own anew.
+const RENEW_PACE: Span = Span(2_000);
 
 impl Node {
     pub(super) fn load_ledger(&mut self, partition: PartitionId) {
@@ -210,16 +212,30 @@
         Some(machine)
     }
 
-    /// Our idea of the partition is wrong: it is built anew from the records, and whatever we
-    /// may have answered counts as answered until now.
+    /// Our idea of the partition is wrong: it is taken anew. Under the same term attempts would be
+    /// numbered like those already launched, and what we have sent would be executed still.
     pub(super) fn reload(&mut self, partition: PartitionId) {
-        let now = self.now;
-        let Some(holding) = self.holdings.get_mut(&partition) else { return };
-        tracing::warn!(%partition, "reading the partition again");
-        holding.loaded = None;
-        holding.start_reading();
-        holding.early.clear();
-        holding.entitled_until = holding.entitled_until.max(now);
-        self.load_ledger(partition);
+        let Some(holding) = self.holdings.remove(&partition) else { return };
+        tracing::warn!(%partition, term = %holding.term(), "taking the partition anew");
+        // Not taken up again under this term.
+        self.given_away.insert(partition, holding.term());
+        self.renewed.insert(partition, (holding.term(), Moment::default()));
+        self.renew_term(partition);
+    }
+
+    /// Takes a partition whose record names us under the next term.
+    pub(super) fn renew_term(&mut self, partition: PartitionId) {
+        let Some((wrong, tried)) = self.renewed.get(&partition).copied() else { return };
+        let Some(held) = self.mirror.partitions.get(&partition) else { return };
+        let version = held.version.0;
+        if Token(held.record.term) != wrong {
+            self.renewed.remove(&partition);
+            return;
+        }
+        let soon = tried > Moment::default() && self.now.since(tried) < RENEW_PACE;
+        if !soon && !self.acquiring.contains(&partition) {
+            self.renewed.insert(partition, (wrong, self.now));
+            self.acquire(partition, version);
+        }
     }
 }
--- a/crates/coordination/src/node/sync.rs
+++ b/crates/coordination/src/node/sync.rs
@@ -27,11 +27,16 @@
         }
         if self.synced && !self.watching {
             self.watching = true;
-            let request = self.watch_request(WATCH_WAIT);
+            let request = self.watch_request(self.watch_wait());
             self.state(Importance::Lease, request, Purpose::Watch);
         }
     }
 
+    /// How long a watch waits: where little time is left for answers without a read, reads come often.
+    fn watch_wait(&self) -> Span {
+        WATCH_WAIT.min((self.settings.blind_span() / 2).max(Span(100)))
+    }
+
     /// A read of what has changed since the mirror's revision.
     pub(super) fn watch_request(&self, wait: Span) -> StateRequest {
         StateRequest::Watch {
@@ -115,8 +120,8 @@
             }
             Purpose::LedgerList { partition, term } => self.on_ledger(partition, term, reply),
             Purpose::LedgerWrite { partition, term } => self.on_round(partition, term, reply),
-            Purpose::LedgerProof { partition, term, number } => {
-                self.on_proof(partition, term, number, reply);
+            Purpose::LedgerProof { partition, term, id } => {
+                self.on_proof(partition, term, id, reply);
             }
             Purpose::Intake => self.on_intake(reply),
             Purpose::Cancels => self.on_cancels(reply),
@@ -176,13 +181,14 @@
                 self.synced = false;
             }
             _ => {
-                let request = self.watch_request(WATCH_WAIT);
+                let request = self.watch_request(self.watch_wait());
                 self.again(Span(200), Importance::Lease, request, Purpose::Watch);
             }
         }
     }
 
     pub(super) fn take_changes(&mut self, changes: &Changes, sent: Moment) {
+        self.contact_before = self.contact_at;
         self.contact_at = Some(self.contact_at.map_or(sent, |at| at.max(sent)));
         let changed = self.mirror.apply(changes);
         self.on_changed(changed);
--- a/crates/coordination/src/node/workers.rs
+++ b/crates/coordination/src/node/workers.rs
@@ -3,7 +3,7 @@
 use super::{DirectReply, Effect, Node, Purpose, ReportReply, Ticket, LAUNCH_CONTACT};
 use model::{CallId, MachineName, PartitionId, Session, Span, TaskId, Token};
 use scheduler::{Route, Source};
-use wire::workers::{Command, DirectCommands, Report, ReportAnswer};
+use wire::workers::{Command, DirectCommands, Report, ReportAnswer, TaskReport, TaskState};
 
 /// Patience with a direct call that carries commands, and with one to a partition given up.
 pub(super) const WORKER_TIMEOUT: Span = Span(2_500);
@@ -27,7 +27,8 @@
         // Without a confirmed read of changes within the span that `cancel_s` leaves, nobody
         // may keep a worker's lease alive: a cancelled task could live on.
         let entitled = self.in_contact(self.settings.blind_span());
-        let launches = self.in_contact(LAUNCH_CONTACT);
+        let launches = self.in_contact(self.launch_span());
+        let halts = self.halts_of_cancelled(report);
         let Some(holding) = self.holdings.get_mut(&partition) else {
             let holder = self.mirror.partitions.get(&partition).map(|p| p.record.holder.clone());
             return match holder {
@@ -49,10 +50,41 @@
             // Someone with a newer right has spoken to it.
             return ReportReply::Redirect(None);
         }
-        let commands = holding.answer_report(&name, report, token, launches, self.now);
+        let answer = holding.answer_report(&name, report, token, launches, halts, self.now);
+        let Some(commands) = answer else {
+            tracing::warn!(machine = %name, "not answered: a launch of a cancelled task may come yet");
+            self.counters.answers_withheld += 1;
+            return ReportReply::Unavailable;
+        };
         ReportReply::Answer(ReportAnswer { token: token.0, commands })
     }
 
+    /// For how long workers may be answered if no further read of changes succeeds.
+    pub(super) fn answers_left(&self) -> Span {
+        let until = self.contact_at.map(|at| at + self.settings.blind_span());
+        until.unwrap_or_default().since(self.now)
+    }
+
+    /// How old a read of changes may be for launches: within the span in which a successor counts us as
+    /// one who may still answer, since it waits for no launch that is sent later.
+    fn launch_span(&self) -> Span {
+        LAUNCH_CONTACT.min(self.settings.blind_span())
+    }
+
+    /// Halts for the tasks in a report whose jobs are cancelled, by the records alone. Whoever answers
+    /// keeps a lease up for a whole length after the contact by which it answers, and has to know for
+    /// each cancelled task that it ends; who has not read its ledger knows of them by the report. The halt
+    /// shares the fate of the answer: where one is lost, so is the other.
+    fn halts_of_cancelled(&self, report: &Report) -> Vec<Command> {
+        let halt = |entry: &TaskReport| {
+            let task = TaskId::parse(&entry.task)?;
+            let there = entry.state != TaskState::Exited && self.mirror.is_cancelled(task.job);
+            let (task, attempt) = (entry.task.clone(), entry.attempt);
+            there.then_some(Command::Stop { task, attempt, grace_s: 0.0 })
+        };
+        report.tasks.iter().filter_map(halt).collect()
+    }
+
     /// A machine without a record: the leader takes it in.
     fn report_of_unknown(&mut self, name: &MachineName, report: &Report) -> ReportReply {
         match self.leader_node() {
@@ -67,7 +99,7 @@
 
     /// Sends commands straight to machines for which something has become urgent.
     pub(super) fn send_direct(&mut self, partition: PartitionId) {
-        if !self.in_contact(LAUNCH_CONTACT) {
+        if !self.in_contact(self.launch_span()) {
             return;
         }
         let now = self.now;
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -285,10 +285,12 @@
 
     /// How long a holder may go on answering workers after the sending of its last
     /// confirmed read of changes: what a worker's lease leaves of `cancel_s`, less a margin
-    /// for drift and for the delivery of the stop itself.
+    /// for drift and for the delivery of the stop itself. Where little is left, half of that: without the
+    /// margin the rule holds still, and with no time at all no worker could ever be answered.
     pub fn blind_span(&self) -> Span {
+        let left = self.workers.cancel.saturating_sub(self.workers.lease.with_drift());
         let margin = Span(1000) + self.workers.report;
-        self.workers.cancel.saturating_sub(self.workers.lease.with_drift() + margin)
+        left.saturating_sub(margin.min(left / 2))
     }
 }
 
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -54,6 +54,9 @@
     /// How far what is left of it sets it back further in a shortage.
     pub put_back: Span,
     pub cancelled: bool,
+    /// Until when its machines may be answered while a launch of it that could still arrive is not void:
+    /// an answer after that could keep it running for longer than a cancellation allows.
+    pub(crate) answer_until: Moment,
     /// Its end is being written or has been written.
     pub finishing: bool,
     done: Vec<u64>,
@@ -140,6 +143,7 @@
             goal: None,
             put_back: Span::ZERO,
             cancelled: false,
+            answer_until: Moment::default(),
             finishing: false,
             done: vec![0; words],
             done_count: 0,
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -386,6 +386,33 @@
         self.check_finished(id);
     }
 
+    /// A job was cancelled: whoever holds it may answer its machines until then whatever is under way to
+    /// them, and no longer.
+    pub fn bound_answers(&mut self, id: JobId, until: Moment) {
+        if let Some(job) = self.jobs.get_mut(&id).filter(|job| job.cancelled) {
+            job.answer_until = until;
+        }
+    }
+
+    /// Whether an answer to a machine's newest report is sure to end every cancelled task there in time,
+    /// or not to keep it up. A task that the report shows is stopped by the answer itself, and a launch
+    /// of a predecessor, or under a lower token, is voided by it. A direct launch of ours without an
+    /// answer is not, and where the state service gives no higher token, only the end of the lease is
+    /// left.
+    pub fn may_answer(&self, name: &MachineName, now: Moment) -> bool {
+        let Some(machine) = self.machines.get(name) else { return true };
+        let under_way = |p: &Placement| {
+            let void = |(token, session)| token < machine.token || session < machine.session;
+            p.seen.is_none() && p.unanswered.is_some_and(|launch| !void(launch))
+        };
+        let late = |task: &TaskId| {
+            let Some(job) = self.jobs.get(&task.job) else { return false };
+            let late = job.cancelled && now >= job.answer_until;
+            late && job.placed.get(&task.index).is_some_and(under_way)
+        };
+        !machine.tasks.iter().any(late)
+    }
+
     /// Stops a task. One that was certainly never launched is gone at once.
     pub fn stop_task(&mut self, task: TaskId, grace_ms: u64, now: Moment) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
--- a/crates/scheduler/tests/share.rs
+++ b/crates/scheduler/tests/share.rs
@@ -742,3 +742,29 @@
         assert_eq!(machine.answered_at, Moment(100));
     }
 }
+
+/// While the state service gives no higher token, a direct launch without an answer can only be voided by
+/// the end of the machine's lease. So past the time that a cancellation leaves it is not answered, unless a
+/// report shows the task, which the answer then stops.
+#[test]
+fn a_machine_is_not_answered_while_a_cancelled_launch_may_come() {
+    let mut share = share();
+    share.observe(&report(1, None, Vec::new()), Source::Report, Moment(100));
+    share.add_job(job(1, "t", JobKind::Service, Priority::High, 1), 1, &[], Moment(100));
+    share.run_cycles(Moment(100), 10);
+    make_durable(&mut share);
+    let sent = share.commands_for(&name(1), Route::Direct, Moment(110));
+    assert!(matches!(&sent[..], [Command::Start { .. }]), "{sent:?}");
+    let attempt = share.jobs[&model::JobId(1)].placed[&0].attempt.0;
+    share.cancel_job(model::JobId(1), Moment(200));
+    share.bound_answers(model::JobId(1), Moment(15_000));
+    let mut heard = |seq, tasks, at| {
+        share.observe(&report(seq, None, tasks), Source::Report, Moment(at));
+        share.may_answer(&name(1), Moment(at))
+    };
+    assert!(heard(2, Vec::new(), 14_000), "there is time for a higher token");
+    assert!(!heard(3, Vec::new(), 15_000), "the launch may still come");
+    assert!(heard(4, vec![entry("j-000001/0", attempt, TaskState::Running, None)], 16_000));
+    let halts = share.commands_for(&name(1), Route::Answer, Moment(16_000));
+    assert!(matches!(&halts[..], [Command::Stop { grace_s: 0.0, .. }]), "{halts:?}");
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -18,7 +18,7 @@
 pub use rules::Broken;
 pub use solo::Solo;
 pub use takeovers::Takeover;
-pub use world::{Fault, Plan, Sabotage, World};
+pub use world::{Fault, Met, Plan, Sabotage, World};
 
 /// Runs something for each seed from 1 on, on all cores.
 pub fn for_seeds(seeds: u64, run: impl Fn(u64) + Sync) {
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -11,6 +11,8 @@
     pub why: Option<ExitCause>,
     pub image_at: u64,
     pub done_at: Option<u64>,
+    /// When a task that was told to stop will have saved.
+    pub saved_at: Option<u64>,
 }
 
 impl Held {
@@ -123,6 +125,11 @@
         }
     }
 
+    /// Whether something newer than this report has been sent.
+    pub fn has_said_more(&self, report: &Report) -> bool {
+        (report.session, report.seq) < (self.session, self.seq)
+    }
+
     /// Ends the session if the lease has run out.
     pub fn check_lease(&mut self, now: u64, lease: u64) {
         if now > self.lease_from + lease {
@@ -199,6 +206,7 @@
                     why: Some(why),
                     image_at: 0,
                     done_at: None,
+                    saved_at: None,
                 };
                 let Some(job) = jobs.get(id) else {
                     self.tasks.insert(key, exited(ExitCause::Unknown));
@@ -233,15 +241,29 @@
                         why: None,
                         image_at: now + fetch,
                         done_at: None,
+                        saved_at: None,
                     },
                 );
             }
-            Command::Stop { task, attempt, .. } => {
+            Command::Stop { task, attempt, grace_s } => {
+                let job = jobs.get(task.split('/').next().unwrap_or_default());
+                let save_s = job.filter(|j| j.checkpoint_s > 0.0).map(|j| j.save_s);
                 if let Some(held) = self.tasks.get_mut(&(task.clone(), *attempt)) {
-                    if held.state != TaskState::Exited {
-                        held.state = TaskState::Exited;
-                        held.why = Some(ExitCause::Stopped);
-                        self.changed = true;
+                    let saves = save_s.filter(|s| s <= grace_s && *grace_s > 0.0);
+                    match (held.state, saves) {
+                        (TaskState::Exited, _) => {}
+                        // Only a second command without grace ends a task that is saving.
+                        (TaskState::Saving, _) if *grace_s > 0.0 => {}
+                        (TaskState::Running, Some(save_s)) => {
+                            held.state = TaskState::Saving;
+                            held.saved_at = Some(now + (save_s * 1_000.0) as u64);
+                            self.changed = true;
+                        }
+                        _ => {
+                            held.state = TaskState::Exited;
+                            held.why = Some(ExitCause::Stopped);
+                            self.changed = true;
+                        }
                     }
                 }
             }
@@ -288,6 +310,11 @@
                     }
                 }
             }
+            if held.state == TaskState::Saving && held.saved_at.is_some_and(|at| now >= at) {
+                held.state = TaskState::Exited;
+                held.why = Some(ExitCause::Stopped);
+                self.changed = true;
+            }
             if held.state == TaskState::Waiting {
                 let since = self.gangs.get(&(task.clone(), *attempt)).copied().unwrap_or(now);
                 if now > since + self.gang_wait {
--- a/crates/testkit/src/world/faults.rs
+++ b/crates/testkit/src/world/faults.rs
@@ -86,6 +86,12 @@
                 self.ends_at.insert(node, (0, nth));
                 return;
             }
+            Fault::LateWrites { percent, ms } => (Cut::LateWrites(percent), ms),
+            Fault::Long { times, ms } => (Cut::Long(times), ms),
+            Fault::CancelAll { through } => {
+                self.cancel_all(through);
+                return;
+            }
             Fault::SpoilPage { partition, ms } => {
                 let key = format!("l/{partition}/0000");
                 if let Some(value) = self.state.value(&key).cloned() {
--- a/crates/testkit/src/world/kinds.rs
+++ b/crates/testkit/src/world/kinds.rs
@@ -4,7 +4,7 @@
 use coordination::{Effect, Event, Node, ReportReply, UserRequest};
 use model::CallId;
 use wire::cloud::CloudRequest;
-use wire::state::StateRequest;
+use wire::state::{StateRequest, Txn};
 use wire::workers::{Command, DirectCommands, Report};
 
 #[derive(Debug, Clone)]
@@ -59,6 +59,14 @@
     Flush,
     /// A copy of something that was sent before comes.
     Copy(Box<Message>),
+    /// A transaction is carried out at last, of which its node has heard nothing.
+    LateWrite {
+        node: usize,
+        life: u64,
+        /// Transactions of the node that had been carried out when it was sent.
+        newer_than: u64,
+        txn: Txn,
+    },
     /// Every accepted job is asked about.
     AskAll,
     Thaw {
@@ -96,6 +104,8 @@
     Unreached(String),
     UnreachedZone,
     Copies,
+    LateWrites(u64),
+    Long(u64),
 }
 
 pub(super) struct Running {
--- a/crates/testkit/src/world/machines.rs
+++ b/crates/testkit/src/world/machines.rs
@@ -5,6 +5,14 @@
 /// A gang's task: its machine, its name, its state and when it completes.
 type Member = (String, String, TaskState, Option<u64>);
 
+/// How long a task runs, or a gang. Some jobs' tasks run so many times as long.
+fn run_ms(seed: u64, long: &HashMap<String, u64>, name: &str) -> u64 {
+    let sum: u64 = name.bytes().map(u64::from).sum();
+    let usual = 2_000 + (sum * 7919 + seed * 31) % 9_000;
+    let id = name.split('/').next().unwrap_or_default();
+    usual * long.get(id).copied().unwrap_or(1)
+}
+
 impl World {
     pub(super) fn report_answer(
         &mut self,
@@ -25,6 +33,9 @@
                 if ignore_tokens {
                     answer.token = answer.token.max(worker.token);
                 }
+                if self.plan.sabotage == Some(Sabotage::AnswersWithoutHalts) {
+                    answer.commands.retain(|c| !matches!(c, Command::Stop { .. }));
+                }
                 if worker.answered(number, &answer, now, &self.jobs) {
                     let launches = starts(&answer.commands);
                     self.takeovers.told(machine, answer.token, launches, now);
@@ -50,11 +61,6 @@
         }
     }
 
-    pub(super) fn run_ms(seed: u64, task: &str) -> u64 {
-        let sum: u64 = task.bytes().map(u64::from).sum();
-        2_000 + (sum * 7919 + seed * 31) % 9_000
-    }
-
     pub(super) fn step_workers(&mut self) {
         if !self.outage() {
             self.state.expire(self.now);
@@ -77,7 +83,6 @@
             worker.node = self.rng.random_range(0..NODES);
             self.workers.insert(name, worker);
         }
-        let seed = self.plan.seed;
         let names: Vec<String> = self.workers.keys().cloned().collect();
         for name in names {
             let Some(worker) = self.workers.get_mut(&name) else { continue };
@@ -89,7 +94,7 @@
             if worker.hangs_until > now {
                 continue;
             }
-            let run = |task: &str| Self::run_ms(seed, task) * self.terms.longer;
+            let run = |task: &str| run_ms(self.plan.seed, &self.long, task) * self.terms.longer;
             let happened = worker.advance(now, &self.jobs, run);
             for event in happened {
                 match event {
@@ -173,7 +178,7 @@
                 .collect();
             let whole = all && !hung.contains(&true);
             let done = members.iter().any(|m| m.3.is_some_and(|at| now >= at));
-            let end = now + Self::run_ms(self.plan.seed, &id);
+            let end = now + run_ms(self.plan.seed, &self.long, &id);
             for ((machine, task, state, _), hangs) in members.into_iter().zip(hung) {
                 if hangs {
                     continue;
--- a/crates/testkit/src/world/mod.rs
+++ b/crates/testkit/src/world/mod.rs
@@ -33,7 +33,26 @@
 use wire::mesh::{Hint, MeshMessage};
 use wire::state::{StateReply, StateRequest, Txn, Write};
 use wire::users::{JobKind, JobRequest, JobState, Priority};
-use wire::workers::{ExitCause, TaskState};
+use wire::workers::{Command, ExitCause, TaskState};
+
+/// What has really come about of troubles that are there to meet: a test whose troubles never met
+/// proves nothing.
+#[derive(Debug, Clone, Default)]
+pub struct Met {
+    /// Late transactions that were applied; of these, after newer ones of the same node, and of lives
+    /// that were over by then.
+    pub late_writes: u64,
+    pub late_after_newer: u64,
+    pub late_of_the_dead: u64,
+    /// Late transactions whose conditions voided them.
+    pub late_and_void: u64,
+    /// Copies of reports that came after newer messages of their machines; of these, from earlier
+    /// sessions.
+    pub old_reports: u64,
+    pub old_sessions: u64,
+    /// Answers and commands that were lost on their way to machines whose reports arrive.
+    pub unheard: u64,
+}
 
 /// The world.
 pub struct World {
@@ -58,6 +77,8 @@
     report_tickets: HashMap<(usize, u64, u64), (String, u64)>,
     next_ticket: u64,
     jobs: HashMap<String, JobRequest>,
+    /// Jobs whose tasks run so many times as long.
+    long: HashMap<String, u64>,
     next_job: u64,
     limits: BTreeMap<String, f64>,
     settled: BTreeSet<String>,
@@ -74,6 +95,9 @@
     /// Since when each node has been healthy without a break.
     healthy_since: [Option<u64>; NODES],
     served: Served,
+    /// Transactions of each node that have been carried out.
+    carried_out: [u64; NODES],
+    pub met: Met,
     /// Nodes that end as they are about to do something: what they have done so far, and at which
     /// deed they end.
     ends_at: HashMap<usize, (u64, u64)>,
@@ -106,6 +130,7 @@
             report_tickets: HashMap::new(),
             next_ticket: 0,
             jobs: HashMap::new(),
+            long: HashMap::new(),
             next_job: 0,
             limits: (0..6).map(|t| (format!("t{t}"), 6.0 * plan.size as f64)).collect(),
             settled: BTreeSet::new(),
@@ -118,6 +143,8 @@
             known: Known::default(),
             healthy_since: [None; NODES],
             served: Served::default(),
+            carried_out: [0; NODES],
+            met: Met::default(),
             ends_at: HashMap::new(),
             released_alive: 0,
             early: (0, 0),
@@ -203,6 +230,18 @@
         names.filter(lives).map(str::to_owned).collect()
     }
 
+    /// Tasks of jobs that were confirmed as cancelled which are still on machines of a partition.
+    pub fn cancelled_and_there(&self, partition: u32) -> usize {
+        let machines = self.living_of(partition);
+        let workers = machines.iter().filter_map(|name| self.workers.get(name));
+        let tasks = workers.flat_map(|w| w.tasks.iter().filter(|(_, held)| held.present()));
+        let cancelled = |task: &str| {
+            let id = task.split('/').next().unwrap_or_default();
+            self.rules.cancelled_told.contains_key(id)
+        };
+        tasks.filter(|((task, _), _)| cancelled(task)).count()
+    }
+
     /// A holder ends or stands still: its partitions are to be taken over.
     fn holder_stops(&mut self, node: usize) {
         let name = format!("n{node}");
@@ -245,6 +284,11 @@
         }
     }
 
+    /// A trouble begins now, for tests that wait for the moment at which it meets another.
+    pub fn begin(&mut self, fault: Fault) {
+        self.fault(fault);
+    }
+
     /// Prints where a job's tasks are, for the eyes of whoever looks into a run.
     pub fn dump(&self, id: &str) {
         for worker in self.workers.values() {
@@ -397,7 +441,14 @@
             }
             Happening::Thaw { node, life } => self.thaw(node, life),
             Happening::Mend { key, value } => self.write_past(&key, value),
-            Happening::Deliver(message) | Happening::Copy(message) => self.deliver(*message),
+            Happening::Deliver(message) => self.deliver(*message),
+            Happening::Copy(message) => {
+                self.note_copy(&message);
+                self.deliver(*message);
+            }
+            Happening::LateWrite { node, life, newer_than, txn } => {
+                self.late_write(node, life, newer_than, txn);
+            }
             Happening::AskAll => self.ask_all(),
             Happening::Timeout { node, life, call, event } => {
                 if self.live(node, life) && self.pending.remove(&(node, life, call)) {
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -45,6 +45,7 @@
             Cut::Unreached(_) | Cut::UnreachedZone | Cut::Copies => false,
             Cut::Refuse(_) | Cut::Cloud | Cut::Users(_) | Cut::Slow(_) => false,
             Cut::Boots | Cut::Mistakes | Cut::Questions | Cut::Heavy => false,
+            Cut::LateWrites(_) | Cut::Long(_) => false,
         })
     }
 
@@ -83,10 +84,19 @@
         }
     }
 
+    /// Whether a copy of a report is older than what its machine has said since.
+    pub(super) fn note_copy(&mut self, message: &Message) {
+        let Message::Report { machine, report, .. } = message else { return };
+        let Some(worker) = self.workers.get(machine).filter(|w| !w.dead) else { return };
+        self.met.old_reports += u64::from(worker.has_said_more(report));
+        self.met.old_sessions += u64::from(report.session < worker.session);
+    }
+
     /// Sends a message; a cut holds it back until it heals.
     pub(super) fn send(&mut self, from: Place, to: Place, message: Message) {
         self.copy(&message);
         if self.is_lost(from, to) {
+            self.met.unheard += 1;
             return;
         }
         if self.is_cut(from, to) {
--- a/crates/testkit/src/world/plan.rs
+++ b/crates/testkit/src/world/plan.rs
@@ -68,6 +68,13 @@
     /// A node loses the state service and the other nodes, by cuts or refusals, but neither its workers
     /// nor users.
     Blind { node: usize, ms: u64, refused: bool },
+    /// So many per cent of the transactions get no answer and are carried out 2 to 12 s later, after newer
+    /// ones of the same node.
+    LateWrites { percent: u64, ms: u64 },
+    /// Jobs submitted meanwhile run so many times as long, every other of them with checkpoints.
+    Long { times: u64, ms: u64 },
+    /// Users cancel every job that is accepted and not over, all through one node.
+    CancelAll { through: usize },
     /// Garbage stands on a ledger page of a partition for a time.
     SpoilPage { partition: u32, ms: u64 },
 }
@@ -96,6 +103,8 @@
     HintsLie,
     /// Parts of what followers are told are lost, held back or say less than they claim.
     HintsLost,
+    /// Answers to reports bear no halts.
+    AnswersWithoutHalts,
     /// Copies of reports pass for new ones.
     CopiesTrusted,
     /// Questions about every seventh job are not answered.
@@ -141,6 +150,8 @@
             | Fault::UnreachedZone { ms }
             | Fault::Copies { ms }
             | Fault::Blind { ms, .. }
+            | Fault::LateWrites { ms, .. }
+            | Fault::Long { ms, .. }
             | Fault::SpoilPage { ms, .. } => *ms,
             Fault::CrashAt { .. } => 6_000,
             Fault::Kill { .. }
@@ -148,7 +159,8 @@
             | Fault::Guests { .. }
             | Fault::Burst { .. }
             | Fault::KillMany { .. }
-            | Fault::SickMany { .. } => 0,
+            | Fault::SickMany { .. }
+            | Fault::CancelAll { .. } => 0,
         }
     }
 }
--- a/crates/testkit/src/world/state.rs
+++ b/crates/testkit/src/world/state.rs
@@ -61,6 +61,9 @@
             }
             return;
         }
+        if self.is_late(node, life, &request) {
+            return;
+        }
         let mut pretend = false;
         if let StateRequest::Txn(txn) = &mut request {
             let page = |w: &Write| matches!(w, Write::Put { put, .. } if put.starts_with("l/"));
@@ -74,29 +77,78 @@
                 _ => {}
             }
         }
-        let records = holders_written(&request);
+        let reply = self.carry_out_state(node, &request, pretend);
+        if self.plan.sabotage == Some(Sabotage::EndsNotWritten) {
+            self.state.lose("f/");
+            self.state.lose("s/e/");
+        }
+        // Now and then the answer is lost, although the request was executed.
+        if !self.rng.random_bool(0.003) {
+            self.state_answer(node, life, call, reply);
+        }
+        self.answer_watches();
+    }
+
+    /// Executes a request and notes which partitions it moves.
+    fn carry_out_state(
+        &mut self,
+        node: usize,
+        request: &StateRequest,
+        pretend: bool,
+    ) -> StateReply {
+        let records = holders_written(request);
         let before: Vec<Option<String>> =
             records.iter().map(|(p, _)| self.holder(*p).map(str::to_owned)).collect();
         let reply = if pretend {
             StateReply::Committed { revision: 0 }
-        } else if self.is_read_late(&request) {
-            self.older.execute(self.now, &request)
+        } else if self.is_read_late(request) {
+            self.older.execute(self.now, request)
         } else {
-            self.state.execute(self.now, &request)
+            self.state.execute(self.now, request)
         };
         if let StateReply::Committed { .. } = reply {
             for ((partition, term), before) in records.into_iter().zip(before) {
                 let living = self.living_of(partition);
                 self.takeovers.taken(partition, before.as_deref(), term, living, self.now);
             }
+            if matches!(request, StateRequest::Txn(_)) {
+                self.carried_out[node] += 1;
+            }
         }
-        if self.plan.sabotage == Some(Sabotage::EndsNotWritten) {
-            self.state.lose("f/");
-            self.state.lose("s/e/");
+        reply
+    }
+
+    /// Whether a transaction gets no answer and is carried out later, if there are such at present.
+    fn is_late(&mut self, node: usize, life: u64, request: &StateRequest) -> bool {
+        let StateRequest::Txn(txn) = request else { return false };
+        let percent = self.cuts.iter().find_map(|cut| match cut {
+            Cut::LateWrites(percent) => Some(*percent),
+            _ => None,
+        });
+        let late = percent.is_some_and(|p| self.rng.random_range(0..100) < p);
+        if late {
+            let newer_than = self.carried_out[node];
+            let what = Happening::LateWrite { node, life, newer_than, txn: txn.clone() };
+            let after = self.rng.random_range(2_000..12_000);
+            self.at(self.now + after, what);
         }
-        // Now and then the answer is lost, although the request was executed.
-        if !self.rng.random_bool(0.003) {
-            self.state_answer(node, life, call, reply);
+        late
+    }
+
+    /// A late transaction is carried out.
+    pub(super) fn late_write(&mut self, node: usize, life: u64, newer_than: u64, txn: Txn) {
+        if self.outage() {
+            return;
+        }
+        let newer = self.carried_out[node] > newer_than;
+        let writes = !txn.writes.is_empty();
+        let reply = self.carry_out_state(node, &StateRequest::Txn(txn), false);
+        if writes && matches!(reply, StateReply::Committed { .. }) {
+            self.met.late_writes += 1;
+            self.met.late_after_newer += u64::from(newer);
+            self.met.late_of_the_dead += u64::from(!self.live(node, life));
+        } else if writes {
+            self.met.late_and_void += 1;
         }
         self.answer_watches();
     }
--- a/crates/testkit/src/world/users.rs
+++ b/crates/testkit/src/world/users.rs
@@ -64,6 +64,18 @@
             save_s: 0.0,
             deadline_s: None,
         };
+        let mut job = job;
+        let long = self.cuts.iter().find_map(|cut| match cut {
+            Cut::Long(times) => Some(*times),
+            _ => None,
+        });
+        if let Some(times) = long {
+            self.long.insert(id.clone(), times);
+            job.estimate_s *= times as f64;
+            if kind != JobKind::Service && self.next_job % 2 == 0 {
+                (job.checkpoint_s, job.save_s) = (5.0, 3.0);
+            }
+        }
         self.jobs.insert(id.clone(), job.clone());
         self.submitted.insert(id.clone(), self.now);
         if kind == JobKind::Service || mistaken || self.rng.random_bool(0.1) {
@@ -83,6 +95,18 @@
         self.at(self.now + 4_000, Happening::Poll { id });
     }
 
+    /// Users cancel every job that is accepted and not over, all through one node.
+    pub(super) fn cancel_all(&mut self, through: usize) {
+        let Rules { accepted, done_told, cancel_asked, .. } = &self.rules;
+        let open = accepted.keys().filter(|id| !done_told.contains_key(*id));
+        let ids: Vec<String> = open.filter(|id| !cancel_asked.contains(*id)).cloned().collect();
+        for id in ids {
+            let Some(job) = JobId::parse(&id) else { continue };
+            self.rules.cancel_asked.insert(id.clone());
+            self.ask_node(through, UserRequest::Cancel(job), id, 0);
+        }
+    }
+
     pub(super) fn guest_job(&mut self) {
         self.next_job += 1;
         let id = format!("j-{:06}", self.next_job * 7);
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the mesh protocol; frames of another version are refused.
-pub const MESH_VERSION: u16 = 4;
+pub const MESH_VERSION: u16 = 5;
 /// Largest frame that is read.
 pub const MAX_FRAME: usize = 256 * 1024;
 
@@ -101,6 +101,8 @@
     GaveUp { partition: u32 },
     /// The home node of a partition offers to hold it again, under this lease.
     WantHome { partition: u32, lease: u64, boot: u64 },
+    /// To everybody: these jobs are recorded as cancelled, as far as they are not over.
+    Cancelled { jobs: Vec<u64> },
     /// Holder to everybody: done and running tasks of jobs, for display.
     Progress { jobs: Vec<(u64, u64, u64)> },
     /// To a holder: the sender follows what it knows of a partition under this term, and has what
