--- a/crates/testkit/src/world/users.rs
+++ b/crates/testkit/src/world/users.rs
@@ -72,7 +72,7 @@
         if let Some(times) = long {
             self.long.insert(id.clone(), times);
             job.estimate_s *= times as f64;
-            if kind != JobKind::Service && self.next_job % 2 == 0 {
+            if kind != JobKind::Service && self.next_job.is_multiple_of(2) {
                 (job.checkpoint_s, job.save_s) = (5.0, 3.0);
             }
         }
