--- a/crates/coordination/src/mirror.rs
+++ b/crates/coordination/src/mirror.rs
@@ -108,7 +108,9 @@
     /// Jobs on pages of accepted jobs, over or not.
     listed: Tally,
     pub partitions: BTreeMap<PartitionId, Versioned<PartitionRecord>>,
-    pub wishes: BTreeMap<PartitionId, WishRecord>,
+    pub wishes: BTreeMap<PartitionId, Versioned<WishRecord>>,
+    /// Versions of what holders have written that their partitions lack.
+    pub demands: BTreeMap<PartitionId, Version>,
     pub machines: BTreeMap<MachineName, KnownMachine>,
     pub machine_pages: BTreeMap<u32, Versioned<MachinePage>>,
     pub boots: BTreeMap<NodeName, Versioned<BootRecord>>,
@@ -180,11 +182,12 @@
             }
             "w" => {
                 if let (Ok(number), Some(record)) = (name.parse(), decode(key, value)) {
-                    self.wishes.insert(PartitionId(number), record);
+                    self.wishes.insert(PartitionId(number), Versioned { record, version });
                 }
             }
             "d" => {
                 if let (Ok(number), Some(record)) = (name.parse(), decode(key, value)) {
+                    self.demands.insert(PartitionId(number), version);
                     changed.push(Changed::Demand(PartitionId(number), record));
                 }
             }
--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -686,7 +686,14 @@
         demand.truncate(MOST_SHAPES);
         let record = DemandRecord { term: load.term, demand };
         let value = serde_json::to_value(record).unwrap_or_default();
-        let txn = Txn::default().write(Write::put(demand_key(partition), value));
+        // Late, it would name a want that has been met, or that of an earlier holder.
+        let right = self.holdings.get(&partition).map_or(0, |h| h.version.0);
+        let version = self.mirror.demands.get(&partition).map_or(0, |version| version.0);
+        let key = demand_key(partition);
+        let txn = Txn::default()
+            .when(partition_key(partition), right)
+            .when(&key, version)
+            .write(Write::put(&key, value));
         self.state(Importance::Placement, StateRequest::Txn(txn), Purpose::Demand);
     }
 
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -176,8 +176,8 @@
             .wishes
             .iter()
             .filter(|(partition, _)| self.holdings.contains_key(partition))
-            .filter(|(_, wish)| wish.node != *self.me())
-            .map(|(partition, wish)| (*partition, wish.clone()))
+            .filter(|(_, wish)| wish.record.node != *self.me())
+            .map(|(partition, wish)| (*partition, wish.record.clone()))
             .collect();
         for (partition, wish) in wishes {
             self.hand_over(partition, &wish.node, wish.lease, wish.boot);
@@ -406,7 +406,7 @@
             return;
         }
         let homeless = self.now.since(*self.homeless_since.get_or_insert(self.now));
-        let known = self.mirror.wishes.get(&partition).is_some_and(|w| w.lease == lease.0);
+        let known = self.mirror.wishes.get(&partition).is_some_and(|w| w.record.lease == lease.0);
         // Whoever hears the holder is handed it once it is warm.
         let unheard = !self.peer_lives(&held.record.holder) || homeless >= HOMELESS + WARMING;
         if homeless >= HOMELESS && unheard && !known && !self.wishing {
@@ -414,8 +414,13 @@
             let wish = WishRecord { node: self.me().clone(), boot: self.boot, lease: lease.0 };
             let value = serde_json::to_value(wish).unwrap_or_default();
             let write = Write::put_leased(wish_key(partition), value, lease.0);
-            let request = StateRequest::Txn(Txn::default().write(write));
-            self.state(Importance::Lease, request, Purpose::Wish);
+            // Late, it would ask again for what has been granted, and may have moved on since.
+            let version = self.mirror.wishes.get(&partition).map_or(0, |w| w.version.0);
+            let txn = Txn::default()
+                .when(wish_key(partition), version)
+                .when(partition_key(partition), held.version.0)
+                .write(write);
+            self.state(Importance::Lease, StateRequest::Txn(txn), Purpose::Wish);
         }
         let Some(held) = self.mirror.partitions.get(&partition) else { return };
         let holder = held.record.holder.clone();
