Each meeting is seen to fail with a safety step broken on purpose

The slow service's outage begins earlier, so that in half of the runs no successor has taken over by then, and its holder hears none of the others in half.

--- a/crates/testkit/src/world/plan.rs
+++ b/crates/testkit/src/world/plan.rs
@@ -103,6 +103,8 @@
     HintsLie,
     /// Parts of what followers are told are lost, held back or say less than they claim.
     HintsLost,
+    /// Late transactions are carried out whatever has changed since.
+    LateUnconditional,
     /// Answers to reports bear no halts.
     AnswersWithoutHalts,
     /// Copies of reports pass for new ones.
--- a/crates/testkit/src/world/state.rs
+++ b/crates/testkit/src/world/state.rs
@@ -136,10 +136,13 @@
     }
 
     /// A late transaction is carried out.
-    pub(super) fn late_write(&mut self, node: usize, life: u64, newer_than: u64, txn: Txn) {
+    pub(super) fn late_write(&mut self, node: usize, life: u64, newer_than: u64, mut txn: Txn) {
         if self.outage() {
             return;
         }
+        if self.plan.sabotage == Some(Sabotage::LateUnconditional) {
+            txn.conditions.clear();
+        }
         let newer = self.carried_out[node] > newer_than;
         let writes = !txn.writes.is_empty();
         let reply = self.carry_out_state(node, &StateRequest::Txn(txn), false);
--- a/crates/testkit/tests/meetings.rs
+++ b/crates/testkit/tests/meetings.rs
@@ -22,48 +22,56 @@
     assert_eq!(world.rules.broken, [], "{said}");
 }
 
+/// After the refusal, in ms: the cancellations, the outage.
+const TIMES: [(u64, u64); 19] = [
+    (50, 100),
+    (100, 300),
+    (100, 1_000),
+    (300, 2_000),
+    (100, 2_500),
+    (1_000, 3_000),
+    (100, 3_300),
+    (100, 3_500),
+    (100, 3_600),
+    (100, 3_700),
+    (100, 3_800),
+    (100, 3_900),
+    (100, 4_000),
+    (100, 4_200),
+    (100, 4_500),
+    (1_000, 5_000),
+    (300, 6_000),
+    (300, 8_000),
+    (300, 10_000),
+];
+
+/// The `nth` time of each: a holder is refused, another node cancels, everybody is refused.
+fn refused_then_out(holder: usize, nth: usize) -> (u64, Vec<(u64, Fault)>) {
+    let (cancelled, out) = TIMES[nth];
+    let refused = 50_000 + 37 * nth as u64;
+    // It ends inside the outage, or long after it.
+    let ms = if nth.is_multiple_of(2) { out + 9_000 } else { 90_000 };
+    let through = (holder + 1 + nth % 2) % 3;
+    let faults = vec![
+        (refused, Fault::Refuse { node: Some(holder), ms }),
+        (refused + cancelled, Fault::CancelAll { through }),
+        (refused + out, Fault::Refuse { node: None, ms: 45_000 }),
+        // Nobody tells it what was cancelled.
+        (refused, Fault::CutMesh { node: holder, ms: ms * (nth as u64 % 3).min(1) }),
+    ];
+    (refused, faults)
+}
+
 /// The meeting before all others. The state service refuses the holder of a partition alone, another node
 /// confirms cancellations, and before the holder's successor has the partition in hand the service is out
 /// for everybody, for longer than `cancel_s`.
 #[test]
 fn a_holder_is_refused_cancellations_are_confirmed_elsewhere_and_the_state_service_goes_out() {
-    // After the refusal, in ms: the cancellations, the outage.
-    let times = [
-        (50, 100),
-        (100, 300),
-        (100, 1_000),
-        (300, 2_000),
-        (100, 2_500),
-        (1_000, 3_000),
-        (100, 3_300),
-        (100, 3_500),
-        (100, 3_600),
-        (100, 3_700),
-        (100, 3_800),
-        (100, 3_900),
-        (100, 4_000),
-        (100, 4_200),
-        (100, 4_500),
-        (1_000, 5_000),
-        (300, 6_000),
-        (300, 8_000),
-        (300, 10_000),
-    ];
     let (mut met, mut moved) = (0, 0);
     for holder in 0..3 {
-        for (nth, (cancelled, out)) in times.into_iter().enumerate() {
+        for (nth, (cancelled, out)) in TIMES.into_iter().enumerate() {
             let seed = 100 * holder as u64 + nth as u64;
-            let refused = 50_000 + 37 * nth as u64;
-            // It ends inside the outage, or long after it.
-            let ms = if nth % 2 == 0 { out + 9_000 } else { 90_000 };
-            let through = (holder + 1 + nth % 2) % 3;
-            let faults = vec![
-                (refused, Fault::Refuse { node: Some(holder), ms }),
-                (refused + cancelled, Fault::CancelAll { through }),
-                (refused + out, Fault::Refuse { node: None, ms: 45_000 }),
-                // Nobody tells it what was cancelled.
-                (refused, Fault::CutMesh { node: holder, ms: ms * (nth as u64 % 3).min(1) }),
-            ];
+            let (refused, faults) = refused_then_out(holder, nth);
             let said = format!("holder {holder}, {cancelled} and {out} ms after the refusal");
             let mut world = site(seed, 160_000, faults);
             world.run_to(refused - 1);
@@ -146,21 +154,27 @@
     assert!(caught);
 }
 
+/// Machines are deaf or cut off as one holder after the other ends.
+fn unheard(seed: u64) -> Vec<(u64, Fault)> {
+    let faults = vec![
+        (48_000, Fault::Unreached { count: 6, ms: 8_000 + seed * 4_000 }),
+        (48_500, Fault::CutMachine { nth: seed as usize, ms: 9_000 + seed * 2_000 }),
+        (49_000, Fault::UnreachedZone { ms: 7_000 + seed * 1_000 }),
+        (50_000, Fault::Crash { node: seed as usize % 3, back: 100 + seed * 900 }),
+        (52_000, Fault::CancelAll { through: (seed as usize + 1) % 3 }),
+        (90_000, Fault::Burst { jobs: 12 }),
+        (110_000, Fault::Unreached { count: 8, ms: 30_000 }),
+        (112_000, Fault::Crash { node: (seed as usize + 1) % 3, back: 6_000 }),
+    ];
+    faults
+}
+
 /// A leader ends while machines with long tasks can't be reached, or don't hear the new leader's answer.
 #[test]
 fn a_leader_ends_while_its_machines_do_not_hear_its_successor() {
     let mut met = Met::default();
     for seed in 1..=8 {
-        let faults = vec![
-            (48_000, Fault::Unreached { count: 6, ms: 8_000 + seed * 4_000 }),
-            (48_500, Fault::CutMachine { nth: seed as usize, ms: 9_000 + seed * 2_000 }),
-            (49_000, Fault::UnreachedZone { ms: 7_000 + seed * 1_000 }),
-            (50_000, Fault::Crash { node: seed as usize % 3, back: 100 + seed * 900 }),
-            (52_000, Fault::CancelAll { through: (seed as usize + 1) % 3 }),
-            (90_000, Fault::Burst { jobs: 12 }),
-            (110_000, Fault::Unreached { count: 8, ms: 30_000 }),
-            (112_000, Fault::Crash { node: (seed as usize + 1) % 3, back: 6_000 }),
-        ];
+        let faults = unheard(seed);
         let mut world = site(seed, 220_000, faults);
         to_the_end(&mut world, &format!("unheard successor, seed {seed}"));
         met.unheard += world.met.unheard;
@@ -170,24 +184,30 @@
     assert!(met.unheard > 200, "{met:?}");
 }
 
+/// Machines hang or are cut off for most of their lease, with work to be started and cancelled.
+fn held_up(seed: u64) -> Vec<(u64, Fault)> {
+    let ms = 3_000 + seed * 650;
+    let mut faults = Vec::new();
+    for at in [30_000, 45_000, 60_000, 75_000] {
+        faults.push((at, Fault::HangMany { count: 5, ms }));
+        faults.push((at + 40, Fault::Burst { jobs: 10 }));
+        for nth in 0..4 {
+            faults.push((at + 100, Fault::CutMachine { nth: nth * 3, ms: ms + 500 }));
+        }
+        faults.push((at + 1_200, Fault::CancelAll { through: seed as usize % 3 }));
+        // Nothing more can be written: no token can be raised.
+        faults.push((at + 1_700, Fault::Refuse { node: None, ms: 6_000 }));
+    }
+    faults
+}
+
 /// Commands or their answers are held up while a machine hangs or is cut off for most of its lease, users
 /// cancel what they were to start, and the machine goes on.
 #[test]
 fn commands_are_held_up_while_their_jobs_are_cancelled() {
     let mut met = 0;
     for seed in 1..=10 {
-        let ms = 3_000 + seed * 650;
-        let mut faults = Vec::new();
-        for at in [30_000, 45_000, 60_000, 75_000] {
-            faults.push((at, Fault::HangMany { count: 5, ms }));
-            faults.push((at + 40, Fault::Burst { jobs: 10 }));
-            for nth in 0..4 {
-                faults.push((at + 100, Fault::CutMachine { nth: nth * 3, ms: ms + 500 }));
-            }
-            faults.push((at + 1_200, Fault::CancelAll { through: seed as usize % 3 }));
-            // Nothing more can be written: no token can be raised.
-            faults.push((at + 1_700, Fault::Refuse { node: None, ms: 6_000 }));
-        }
+        let faults = held_up(seed);
         let mut world = site(seed, 160_000, faults);
         world.run_to(76_600);
         met += world.rules.cancelled_told.len();
@@ -196,25 +216,31 @@
     assert!(met > 100, "{met} jobs were cancelled meanwhile");
 }
 
+/// A holder without state and peers, whose successor reaches the workers or does not.
+fn blind(seed: u64) -> Vec<(u64, Fault)> {
+    let node = seed as usize % 3;
+    let mut faults = vec![
+        (50_000, Fault::Blind { node, ms: 60_000, refused: seed.is_multiple_of(2) }),
+        (56_000 + seed * 300, Fault::CancelAll { through: (node + 1) % 3 }),
+        // In half of the runs nobody is there to tell it afterwards either.
+        (57_000 + seed * 300, Fault::Refuse { node: None, ms: 40_000 * (seed / 2 % 2) }),
+    ];
+    // Where the successor reaches the workers it ends the old leader's hold on them at once.
+    if !seed.is_multiple_of(3) {
+        for other in (0..3).filter(|other| *other != node) {
+            faults.push((50_000, Fault::CutWorkers { node: other, ms: 50_000 }));
+        }
+    }
+    faults
+}
+
 /// A leader is cut from the state service and the other controllers while workers and users still reach it,
 /// and jobs are cancelled through the new one.
 #[test]
 fn a_leader_without_state_and_peers_and_jobs_cancelled_through_the_new_one() {
     let mut met = 0;
     for seed in 0..12 {
-        let node = seed as usize % 3;
-        let mut faults = vec![
-            (50_000, Fault::Blind { node, ms: 60_000, refused: seed % 2 == 0 }),
-            (56_000 + seed * 300, Fault::CancelAll { through: (node + 1) % 3 }),
-            // In half of the runs nobody is there to tell it afterwards either.
-            (57_000 + seed * 300, Fault::Refuse { node: None, ms: 40_000 * (seed / 2 % 2) }),
-        ];
-        // Where the successor reaches the workers it ends the old leader's hold on them at once.
-        if seed % 3 != 0 {
-            for other in (0..3).filter(|other| *other != node) {
-                faults.push((50_000, Fault::CutWorkers { node: other, ms: 50_000 }));
-            }
-        }
+        let (faults, node) = (blind(seed), seed as usize % 3);
         let said = format!("blind leader, seed {seed}");
         let mut world = site(seed, 160_000, faults);
         to_the_successor(&mut world, node, &said);
@@ -225,46 +251,58 @@
     assert!(met > 10, "{met} tasks of cancelled jobs were there when their cancellation was told");
 }
 
+/// A slow state service refuses a holder, then everybody.
+fn slow_and_out(seed: u64) -> Vec<(u64, Fault)> {
+    let node = seed as usize % 3;
+    let faults = vec![
+        (40_000, Fault::SlowState { times: 10 * seed, ms: 80_000 }),
+        (45_000, Fault::Questions { ms: 60_000 }),
+        (50_000, Fault::Refuse { node: Some(node), ms: 20_000 }),
+        (50_000, Fault::CutMesh { node, ms: 40_000 * (seed % 2) }),
+        (50_500, Fault::CancelAll { through: (node + 1) % 3 }),
+        (51_000 + seed * 400, Fault::CancelAll { through: (node + 2) % 3 }),
+        (51_600 + seed * 400, Fault::Refuse { node: None, ms: 45_000 }),
+    ];
+    faults
+}
+
 /// The state service answers slowly, refuses the leader alone and then everybody for longer than
 /// `cancel_s`, while users cancel and ask.
 #[test]
 fn a_slow_state_service_that_refuses_the_leader_and_then_everybody() {
     let mut met = 0;
     for seed in 1..=9 {
-        let node = seed as usize % 3;
-        let faults = vec![
-            (40_000, Fault::SlowState { times: 10 * seed, ms: 80_000 }),
-            (45_000, Fault::Questions { ms: 60_000 }),
-            (50_000, Fault::Refuse { node: Some(node), ms: 20_000 }),
-            (50_500, Fault::CancelAll { through: (node + 1) % 3 }),
-            (52_000 + seed * 500, Fault::CancelAll { through: (node + 2) % 3 }),
-            (53_000 + seed * 500, Fault::Refuse { node: None, ms: 38_000 }),
-        ];
+        let faults = slow_and_out(seed);
         let mut world = site(seed, 170_000, faults);
-        world.run_to(52_999 + seed * 500);
+        world.run_to(51_599 + seed * 400);
         met += world.rules.cancelled_told.len();
         to_the_end(&mut world, &format!("slow and refused, seed {seed}"));
     }
     assert!(met > 60, "{met} jobs were cancelled before the outage");
 }
 
+/// One end of a holder after the other, with late transactions.
+fn ends_and_late_writes(seed: u64) -> Vec<(u64, Fault)> {
+    let ends = (0..9).map(|n| {
+        let back = [80, 700, 6_000][n as usize % 3];
+        (30_000 + n * 11_000 + seed * 97, Fault::Crash { node: n as usize % 3, back })
+    });
+    let late = [
+        (30_000, Fault::LateWrites { percent: 15, ms: 90_000 }),
+        (55_000, Fault::KillMany { count: 1 }),
+        (85_000, Fault::KillMany { count: 1 }),
+    ];
+    let faults =
+        vec![(0, Fault::Long { times: 8, ms: 100_000 }), (2_000, Fault::Burst { jobs: 24 })];
+    faults.into_iter().chain(ends).chain(late).collect()
+}
+
 /// Jobs of two or three tasks end far apart across changes of leader: done neither too early nor never.
 #[test]
 fn small_jobs_end_across_changes_of_leader() {
     let mut met = 0;
     for seed in 1..=6 {
-        let ends = (0..9).map(|n| {
-            let back = [80, 700, 6_000][n as usize % 3];
-            (30_000 + n * 11_000 + seed * 97, Fault::Crash { node: n as usize % 3, back })
-        });
-        let late = [
-            (30_000, Fault::LateWrites { percent: 15, ms: 90_000 }),
-            (55_000, Fault::KillMany { count: 1 }),
-            (85_000, Fault::KillMany { count: 1 }),
-        ];
-        let faults =
-            vec![(0, Fault::Long { times: 8, ms: 100_000 }), (2_000, Fault::Burst { jobs: 24 })];
-        let faults = faults.into_iter().chain(ends).chain(late).collect();
+        let faults = ends_and_late_writes(seed);
         let plan = Plan { seed, ms: 700_000, faults, sabotage: None, submit_ms: 60_000, size: 1 };
         let mut world = World::new(plan);
         to_the_end(&mut world, &format!("small jobs, seed {seed}"));
@@ -275,22 +313,28 @@
     assert!(met > 40, "{met} jobs of two or three tasks were done");
 }
 
+/// Copies of reports, lapsed leases, new holders.
+fn old_reports(seed: u64) -> Vec<(u64, Fault)> {
+    let faults = vec![
+        (20_000, Fault::Copies { ms: 110_000 }),
+        (50_000, Fault::Unreached { count: 4, ms: 15_000 }),
+        (60_000, Fault::Refuse { node: None, ms: 32_000 }),
+        (61_000 + seed * 100, Fault::Crash { node: 0, back: 300 }),
+        (95_000, Fault::Crash { node: 1, back: 200 }),
+        (96_000, Fault::CancelAll { through: 2 }),
+        (110_000, Fault::Burst { jobs: 10 }),
+        (118_000, Fault::Crash { node: 2, back: 100 }),
+    ];
+    faults
+}
+
 /// An old report arrives after newer ones, also from an earlier session, also as the first thing that a new
 /// holder hears.
 #[test]
 fn old_reports_arrive_after_newer_ones() {
     let mut met = Met::default();
     for seed in 1..=8 {
-        let faults = vec![
-            (20_000, Fault::Copies { ms: 110_000 }),
-            (50_000, Fault::Unreached { count: 4, ms: 15_000 }),
-            (60_000, Fault::Refuse { node: None, ms: 32_000 }),
-            (61_000 + seed * 100, Fault::Crash { node: 0, back: 300 }),
-            (95_000, Fault::Crash { node: 1, back: 200 }),
-            (96_000, Fault::CancelAll { through: 2 }),
-            (110_000, Fault::Burst { jobs: 10 }),
-            (118_000, Fault::Crash { node: 2, back: 100 }),
-        ];
+        let faults = old_reports(seed);
         let mut world = site(seed, 220_000, faults);
         to_the_end(&mut world, &format!("old reports, seed {seed}"));
         met.old_reports += world.met.old_reports;
@@ -299,23 +343,29 @@
     assert!(met.old_reports > 500 && met.old_sessions > 50, "{met:?}");
 }
 
+/// Late transactions, ends and cuts.
+fn late_writes(seed: u64) -> Vec<(u64, Fault)> {
+    let node = seed as usize % 3;
+    let faults = vec![
+        (5_000, Fault::LateWrites { percent: 10 + 5 * (seed % 5), ms: 130_000 }),
+        (40_000, Fault::Crash { node, back: 100 }),
+        (60_000, Fault::Crash { node: (node + 1) % 3, back: 3_000 }),
+        (75_000, Fault::CutWorkers { node, ms: 20_000 }),
+        (80_000, Fault::CancelAll { through: node }),
+        (85_000, Fault::Burst { jobs: 10 }),
+        (100_000, Fault::CutState { node: (node + 2) % 3, ms: 9_000 }),
+        (120_000, Fault::Crash { node: (node + 2) % 3, back: 700 }),
+    ];
+    faults
+}
+
 /// A transaction without an answer is carried out late, after newer ones of the same controller, and after
 /// that controller's end.
 #[test]
 fn transactions_are_carried_out_late() {
     let mut met = Met::default();
     for seed in 1..=12 {
-        let node = seed as usize % 3;
-        let faults = vec![
-            (5_000, Fault::LateWrites { percent: 10 + 5 * (seed % 5), ms: 130_000 }),
-            (40_000, Fault::Crash { node, back: 100 }),
-            (60_000, Fault::Crash { node: (node + 1) % 3, back: 3_000 }),
-            (75_000, Fault::CutWorkers { node, ms: 20_000 }),
-            (80_000, Fault::CancelAll { through: node }),
-            (85_000, Fault::Burst { jobs: 10 }),
-            (100_000, Fault::CutState { node: (node + 2) % 3, ms: 9_000 }),
-            (120_000, Fault::Crash { node: (node + 2) % 3, back: 700 }),
-        ];
+        let faults = late_writes(seed);
         let mut world = site(seed, 220_000, faults);
         to_the_end(&mut world, &format!("late writes, seed {seed}"));
         met.late_writes += world.met.late_writes;
@@ -327,25 +377,31 @@
     assert!(late_after_newer > 6 && late_of_the_dead > 0 && late_and_void > 100, "{met:?}");
 }
 
+/// Partitions go over and back, all controllers end, one is back first.
+fn over_and_back(seed: u64) -> Vec<(u64, Fault)> {
+    let mut faults = vec![(50_000, Fault::LateWrites { percent: 10, ms: 60_000 })];
+    for n in 0..4 {
+        let at = 45_000 + n * 14_000;
+        let node = (n + seed) as usize % 3;
+        faults.push((at, Fault::Crash { node, back: 60 + seed * 80 }));
+        // Back, and gone again as its partition comes home.
+        faults.push((at + 2_000 + seed * 150, Fault::Crash { node, back: 900 }));
+        faults.push((at + 6_000, Fault::CancelAll { through: (node + 1) % 3 }));
+        for other in 0..3 {
+            let back = if other == node { 50 + seed * 90 } else { 4_000 };
+            faults.push((at + 7_000 + other as u64 * 30, Fault::Crash { node: other, back }));
+        }
+        faults.push((at + 9_000, Fault::Burst { jobs: 6 }));
+    }
+    faults
+}
+
 /// Controllers hand over and back, all end, and one returns, also within a second.
 #[test]
 fn over_and_back_all_end_and_one_returns() {
     let mut met = 0;
     for seed in 1..=10 {
-        let mut faults = vec![(50_000, Fault::LateWrites { percent: 10, ms: 60_000 })];
-        for n in 0..4 {
-            let at = 45_000 + n * 14_000;
-            let node = (n + seed) as usize % 3;
-            faults.push((at, Fault::Crash { node, back: 60 + seed * 80 }));
-            // Back, and gone again as its partition comes home.
-            faults.push((at + 2_000 + seed * 150, Fault::Crash { node, back: 900 }));
-            faults.push((at + 6_000, Fault::CancelAll { through: (node + 1) % 3 }));
-            for other in 0..3 {
-                let back = if other == node { 50 + seed * 90 } else { 4_000 };
-                faults.push((at + 7_000 + other as u64 * 30, Fault::Crash { node: other, back }));
-            }
-            faults.push((at + 9_000, Fault::Burst { jobs: 6 }));
-        }
+        let faults = over_and_back(seed);
         let mut world = site(seed, 220_000, faults);
         to_the_end(&mut world, &format!("over and back, seed {seed}"));
         let terms: Vec<u64> = world.takeovers.list.iter().map(|t| t.term).collect();
@@ -424,3 +480,47 @@
     let (rounds, size) = (number("ROUNDS", 10), number("SIZE", 1));
     for_seeds(rounds * pairs, |nth| pair(pairs + nth - 1, size));
 }
+
+/// Each meeting again with a safety step broken on purpose: what it asserts can fail.
+#[test]
+fn each_meeting_tells_when_a_safety_step_is_broken() {
+    let first = |seed: u64| refused_then_out(seed as usize % 3, seed as usize % TIMES.len()).1;
+    let long = ["ran_cancelled"];
+    let doubled = ["ran_twice", "quota", "wrong_place", "ran_cancelled"];
+    let lost = [
+        "ran_twice",
+        "quota",
+        "wrong_place",
+        "not_done",
+        "ran_cancelled",
+        "went_back",
+        "forgotten",
+    ];
+    type Meeting<'a> =
+        (&'a str, &'a (dyn Fn(u64) -> Vec<(u64, Fault)> + Sync), Sabotage, &'a [&'a str]);
+    let meetings: [Meeting; 9] = [
+        ("refused, then out", &first, Sabotage::LongCancel, &long),
+        ("unheard", &unheard, Sabotage::ShortLease, &doubled),
+        ("held up", &held_up, Sabotage::ShortLease, &doubled),
+        ("blind", &blind, Sabotage::LongCancel, &long),
+        ("slow and out", &slow_and_out, Sabotage::LongCancel, &long),
+        ("small jobs", &ends_and_late_writes, Sabotage::RoundsNotWritten, &lost),
+        ("old reports", &old_reports, Sabotage::CopiesTrusted, &lost),
+        ("late writes", &late_writes, Sabotage::LateUnconditional, &lost),
+        ("over and back", &over_and_back, Sabotage::RoundsNotWritten, &lost),
+    ];
+    let untold = std::sync::Mutex::new(Vec::new());
+    for_seeds(meetings.len() as u64, |nth| {
+        let (name, faults, sabotage, rules) = meetings[nth as usize - 1];
+        let told = (1..=20).any(|seed| {
+            let plan = plan(seed, 220_000, faults(seed));
+            let mut world = World::new(Plan { sabotage: Some(sabotage), ..plan });
+            world.run();
+            world.rules.broken.iter().any(|broken| rules.contains(&broken.rule))
+        });
+        if !told {
+            untold.lock().expect("no run has panicked").push(name);
+        }
+    });
+    assert_eq!(untold.into_inner().expect("no run has panicked"), Vec::<&str>::new());
+}
