A test of the next term after a round that is lost

A ledger page is written past its holder: its round fails, can't be proved, and the partition goes on under the next term (before: the same).

--- a/crates/testkit/src/world/mod.rs
+++ b/crates/testkit/src/world/mod.rs
@@ -262,6 +262,11 @@
         self.state.value(&format!("s/p/{partition}"))?.get("holder")?.as_str()
     }
 
+    /// The term of a partition by its record.
+    pub fn term(&self, partition: u32) -> Option<u64> {
+        self.state.value(&format!("s/p/{partition}"))?.get("term")?.as_u64()
+    }
+
     /// Runs to a time, or to the first broken rule.
     pub fn run_to(&mut self, ms: u64) {
         while let Some(Reverse(next)) = self.queue.pop() {
--- a/crates/testkit/tests/meetings.rs
+++ b/crates/testkit/tests/meetings.rs
@@ -410,6 +410,30 @@
     assert!(met > 100, "{met} partitions were taken");
 }
 
+/// Somebody else writes to a ledger page, so that a holder's round fails and can't be proved. It read its pages
+/// anew under the same term, with attempts numbered from the start and its own launches still under way.
+#[test]
+fn a_holder_whose_round_is_lost_goes_on_under_the_next_term() {
+    for seed in 1..=6 {
+        let partition = seed as u32 % 3;
+        let name = format!("n{partition}");
+        let spoilt = 40_000 + seed * 111;
+        let faults = vec![
+            (spoilt, Fault::SpoilPage { partition, ms: 3_000 }),
+            (spoilt + 500, Fault::Burst { jobs: 10 }),
+            (spoilt + 4_000, Fault::CancelAll { through: (seed as usize + 1) % 3 }),
+        ];
+        let mut world = site(seed, 160_000, faults);
+        world.run_to(spoilt - 1);
+        let before = world.term(partition);
+        assert!(world.holder(partition) == Some(&*name) && before.is_some(), "seed {seed}");
+        world.run_to(spoilt + 15_000);
+        assert_eq!(world.holder(partition), Some(&*name), "seed {seed}");
+        assert!(world.term(partition) > before, "seed {seed}: {before:?}");
+        to_the_end(&mut world, &format!("a page is spoilt, seed {seed}"));
+    }
+}
+
 /// Every trouble that troubles are made of, for the table of pairs.
 fn kinds(node: usize, ms: u64) -> Vec<(&'static str, Fault)> {
     vec![
