--- a/crates/standby/src/checks.rs
+++ b/crates/standby/src/checks.rs
@@ -1,6 +1,7 @@
 //! What a new holder checks before its first decision.
 //!
-//! Workers are answered, without orders, from the moment that the record is ours. Nothing is placed,
+//! Workers are answered from the moment that the record is ours, without orders but the halts of what
+//! is recorded as cancelled. Nothing is placed,
 //! stopped, ended or written before the last check holds; a check that does not hold yet is tried
 //! again, and one that cannot is why the partition waits (`/admin/v1/standby`).
 
