--- a/crates/coordination/src/node/rebuild.rs
+++ b/crates/coordination/src/node/rebuild.rs
@@ -67,7 +67,8 @@
         self.take_on(partition);
     }
 
-    /// Builds the share once all checks hold. Until then workers are answered without orders.
+    /// Builds the share once all checks hold. Until then workers are answered, with no orders but
+    /// the halts of what is recorded as cancelled.
     pub(super) fn take_on(&mut self, partition: PartitionId) {
         let Some(facts) = self.checked(partition) else { return };
         let open = checks::open(&facts);
