Halts by the records are worked out only where the share does not tell

They were gathered for every report, each task against every node's cancellations, and thrown away wherever the partition's share was in hand, which is nearly always.

--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -204,24 +204,24 @@
     }
 
     /// Takes in a report and returns the commands for its answer; none: it must not be answered. `halts`
-    /// are those of tasks that are cancelled by the records alone.
+    /// are those of tasks that are cancelled by the records alone, worked out only where the share does not tell.
     pub(super) fn answer_report(
         &mut self,
         name: &MachineName,
         report: &Report,
         token: Token,
         launches: bool,
-        halts: Vec<Command>,
+        halts: impl FnOnce() -> Vec<Command>,
         now: Moment,
     ) -> Option<Vec<Command>> {
         let Some(loaded) = &mut self.loaded else {
             // Keep the lease alive; what to do with tasks is not known yet, but for those that a user
             // has cancelled. Our token voids what a predecessor has under way.
             self.early.insert(name.clone(), (report.clone(), now));
-            return Some(halts);
+            return Some(halts());
         };
         let share = &mut loaded.share;
-        let Some(machine) = share.machines.get_mut(name) else { return Some(halts) };
+        let Some(machine) = share.machines.get_mut(name) else { return Some(halts()) };
         machine.token = machine.token.max(token);
         let newer = share.observe(report, Source::Report, now);
         if !share.may_answer(name, now) {
@@ -231,7 +231,7 @@
             machine.answer(newer, now);
         }
         if !newer {
-            return Some(halts);
+            return Some(halts());
         }
         let mut commands = share.commands_for(name, Route::Answer, now);
         if !launches {
--- a/crates/coordination/src/node/workers.rs
+++ b/crates/coordination/src/node/workers.rs
@@ -1,6 +1,7 @@
 //! Reports of workers and direct calls to them.
 
 use super::{DirectReply, Effect, Node, Purpose, ReportReply, Ticket, LAUNCH_CONTACT};
+use crate::mirror::Mirror;
 use model::{CallId, MachineName, PartitionId, Session, Span, TaskId, Token};
 use scheduler::{Route, Source};
 use wire::workers::{Command, DirectCommands, Report, ReportAnswer, TaskReport, TaskState};
@@ -28,7 +29,6 @@
         // may keep a worker's lease alive: a cancelled task could live on.
         let entitled = self.in_contact(self.settings.blind_span());
         let launches = self.in_contact(self.launch_span());
-        let halts = self.halts_of_cancelled(report);
         let Some(holding) = self.holdings.get_mut(&partition) else {
             let holder = self.mirror.partitions.get(&partition).map(|p| p.record.holder.clone());
             return match holder {
@@ -50,6 +50,7 @@
             // Someone with a newer right has spoken to it.
             return ReportReply::Redirect(None);
         }
+        let halts = || halts_of_cancelled(&self.mirror, report);
         let answer = holding.answer_report(&name, report, token, launches, halts, self.now);
         let Some(commands) = answer else {
             tracing::warn!(machine = %name, "not answered: a launch of a cancelled task may come yet");
@@ -71,20 +72,6 @@
         LAUNCH_CONTACT.min(self.settings.blind_span())
     }
 
-    /// Halts for the tasks in a report whose jobs are cancelled, by the records alone. Whoever answers
-    /// keeps a lease up for a whole length after the contact by which it answers, and has to know for
-    /// each cancelled task that it ends; who has not read its ledger knows of them by the report. The halt
-    /// shares the fate of the answer: where one is lost, so is the other.
-    fn halts_of_cancelled(&self, report: &Report) -> Vec<Command> {
-        let halt = |entry: &TaskReport| {
-            let task = TaskId::parse(&entry.task)?;
-            let there = entry.state != TaskState::Exited && self.mirror.is_cancelled(task.job);
-            let (task, attempt) = (entry.task.clone(), entry.attempt);
-            there.then_some(Command::Stop { task, attempt, grace_s: 0.0 })
-        };
-        report.tasks.iter().filter_map(halt).collect()
-    }
-
     /// A machine without a record: the leader takes it in.
     fn report_of_unknown(&mut self, name: &MachineName, report: &Report) -> ReportReply {
         match self.leader_node() {
@@ -192,3 +179,17 @@
         }
     }
 }
+
+/// Halts for the tasks in a report whose jobs are cancelled, by the records alone. Whoever answers keeps a
+/// lease up for a whole length after the contact by which it answers, and has to know for each cancelled
+/// task that it ends; who has not read its ledger knows of them by the report. The halt shares the fate of
+/// the answer: where one is lost, so is the other.
+fn halts_of_cancelled(mirror: &Mirror, report: &Report) -> Vec<Command> {
+    let halt = |entry: &TaskReport| {
+        let task = TaskId::parse(&entry.task)?;
+        let there = entry.state != TaskState::Exited && mirror.is_cancelled(task.job);
+        let (task, attempt) = (entry.task.clone(), entry.attempt);
+        there.then_some(Command::Stop { task, attempt, grace_s: 0.0 })
+    };
+    report.tasks.iter().filter_map(halt).collect()
+}
