Accepted jobs are answered once the mirror has reached their write's revision

The answer waits for the mirror now, which the open watch brings without a further request; a 404 or 422 looks at the mirror once more after its comparison.

--- a/crates/coordination/src/node/intake.rs
+++ b/crates/coordination/src/node/intake.rs
@@ -7,7 +7,7 @@
     cancels_key, final_key, intake_key, packed_size, page_room, CancelsRecord, IntakePage,
     PackedJob,
 };
-use model::{JobId, JobState, Moment, Span};
+use model::{JobId, Moment, Revision, Span};
 use std::collections::{HashSet, VecDeque};
 use wire::mesh::MeshMessage;
 use wire::state::{StateReply, StateRequest, Txn, Write};
@@ -20,6 +20,8 @@
 const LONGEST_WAIT: Span = Span(1_500);
 /// Pages of accepted jobs that one transaction writes at most.
 const MOST_PAGES: usize = 2;
+/// How long the mirror may lag behind a write of accepted jobs before their answers are read for.
+const LONGEST_LAG: Span = Span(300);
 /// How often a cancellation that met a conflict is looked at again.
 const CANCEL_TRIES: u32 = 5;
 
@@ -39,6 +41,10 @@
 pub(crate) struct Intake {
     waiting: VecDeque<Waiting>,
     accepting: Pipe<Vec<Waiting>>,
+    /// Accepted durably; answered once the mirror shows everything up to that write.
+    unconfirmed: Vec<Poll>,
+    /// The revision of that write.
+    confirmed_at: Revision,
     cancels: Vec<Poll>,
     cancelling: Pipe<Vec<Poll>>,
 }
@@ -76,6 +82,7 @@
             self.intake.waiting.pop_front();
             self.busy(ticket, 1);
         }
+        self.confirm_accepted();
         if !self.synced || !self.may_write(Importance::Accept, 1.0) {
             return;
         }
@@ -90,6 +97,27 @@
         }
     }
 
+    /// Answers submissions whose acceptance is durable.
+    ///
+    /// The same job may have been accepted through another node, and cancelled there, before our write
+    /// was applied. All of that has a lower revision than our write, so a mirror that has reached that
+    /// revision is no older than anything that was confirmed before the submission came.
+    fn confirm_accepted(&mut self) {
+        let Some(first) = self.intake.unconfirmed.first() else { return };
+        let since = first.since;
+        if !self.synced {
+            let polls = std::mem::take(&mut self.intake.unconfirmed);
+            self.turn_away(polls);
+        } else if self.mirror.revision >= self.intake.confirmed_at {
+            for poll in std::mem::take(&mut self.intake.unconfirmed) {
+                self.answer(poll);
+            }
+        } else if self.now.since(since) > LONGEST_LAG {
+            let polls = std::mem::take(&mut self.intake.unconfirmed);
+            self.questions.ask_all(polls);
+        }
+    }
+
     /// Our page with the most room once what is over has left it, or a new one.
     fn choose_page(&self, room: usize, taken: &[u32]) -> (u32, u64, usize) {
         let mut best: Option<(u32, u64, usize)> = None;
@@ -176,10 +204,16 @@
     pub(super) fn on_intake(&mut self, reply: StateReply) {
         match self.intake.accepting.answered(reply, self.now) {
             Outcome::Written(batch) => {
-                for job in batch {
-                    let answer = super::users::status(job.id, JobState::Queued);
-                    self.reply_user(job.ticket, UserReply::Created(answer));
-                }
+                let since = self.now;
+                let polls = batch.into_iter().map(|job| Poll {
+                    ticket: job.ticket,
+                    kind: PollKind::Accepted,
+                    id: job.id,
+                    since,
+                });
+                self.intake.confirmed_at = self.intake.accepting.settled_at();
+                self.intake.unconfirmed.extend(polls);
+                self.confirm_accepted();
             }
             Outcome::Conflict(batch, failed) => {
                 for job in batch.into_iter().rev() {
--- a/crates/coordination/src/node/mod.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -133,6 +133,8 @@
     Known {
         reject: Option<RejectReason>,
     },
+    /// A submission that this node has accepted durably.
+    Accepted,
 }
 
 /// Why a call was made.
--- a/crates/coordination/src/node/questions.rs
+++ b/crates/coordination/src/node/questions.rs
@@ -152,7 +152,7 @@
     }
 
     /// Answers from a mirror that is fresh enough for this question.
-    fn answer(&mut self, poll: Poll) {
+    pub(super) fn answer(&mut self, poll: Poll) {
         let id = poll.id;
         if let Some(state) = self.finals.get(&id) {
             let answer = status(id, *state);
@@ -168,15 +168,23 @@
             self.reply_user(poll.ticket, UserReply::Status(answer));
             return;
         }
-        if let PollKind::Cancel { .. } = poll.kind {
-            self.cancel(poll);
-            return;
-        }
-        let answer = self.open_status(id);
-        self.reply_user(poll.ticket, UserReply::Status(answer));
+        let reply = match poll.kind {
+            PollKind::Cancel { .. } => {
+                self.cancel(poll);
+                return;
+            }
+            PollKind::Accepted => UserReply::Created(status(id, JobState::Queued)),
+            PollKind::Get | PollKind::Known { .. } => UserReply::Status(self.open_status(id)),
+        };
+        self.reply_user(poll.ticket, reply);
     }
 
     pub(super) fn on_final_read(&mut self, poll: Poll, reply: StateReply) {
+        if self.finals.contains_key(&poll.id) || self.mirror.jobs.contains_key(&poll.id) {
+            // Accepted or ended while we read: the mirror knows more than that read.
+            self.answer(poll);
+            return;
+        }
         match reply {
             StateReply::Item(item) => match FinalRecord::deserialize(&item.value) {
                 Ok(record) => {
@@ -190,8 +198,10 @@
                 PollKind::Known { reject: Some(reason) } => {
                     self.reply_user(poll.ticket, UserReply::Rejected(reason));
                 }
-                PollKind::Known { reject: None } => self.busy(poll.ticket, 1),
-                _ => self.reply_user(poll.ticket, UserReply::NotFound),
+                PollKind::Known { reject: None } | PollKind::Accepted => self.busy(poll.ticket, 1),
+                PollKind::Get | PollKind::Cancel { .. } => {
+                    self.reply_user(poll.ticket, UserReply::NotFound)
+                }
             },
             _ => self.busy(poll.ticket, 1),
         }
--- a/crates/coordination/src/pipe.rs
+++ b/crates/coordination/src/pipe.rs
@@ -43,6 +43,11 @@
         self.sent.is_none() && now >= self.not_before && known >= self.settled_at
     }
 
+    /// Revision at which the last write was applied or met a conflict.
+    pub fn settled_at(&self) -> Revision {
+        self.settled_at
+    }
+
     /// Remembers a write that goes out; the next one does so after `gap` at the earliest.
     pub fn send(&mut self, what: T, txn: Txn, now: Moment, gap: Span) {
         self.sent = Some((what, txn));
