fleet: split lib.rs into modules of one job each

The public items keep their names and are re-exported. The tests of the module use public items only: they moved to crates/fleet/tests/planning.rs, their text unchanged.

--- /dev/null
+++ b/crates/fleet/src/capacity.rs
@@ -0,0 +1,65 @@
+//! Capacity of machines that are booting or being transferred.
+
+use crate::machine::FleetMachine;
+use crate::pending::PendingWork;
+use model::{Resources, Span, ZoneName};
+use wire::cloud::MachineType;
+
+/// Unit of [`IncomingMachine::time_left`]: a machine's whole time within the horizon.
+const WHOLE_HORIZON: u64 = 1_000_000;
+
+/// A machine that will soon be able to run tasks: it boots or is being transferred.
+pub(crate) struct IncomingMachine {
+    pub(crate) machine_type: String,
+    pub(crate) zone: ZoneName,
+    pub(crate) spot: bool,
+    /// Resources not yet assigned to services and gangs.
+    pub(crate) free: Resources,
+    /// Part of its time within the horizon that is not yet assigned to array work, in millionths.
+    time_left: u64,
+}
+
+/// All resources of a machine of this type.
+pub(crate) fn capacity_of(machine_type: &MachineType) -> Resources {
+    Resources::offered(machine_type.cpus, machine_type.gpus, machine_type.memory_gb)
+}
+
+impl IncomingMachine {
+    /// An empty machine of this type.
+    pub(crate) fn new(machine_type: &MachineType, zone: ZoneName, spot: bool) -> Self {
+        IncomingMachine {
+            machine_type: machine_type.name.clone(),
+            zone,
+            spot,
+            free: capacity_of(machine_type),
+            time_left: WHOLE_HORIZON,
+        }
+    }
+
+    /// An existing machine, once it is empty.
+    pub(crate) fn emptied(machine: &FleetMachine, machine_type: &MachineType) -> Self {
+        IncomingMachine::new(machine_type, machine.zone.clone(), machine.spot)
+    }
+
+    /// Assigns as many waiting tasks as possible. Services and gangs occupy resources; array work
+    /// occupies time within the horizon, at least one task per slot. Returns the number of tasks.
+    pub(crate) fn assign(&mut self, work: &PendingWork<'_>, horizon: Span) -> u64 {
+        if work.waiting == 0 || !work.task_size.fits(&self.free) {
+            return 0;
+        }
+        let slots = self.free.holds(&work.task_size);
+        if work.concurrent {
+            let assigned = slots.min(work.waiting);
+            self.free -= work.task_size.times(assigned);
+            return assigned;
+        }
+        if self.time_left == 0 {
+            return 0;
+        }
+        // The scarcest resource limits how many tasks run at the same time.
+        let time_per_task = (WHOLE_HORIZON * work.task_ms / (slots * horizon.0).max(1)).max(1);
+        let assigned = (self.time_left / time_per_task).max(slots).min(work.waiting);
+        self.time_left = self.time_left.saturating_sub(assigned * time_per_task);
+        assigned
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/offers.rs
@@ -0,0 +1,109 @@
+//! Choice of the cheapest machines that can be rented, and rentals.
+
+use crate::capacity::{capacity_of, IncomingMachine};
+use crate::machine::Offer;
+use crate::pending::PendingWork;
+use crate::planner::Planner;
+use model::ZoneName;
+use wire::cloud::MachineType;
+
+/// Factor on the price of machines outside the partition's home zone: being near the partition
+/// leader is worth a little, but never as much as a cheap offer.
+const OTHER_ZONE_FACTOR: f64 = 1.05;
+
+/// Limit on the slots of a machine when prices per task are compared.
+const MAX_SLOTS: u64 = 1_000_000;
+
+/// A machine that can be rented.
+pub(crate) struct RentableMachine<'a> {
+    machine_type: &'a MachineType,
+    zone: ZoneName,
+    spot: bool,
+}
+
+impl RentableMachine<'_> {
+    fn offer(&self) -> Offer {
+        (self.machine_type.name.clone(), self.zone.clone(), self.spot)
+    }
+
+    fn price(&self) -> f64 {
+        if self.spot {
+            self.machine_type.spot_price
+        } else {
+            self.machine_type.price
+        }
+    }
+}
+
+impl<'a> Planner<'a> {
+    /// The machine with the lowest price per task among those that can be rented for the work.
+    pub(crate) fn cheapest_offer(
+        &self,
+        work: &PendingWork<'_>,
+        spot_only: bool,
+    ) -> Option<RentableMachine<'a>> {
+        let home = &self.needs[work.need].home_zone;
+        let mut cheapest: Option<(f64, RentableMachine<'a>)> = None;
+        for machine in self.rentable_machines(work, spot_only) {
+            let slots = capacity_of(machine.machine_type).holds(&work.task_size);
+            let distance = if machine.zone == *home { 1.0 } else { OTHER_ZONE_FACTOR };
+            let cost = machine.price() * distance / slots.min(MAX_SLOTS) as f64;
+            if cheapest.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
+                cheapest = Some((cost, machine));
+            }
+        }
+        cheapest.map(|(_, machine)| machine)
+    }
+
+    /// Machines that suit the work, are not left to gangs and were not refused lately.
+    fn rentable_machines(
+        &self,
+        work: &PendingWork<'_>,
+        spot_only: bool,
+    ) -> Vec<RentableMachine<'a>> {
+        let mut rentable = Vec::new();
+        for machine_type in self.machine_types {
+            for (zone, spot) in machine_type.zones.iter().flat_map(|z| [(z, true), (z, false)]) {
+                if !work.suits(&machine_type.name, zone, spot)
+                    || (spot_only && !spot)
+                    || self.is_left_to_gangs(work, &machine_type.name, spot)
+                {
+                    continue;
+                }
+                let zone = ZoneName::from(zone.as_str());
+                let machine = RentableMachine { machine_type, zone, spot };
+                if self.may_rent(&machine.offer()) {
+                    rentable.push(machine);
+                }
+            }
+        }
+        rentable
+    }
+
+    /// Whether gangs wait for such machines and the work can run on others.
+    fn is_left_to_gangs(&self, work: &PendingWork<'_>, machine_type: &str, spot: bool) -> bool {
+        let mut gang_types = self.gang_types.iter();
+        work.shape.gang == 0
+            && work.machine_types.len() > 1
+            && gang_types.any(|gangs| gangs.name == machine_type && (gangs.spot || !spot))
+    }
+
+    /// Whether one more machine may be requested.
+    fn may_rent(&self, offer: &Offer) -> bool {
+        let limit = self.refused.get(offer).copied().unwrap_or(u32::MAX);
+        self.rented.get(offer).copied().unwrap_or(0) < limit
+    }
+
+    /// Rents the cheapest machine for the work, if there is one.
+    pub(crate) fn rent(
+        &mut self,
+        work: &PendingWork<'_>,
+        spot_only: bool,
+    ) -> Option<IncomingMachine> {
+        let machine = self.cheapest_offer(work, spot_only)?;
+        let offer = machine.offer();
+        *self.rented.entry(offer.clone()).or_default() += 1;
+        *self.rentals.entry((work.need, offer)).or_default() += 1;
+        Some(IncomingMachine::new(machine.machine_type, machine.zone, machine.spot))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/rebalance.rs
@@ -0,0 +1,138 @@
+//! Transfers of machines in use, from partitions that run work beyond their teams' guarantees to
+//! partitions whose work gets no machines otherwise.
+
+use crate::capacity::capacity_of;
+use crate::pending::PendingWork;
+use crate::planner::{Planner, MAX_MACHINES_PER_REQUEST};
+use model::PartitionId;
+use std::collections::BTreeMap;
+
+/// Machines by which partitions may differ in the work they run beyond guarantees, in addition to
+/// a quarter: a transferred machine is idle for a few seconds.
+const TOLERATED_DIFFERENCE: i64 = 3;
+
+/// Machines that partitions gave away by earlier transfers of the same plan (received, if
+/// negative), by machine types: many small machines do not make up for a large one.
+type Given<'w> = BTreeMap<(&'w [&'w str], PartitionId), i64>;
+
+/// Machines suitable for some work that run nothing guaranteed.
+struct Unguaranteed {
+    /// Number by partition, less those that earlier transfers give away.
+    counts: BTreeMap<PartitionId, i64>,
+    /// Number that can still be given away, by partition.
+    transferable: BTreeMap<PartitionId, u32>,
+}
+
+impl Unguaranteed {
+    fn count(&self, partition: PartitionId) -> i64 {
+        self.counts.get(&partition).copied().unwrap_or(0)
+    }
+
+    /// The partition with the most machines among those that have some to give away.
+    fn largest_donor(&self) -> Option<PartitionId> {
+        let donors = self.transferable.iter().filter(|(_, left)| **left > 0);
+        donors
+            .map(|(partition, _)| (self.count(*partition), *partition))
+            // Machines may be planned for other work already.
+            .filter(|(count, _)| *count > 0)
+            .max()
+            .map(|(_, partition)| partition)
+    }
+}
+
+impl Planner<'_> {
+    /// Has other partitions transfer machines for work that no machine can be rented for. For
+    /// urgent work they give all they can, otherwise until the partitions are about even.
+    pub(crate) fn rebalance(&mut self, pending: &[PendingWork<'_>], urgent: bool) {
+        let mut given = Given::new();
+        for work in pending.iter().filter(|work| work.unavailable && work.waiting > 0) {
+            let to = self.needs[work.need].partition;
+            let donors = self.choose_donors(work, pending, urgent, &mut given);
+            for (from, count) in donors {
+                self.request_transfer(from, to, work.planned_shape(), count);
+            }
+        }
+    }
+
+    /// How many machines each other partition should give away for the work.
+    fn choose_donors<'w>(
+        &self,
+        work: &'w PendingWork<'w>,
+        pending: &[PendingWork<'_>],
+        urgent: bool,
+        given: &mut Given<'w>,
+    ) -> BTreeMap<PartitionId, u32> {
+        let to = self.needs[work.need].partition;
+        let slots = self.slots_per_machine(work);
+        let mut unguaranteed = self.count_unguaranteed(work, given);
+        let mut donors: BTreeMap<PartitionId, u32> = BTreeMap::new();
+        let missing = work.waiting.div_ceil(slots).min(u64::from(MAX_MACHINES_PER_REQUEST));
+        for _ in 0..missing {
+            let Some(from) = unguaranteed.largest_donor() else { break };
+            let (donor_count, own_count) = (unguaranteed.count(from), unguaranteed.count(to));
+            // Machines are not taken from where as much work waits for each of them.
+            let worse_off = self.missing_machines(work, pending, from, slots) as i64 * own_count
+                > self.missing_machines(work, pending, to, slots) as i64 * donor_count;
+            let about_even = donor_count < own_count + own_count / 4 + TOLERATED_DIFFERENCE;
+            if !urgent && (about_even || worse_off) {
+                break;
+            }
+            *unguaranteed.transferable.entry(from).or_default() -= 1;
+            let mut record = |partition, count: i64| {
+                *unguaranteed.counts.entry(partition).or_default() -= count;
+                *given.entry((&work.machine_types[..], partition)).or_default() += count;
+            };
+            record(from, 1);
+            if !urgent {
+                record(to, -1);
+            }
+            *donors.entry(from).or_default() += 1;
+        }
+        donors
+    }
+
+    /// Counts the machines suitable for the work that run nothing guaranteed.
+    fn count_unguaranteed(&self, work: &PendingWork<'_>, given: &Given<'_>) -> Unguaranteed {
+        let to = self.needs[work.need].partition;
+        let mut counts: BTreeMap<PartitionId, i64> =
+            self.needs.iter().map(|need| (need.partition, 0)).collect();
+        let mut transferable: BTreeMap<PartitionId, u32> = BTreeMap::new();
+        for machine in self.machines.iter().filter(|m| m.is_available() && m.cedable) {
+            if work.suits(&machine.machine_type, machine.zone.as_str(), machine.spot) {
+                *counts.entry(machine.partition).or_default() += 1;
+                let may_give = machine.partition != to;
+                *transferable.entry(machine.partition).or_default() += u32::from(may_give);
+            }
+        }
+        for (partition, count) in &mut counts {
+            *count -= given.get(&(&work.machine_types[..], *partition)).copied().unwrap_or(0);
+        }
+        Unguaranteed { counts, transferable }
+    }
+
+    /// Tasks of the work that fit the largest machine type planned for it.
+    fn slots_per_machine(&self, work: &PendingWork<'_>) -> u64 {
+        let planned = self
+            .machine_types
+            .iter()
+            .filter(|machine_type| work.machine_types.contains(&machine_type.name.as_str()));
+        let slots = planned.map(|machine_type| capacity_of(machine_type).holds(&work.task_size));
+        slots.max().unwrap_or(1).max(1)
+    }
+
+    /// Machines that a partition lacks for all its work of the same machine types.
+    fn missing_machines(
+        &self,
+        work: &PendingWork<'_>,
+        pending: &[PendingWork<'_>],
+        partition: PartitionId,
+        slots: u64,
+    ) -> u64 {
+        pending
+            .iter()
+            .filter(|other| self.needs[other.need].partition == partition)
+            .filter(|other| other.machine_types == work.machine_types)
+            .map(|other| other.waiting.div_ceil(slots))
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/returns.rs
@@ -0,0 +1,45 @@
+//! Machines that are returned to the cloud.
+
+use crate::machine::{FleetAction, FleetMachine};
+use crate::planner::Planner;
+use model::{MachineName, Span};
+use std::collections::HashSet;
+
+/// Boot time of machines whose type is not known.
+const DEFAULT_BOOT_TIME: Span = Span(60_000);
+
+/// Added to the time after which a machine that has never reported is given up.
+const FIRST_REPORT_ALLOWANCE: Span = Span(10_000);
+
+impl Planner<'_> {
+    /// Returns machines that are of no further use.
+    pub(crate) fn return_machines(&mut self) {
+        let idle: HashSet<&MachineName> = self.idle.iter().map(|machine| &machine.name).collect();
+        for machine in self.machines.iter().filter(|m| m.known && !m.leaving) {
+            let surplus = idle.contains(&machine.name) && self.is_surplus(machine);
+            if surplus || self.never_reported(machine) || self.is_lost(machine) {
+                self.actions.push(FleetAction::Return { machine: machine.name.clone() });
+            }
+        }
+    }
+
+    /// Whether an idle machine has been idle for too long, and its minimum time is over.
+    fn is_surplus(&self, machine: &FleetMachine) -> bool {
+        machine.idle >= self.policy.keep_idle && machine.age >= self.policy.paid
+    }
+
+    /// Whether it should have booted and reported long ago.
+    fn never_reported(&self, machine: &FleetMachine) -> bool {
+        let boot_time = self
+            .machine_type(&machine.machine_type)
+            .map_or(DEFAULT_BOOT_TIME, |machine_type| Span::from_secs(machine_type.boot_s));
+        let limit = boot_time * self.policy.boot_patience + FIRST_REPORT_ALLOWANCE;
+        !machine.up && machine.since > limit
+    }
+
+    /// Whether it runs nothing and is faulty, failed or no longer reports.
+    fn is_lost(&self, machine: &FleetMachine) -> bool {
+        let stopped = machine.faulty || machine.failed || machine.silent >= self.policy.silent;
+        machine.tasks == 0 && stopped
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/planning.rs
@@ -0,0 +1,213 @@
+//! Plans for small fleets: rentals, transfers between partitions and returns.
+
+use fleet::{plan, FleetAction, FleetMachine, FleetPolicy, PartitionNeed};
+use model::{MachineName, PartitionId, Span, ZoneName};
+use std::collections::HashMap;
+use wire::cloud::MachineType;
+use wire::mesh::DemandShape;
+use wire::users::Priority;
+
+fn kind() -> MachineType {
+    MachineType {
+        name: "m4".into(),
+        cpus: 4.0,
+        gpus: 0.0,
+        memory_gb: 16.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 0.3,
+        boot_s: 20.0,
+        zones: vec!["a".into()],
+    }
+}
+
+fn machine(n: u32, partition: u32, cedable: bool) -> FleetMachine {
+    FleetMachine {
+        name: MachineName::from(format!("host-{n}").as_str()),
+        machine_type: "m4".into(),
+        zone: ZoneName::from("a"),
+        spot: false,
+        partition: PartitionId(partition),
+        up: true,
+        tasks: 1,
+        idle: Span::ZERO,
+        faulty: false,
+        leaving: false,
+        age: Span(100_000),
+        since: Span(100_000),
+        silent: Span::ZERO,
+        failed: false,
+        known: true,
+        cedable,
+        best_effort: false,
+        ceding: None,
+    }
+}
+
+fn need(partition: u32, tasks: u64, urgent: u64) -> PartitionNeed {
+    let shape = DemandShape {
+        milli_cpus: 4_000,
+        milli_gpus: 0,
+        memory_mb: 4_000,
+        types: None,
+        zone: None,
+        spot: false,
+        tasks,
+        urgent,
+        estimate_ms: 30_000,
+        priority: Priority::Normal,
+        gang: 0,
+    };
+    let demand = if tasks > 0 { vec![shape] } else { Vec::new() };
+    PartitionNeed { partition: PartitionId(partition), home_zone: ZoneName::from("a"), demand }
+}
+
+fn ceded(actions: &[FleetAction]) -> Vec<(u32, u32, u32)> {
+    let cede = |a: &FleetAction| match a {
+        FleetAction::Cede { from, to, count, .. } => Some((from.0, to.0, *count)),
+        _ => None,
+    };
+    actions.iter().filter_map(cede).collect()
+}
+
+/// Seen on a grown site: the partition planned for first rented all there was, and another's
+/// replicas waited for minutes while it ran arrays beyond its guarantee.
+#[test]
+fn when_no_machine_can_be_had_others_cede() {
+    let machines: Vec<FleetMachine> = (0..20).map(|n| machine(n, 0, n >= 4)).collect();
+    let refused = HashMap::from([(("m4".to_owned(), ZoneName::from("a"), false), 0)]);
+    let plan = |needs: &[PartitionNeed]| {
+        plan(&FleetPolicy::default(), &[kind()], &machines, needs, &refused)
+    };
+    assert_eq!(ceded(&plan(&[need(0, 9, 0), need(1, 18, 18)])), [(0, 1, 16)]);
+    assert_eq!(ceded(&plan(&[need(0, 9, 0), need(1, 18, 0)])), [(0, 1, 7)], "about an even part");
+    assert_eq!(ceded(&plan(&[need(0, 9, 9), need(1, 0, 0)])), []);
+}
+
+/// Guests' work of low priority would fill hundreds of ordinary machines otherwise, and hold
+/// the cheap ones while other partitions rent ordinary ones.
+#[test]
+fn best_effort_work_gets_cheap_machines_only_and_lends_them() {
+    let mut low = need(0, 40, 0);
+    low.demand[0].priority = Priority::Low;
+    low.demand[0].spot = true;
+    let mut normal = need(1, 2, 0);
+    normal.demand[0].spot = true;
+    let machines: Vec<FleetMachine> = (0..3)
+        .map(|n| FleetMachine { spot: true, best_effort: true, ..machine(n, 0, true) })
+        .collect();
+    let refused = HashMap::from([(("m4".to_owned(), ZoneName::from("a"), true), 0)]);
+    let policy = FleetPolicy { horizon: Span(1_000), ..FleetPolicy::default() };
+    let actions = plan(&policy, &[kind()], &machines, &[low.clone(), normal], &refused);
+    assert_eq!(ceded(&actions).last(), Some(&(0, 1, 2)), "{actions:?}");
+    let rents = |a: &&FleetAction| matches!(a, FleetAction::Rent { .. });
+    assert_eq!(actions.iter().filter(rents).count(), 0, "{actions:?}");
+    let cheap = plan(&policy, &[kind()], &[], &[low], &HashMap::new());
+    assert!(matches!(cheap[..], [FleetAction::Rent { spot: true, count: 40, .. }]), "{cheap:?}");
+}
+
+/// Found in the log of a grown site: machines were given back to the cloud on arriving in
+/// another partition, since they were old and its holder had not heard them yet.
+#[test]
+fn a_machine_that_changes_hands_is_not_taken_for_one_that_never_came() {
+    let moved = FleetMachine { up: false, tasks: 0, since: Span(500), ..machine(1, 0, false) };
+    let lost = FleetMachine { since: Span(100_000), ..moved.clone() };
+    let policy = FleetPolicy::default();
+    let plan = |m: FleetMachine| plan(&policy, &[kind()], &[m], &[], &HashMap::new());
+    assert_eq!(plan(moved), []);
+    assert_eq!(plan(lost).len(), 1);
+}
+
+/// What each partition rents, by type and zone.
+fn rents(actions: &[FleetAction]) -> Vec<(u32, String, String, u32)> {
+    let rent = |a: &FleetAction| match a {
+        FleetAction::Rent { machine_type, zone, count, partition, .. } => {
+            Some((partition.0, machine_type.clone(), zone.to_string(), *count))
+        }
+        _ => None,
+    };
+    actions.iter().filter_map(rent).collect()
+}
+
+fn three_types() -> Vec<MachineType> {
+    let zones = || vec!["a".into(), "b".into()];
+    let of = |name: &str, cpus, gpus, price| MachineType {
+        name: name.into(),
+        cpus,
+        gpus,
+        memory_gb: cpus * 4.0,
+        price,
+        spot_price: price / 3.0,
+        zones: zones(),
+        ..kind()
+    };
+    vec![of("m4", 4.0, 0.0, 0.24), of("m20", 20.0, 0.0, 1.2), of("g24", 24.0, 4.0, 14.0)]
+}
+
+fn gang(tasks: u64) -> PartitionNeed {
+    let mut need = need(1, tasks, 0);
+    let zone = Some("a".to_owned());
+    let shape = need.demand[0].clone();
+    need.demand[0] = DemandShape { milli_cpus: 18_000, zone, gang: tasks, ..shape };
+    need
+}
+
+/// Seen on a site with three types: machines for gangs were asked for in one zone only, for minutes.
+#[test]
+fn a_gang_goes_to_another_zone_as_a_whole_where_its_own_has_no_more() {
+    let types = three_types();
+    let refused = HashMap::from([(("m20".to_owned(), ZoneName::from("a"), false), 0)]);
+    let policy = FleetPolicy::default();
+    let mut need = gang(4);
+    need.demand[0].tasks = 1;
+    let actions = plan(&policy, &types, &[], &[need.clone()], &HashMap::new());
+    assert_eq!(rents(&actions), [(1, "m20".into(), "a".into(), 1)], "one is missing there");
+    let actions = plan(&policy, &types, &[], &[need.clone()], &refused);
+    assert_eq!(rents(&actions), [(1, "m20".into(), "b".into(), 4)]);
+    let boots = |n| FleetMachine {
+        machine_type: "m20".into(),
+        zone: ZoneName::from("b"),
+        up: false,
+        tasks: 0,
+        since: Span(1_000),
+        ..machine(n, 1, false)
+    };
+    let coming: Vec<FleetMachine> = (0..4).map(boots).collect();
+    assert_eq!(rents(&plan(&policy, &types, &coming, &[need], &refused)), [], "they come");
+}
+
+/// Machines with GPUs were rented for gangs that need none, at a hundred times the price.
+#[test]
+fn nothing_is_rented_with_gpus_for_work_without_and_what_only_gangs_need_is_left_to_them() {
+    let types = three_types();
+    let policy = FleetPolicy { horizon: Span(1_000), ..FleetPolicy::default() };
+    let gone = |name: &str| {
+        let of = |zone: &str| ((name.to_owned(), ZoneName::from(zone), false), 0);
+        [of("a"), of("b")]
+    };
+    let refused = HashMap::from_iter(gone("m20"));
+    assert_eq!(rents(&plan(&policy, &types, &[], &[gang(2)], &refused)), []);
+    let small = need(0, 3, 0);
+    let refused = HashMap::from_iter(gone("m4"));
+    let both = plan(&policy, &types, &[], &[small.clone(), gang(2)], &refused);
+    assert_eq!(rents(&both), [(1, "m20".into(), "a".into(), 2)], "the array waits for small ones");
+    let alone = plan(&policy, &types, &[], &[small], &refused);
+    assert_eq!(rents(&alone), [(0, "m20".into(), "a".into(), 1)]);
+}
+
+#[test]
+fn what_is_urgent_is_rented_first_and_the_rest_in_turn() {
+    let refused = HashMap::new();
+    let needs = [need(0, 30, 0), need(1, 30, 3)];
+    let policy = FleetPolicy { horizon: Span(1_000), ..FleetPolicy::default() };
+    let actions = plan(&policy, &[kind()], &[], &needs, &refused);
+    let rented: Vec<(u32, u32)> = actions
+        .iter()
+        .filter_map(|a| match a {
+            FleetAction::Rent { partition, count, .. } => Some((partition.0, *count)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(rented, [(0, 30), (1, 30)]);
+}
