standby: the signs of an ended holder become a failure detector

Cause: "signs", "doubts", "comers" and "wronged" are words of our own.

In `admin standby` the list is called `failover_blockers`; `doubts` stays for one release as an alias (the values carry the new names).

--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -7,7 +7,7 @@
 use crate::budget::Importance;
 use crate::records::{partition_key, wish_key, PartitionRecord, WishRecord, COUNTER};
 use model::{Moment, NodeName, PartitionId, Session, Span, Token};
-use standby::signs::SILENT;
+use standby::failure_detector::HEARTBEAT_TIMEOUT;
 use wire::mesh::MeshMessage;
 use wire::state::{StateReply, StateRequest, Txn, Write};
 
@@ -98,8 +98,8 @@
         self.grant_wishes();
     }
 
-    /// Takes a partition whose record stands, if its holder is known to be over or several signs say
-    /// so.
+    /// Takes a partition whose record stands, if its holder is known to be over or suspected to
+    /// have crashed.
     fn take_early(&mut self, partition: PartitionId) {
         let Some(held) = self.mirror.partitions.get(&partition) else { return };
         let (holder, boot, version) =
@@ -119,15 +119,15 @@
             }
             return;
         }
-        // The commonest doubt first: this is asked at each event.
-        if self.peers.get(&holder).is_some_and(|p| self.now.since(p.heard_at) < SILENT) {
+        // The most frequent blocker first: this is checked at each event.
+        if self.peers.get(&holder).is_some_and(|p| self.now.since(p.heard_at) < HEARTBEAT_TIMEOUT) {
             return;
         }
         let stands_by = self.standbys().get(&partition) == Some(&me);
-        if stands_by && self.doubts(partition).is_empty() {
+        if stands_by && self.failover_blockers(partition).is_empty() {
             tracing::info!(%partition, %holder, "its holder has ended by several signs");
             self.standby.tried_at = self.now;
-            self.note_taken(partition, holder, boot);
+            self.record_early_failover(partition, holder, boot);
             self.acquire(partition, version);
         }
     }
@@ -516,7 +516,7 @@
                     heard.iter().map(|(name, ago)| (NodeName::from(name.as_str()), Span(*ago)));
                 let heard = heard.collect();
                 let view = PeerView { heard_at: self.now, boot, state_contact, ready, heard };
-                self.note_living(&from, boot);
+                self.detect_false_suspicion(&from, boot);
                 self.peers.insert(from.clone(), view);
                 let now = self.now;
                 for holding in self.holdings.values_mut() {
--- a/crates/coordination/src/node/standby.rs
+++ b/crates/coordination/src/node/standby.rs
@@ -5,7 +5,7 @@
 use model::{MachineName, Moment, NodeName, PartitionId, Span, ZoneName};
 use scheduler::Share;
 use serde_json::{json, Value};
-use standby::signs::{Doubt, Facts};
+use standby::failure_detector::{Evidence, FailoverBlocker, FailureDetector};
 use standby::{assign, Feed, Follower, PartitionCopy, Source};
 use std::collections::{BTreeMap, HashMap};
 use wire::mesh::{HintPart, MeshMessage};
@@ -24,7 +24,7 @@
 pub(crate) struct Standby {
     pub(super) follower: Follower,
     feeds: BTreeMap<PartitionId, (u64, Feed)>,
-    pub(super) signs: standby::signs::Signs,
+    failure_detector: FailureDetector,
     /// Who stood by for each partition when it had a holder last.
     pub(super) assigned: BTreeMap<PartitionId, NodeName>,
     looked_at: Moment,
@@ -139,17 +139,17 @@
     }
 
     /// A worker that reports to another holder has come to us.
-    pub(super) fn note_comer(&mut self, partition: PartitionId, machine: &MachineName) {
+    pub(super) fn record_worker_contact(&mut self, partition: PartitionId, machine: &MachineName) {
         let reports = |copy: &PartitionCopy| {
             copy.machines.get(machine).is_some_and(|(hint, _)| hint.reporting)
         };
         if self.standby.follower.copy(partition).is_some_and(reports) {
-            self.standby.signs.came(partition, machine, self.now);
+            self.standby.failure_detector.record_worker_contact(partition, machine, self.now);
         }
     }
 
-    /// What speaks against taking a partition whose record stands.
-    pub(super) fn doubts(&self, partition: PartitionId) -> Vec<Doubt> {
+    /// What speaks against taking over a partition whose record stands.
+    pub(super) fn failover_blockers(&self, partition: PartitionId) -> Vec<FailoverBlocker> {
         let Some(held) = self.mirror.partitions.get(&partition) else { return Vec::new() };
         let (holder, boot) = (&held.record.holder, held.record.boot);
         let copy =
@@ -158,42 +158,47 @@
             });
         let view = self.peers.get(holder).filter(|peer| peer.boot == boot);
         let others = self.peers.iter().filter(|(name, _)| *name != holder && self.peer_lives(name));
-        let by_others = others
+        let peer_heartbeat_age = others
             .filter_map(|(_, peer)| {
                 let said = peer.heard.iter().find(|(name, _)| name == holder)?;
                 Some(said.1 + self.now.since(peer.heard_at))
             })
             .min();
-        let facts = Facts {
+        let evidence = Evidence {
             now: self.now,
-            heard_at: view.map(|peer| peer.heard_at),
-            others: by_others,
-            reporting: copy.map_or(0, PartitionCopy::reporting),
-            in_step: copy.is_some_and(PartitionCopy::is_whole),
-            contact_at: self.contact_at,
-            awake_since: self.awake_since,
+            last_heartbeat: view.map(|peer| peer.heard_at),
+            peer_heartbeat_age,
+            reporting_machines: copy.map_or(0, PartitionCopy::reporting),
+            replica_complete: copy.is_some_and(PartitionCopy::is_whole),
+            last_state_read: self.contact_at,
+            resumed_at: self.awake_since,
         };
-        self.standby.signs.doubts(partition, &facts)
+        self.standby.failure_detector.failover_blockers(partition, &evidence)
     }
 
     /// A partition was taken from a holder whose record stood.
-    pub(super) fn note_taken(&mut self, partition: PartitionId, holder: NodeName, boot: u64) {
+    pub(super) fn record_early_failover(
+        &mut self,
+        partition: PartitionId,
+        holder: NodeName,
+        boot: u64,
+    ) {
         self.counters.early_takeovers += 1;
         self.standby.taken.insert(partition, (holder, boot, self.now));
     }
 
     /// A node is there: if we took a partition from this very incarnation just now, that was wrong.
     /// One that comes back later than its lease in the state service lasts had lost it anyway.
-    pub(super) fn note_living(&mut self, node: &NodeName, boot: u64) {
+    pub(super) fn detect_false_suspicion(&mut self, node: &NodeName, boot: u64) {
         let now = self.now;
         self.standby.taken.retain(|_, by| now.since(by.2) <= LEASE + LEASE_SLACK);
-        let wronged = |by: &(NodeName, u64, Moment)| (&by.0, by.1) == (node, boot);
+        let was_leader = |by: &(NodeName, u64, Moment)| (&by.0, by.1) == (node, boot);
         let taken: Vec<PartitionId> =
-            self.standby.taken.iter().filter(|(_, by)| wronged(by)).map(|(p, _)| *p).collect();
+            self.standby.taken.iter().filter(|(_, by)| was_leader(by)).map(|(p, _)| *p).collect();
         for partition in taken {
             tracing::warn!(%partition, %node, "took a partition from a holder that lives");
             self.standby.taken.remove(&partition);
-            self.standby.signs.wronged(partition, self.now);
+            self.standby.failure_detector.record_false_suspicion(partition, self.now);
             self.counters.wrong_takeovers += 1;
         }
     }
@@ -225,8 +230,8 @@
             .partitions
             .iter()
             .map(|(partition, held)| {
-                let doubts: Vec<String> = if standbys.get(partition) == Some(self.me()) {
-                    self.doubts(*partition).iter().map(|doubt| format!("{doubt:?}")).collect()
+                let blockers: Vec<String> = if standbys.get(partition) == Some(self.me()) {
+                    self.failover_blockers(*partition).iter().map(|b| format!("{b:?}")).collect()
                 } else {
                     Vec::new()
                 };
@@ -234,7 +239,9 @@
                 json!({
                     "waits_for": open,
                     "partition": partition.0, "holder": held.record.holder, "term": held.record.term,
-                    "standby": standbys.get(partition), "doubts": doubts,
+                    "standby": standbys.get(partition), "failover_blockers": blockers,
+                    // The name of an earlier version, kept for one release.
+                    "doubts": blockers,
                 })
             })
             .collect();
--- a/crates/coordination/src/node/workers.rs
+++ b/crates/coordination/src/node/workers.rs
@@ -33,7 +33,7 @@
             let holder = self.mirror.partitions.get(&partition).map(|p| p.record.holder.clone());
             return match holder {
                 Some(holder) if holder != self.settings.name => {
-                    self.note_comer(partition, &name);
+                    self.record_worker_contact(partition, &name);
                     ReportReply::Redirect(Some(holder))
                 }
                 _ => ReportReply::Unavailable,
--- a/crates/standby/src/lib.rs
+++ b/crates/standby/src/lib.rs
@@ -6,15 +6,15 @@
 //! late or wrong: they choose whom to ask and what to try first, and prove nothing. Durable facts are
 //! read from the state service by whoever takes the partition.
 //!
-//! [`signs`] judges whether a holder whose record still stands has ended, [`checks`] is what a new
+//! [`failure_detector`] suspects a holder whose record still stands of having crashed, [`checks`] is what a new
 //! holder goes through before its first decision, [`assign`] says who stands by for whom.
 //! `docs/standby.md` weighs the ways and argues why no rule hangs on any of it.
 
 mod assign;
 pub mod checks;
+pub mod failure_detector;
 mod feed;
 mod follower;
-pub mod signs;
 
 pub use assign::assign;
 pub use feed::Feed;
