--- a/crates/testkit/src/cloud.rs
+++ b/crates/testkit/src/cloud.rs
@@ -42,6 +42,8 @@
     Late,
     /// Half of them not at all.
     Never,
+    /// Within 1.5 to 2 s.
+    Quick,
 }
 
 impl Cloud {
@@ -112,6 +114,7 @@
                         let boot = match self.boots {
                             Boots::Early => 0,
                             Boots::Late => rng.random_range(15_000..60_000),
+                            Boots::Quick => rng.random_range(1_500..2_000),
                             _ => rng.random_range(2_000..8_000),
                         };
                         let machine = Rented {
--- a/crates/testkit/src/world/faults.rs
+++ b/crates/testkit/src/world/faults.rs
@@ -136,6 +136,19 @@
                 (Cut::Boots, ms)
             }
             Fault::Heavy { ms } => (Cut::Heavy, ms),
+            Fault::Mute { count, ms } => {
+                for name in self.some(&names, count) {
+                    self.cut(Cut::Mute(name), ms);
+                }
+                return;
+            }
+            Fault::LostAnswers { percent, ms } => (Cut::LostAnswers(percent), ms),
+            Fault::KeptCopies { percent, ms } => (Cut::KeptCopies(percent), ms),
+            Fault::HeldReports { percent, ms } => (Cut::HeldReports(percent), ms),
+            Fault::LateCommands { percent, ms } => (Cut::LateCommands(percent), ms),
+            Fault::OneWay { from, to, ms } => (Cut::OneWay(from, to), ms),
+            Fault::MeshCopies { percent, ms } => (Cut::MeshCopies(percent), ms),
+            Fault::SlowLinks { times, ms } => (Cut::SlowLinks(times), ms),
             Fault::Mistakes { ms } => (Cut::Mistakes, ms),
             Fault::Questions { ms } => (Cut::Questions, ms),
         };
--- a/crates/testkit/src/world/kinds.rs
+++ b/crates/testkit/src/world/kinds.rs
@@ -67,6 +67,15 @@
         newer_than: u64,
         txn: Txn,
     },
+    /// A direct command comes late.
+    LateCommand(Box<Message>),
+    /// A report that was held back comes to the holder that has begun meanwhile.
+    HeldReport(Box<Message>),
+    /// Something that a node has told another before comes again.
+    MeshCopy {
+        to: usize,
+        event: Event,
+    },
     /// Every accepted job is asked about.
     AskAll,
     Thaw {
@@ -106,6 +115,14 @@
     Copies,
     LateWrites(u64),
     Long(u64),
+    Mute(String),
+    LostAnswers(u64),
+    KeptCopies(u64),
+    HeldReports(u64),
+    LateCommands(u64),
+    OneWay(usize, usize),
+    MeshCopies(u64),
+    SlowLinks(u64),
 }
 
 pub(super) struct Running {
--- a/crates/testkit/src/world/machines.rs
+++ b/crates/testkit/src/world/machines.rs
@@ -29,6 +29,7 @@
         }
         worker.check_lease(now, self.terms.lease);
         match reply {
+            // `Worker::answered` takes the report out of flight.
             ReportReply::Answer(mut answer) => {
                 if ignore_tokens {
                     answer.token = answer.token.max(worker.token);
@@ -39,8 +40,8 @@
                 if worker.answered(number, &answer, now, &self.jobs) {
                     let launches = starts(&answer.commands);
                     self.takeovers.told(machine, answer.token, launches, now);
+                    self.note_launch(machine, &answer.commands);
                 }
-                worker.in_flight = None;
             }
             ReportReply::Redirect(Some(to)) => {
                 worker.in_flight = None;
@@ -143,7 +144,9 @@
         worker.next_report = now + wait;
         let node = worker.node;
         let report = Box::new(worker.report());
-        if self.nodes[node].is_none() {
+        let mute = self.is_mute(name);
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if self.nodes[node].is_none() || mute {
             // Refused at once.
             worker.in_flight = None;
             worker.node = (node + 1) % NODES;
--- a/crates/testkit/src/world/mod.rs
+++ b/crates/testkit/src/world/mod.rs
@@ -1,6 +1,7 @@
 //! The world: a queue of events in simulated time, a network, and real [`Node`]s.
 
 mod faults;
+mod interference;
 mod kinds;
 mod machines;
 mod network;
@@ -21,6 +22,7 @@
 use crate::worker::{Happened, Worker, MISTAKEN};
 use coordination::node::DirectReply;
 use coordination::{Effect, Event, Node, ReportReply, UserReply, UserRequest};
+use interference::Interference;
 use kinds::{starts, Asked, Cut, Happening, Message, Place, Queued, Running};
 use model::{CallId, JobId, Moment, NodeName, Settings};
 use rand::rngs::SmallRng;
@@ -52,6 +54,31 @@
     pub old_sessions: u64,
     /// Answers and commands that were lost on their way to machines whose reports arrive.
     pub unheard: u64,
+    /// Connections of machines that failed, and direct commands and questions that reached these
+    /// machines meanwhile.
+    pub mute: u64,
+    pub mute_and_told: u64,
+    /// Transactions that were carried out and whose answers were lost; those of them that another node
+    /// read.
+    pub lost_answers: u64,
+    pub lost_and_read: u64,
+    /// Kept copies of reports, older than what their machines had said since, that came to a holder that
+    /// had just begun; of these, from earlier sessions.
+    pub old_at_begin: u64,
+    pub old_sessions_at_begin: u64,
+    /// Reports that were held back and came to a holder that had begun since.
+    pub held_reports: u64,
+    /// Late direct commands that were carried out, and that their token or session made void; those
+    /// with commands whose node had ended, and those that came after a higher token.
+    pub late_commands: u64,
+    pub late_commands_void: u64,
+    pub late_commands_of_the_dead: u64,
+    pub late_commands_of_the_deposed: u64,
+    /// Launches on machines that had come up within two seconds a moment before, while writes came late.
+    pub young_launches: u64,
+    /// What nodes told each other and was lost on one way, and what came again late.
+    pub lost_on_one_way: u64,
+    pub mesh_copies: u64,
 }
 
 /// The world.
@@ -72,6 +99,7 @@
     workers: BTreeMap<String, Worker>,
     cuts: Vec<Cut>,
     held: Vec<(Place, Place, Message)>,
+    interference: Interference,
     pending: HashSet<(usize, u64, CallId)>,
     tickets: HashMap<(usize, u64, u64), Asked>,
     report_tickets: HashMap<(usize, u64, u64), (String, u64)>,
@@ -125,6 +153,7 @@
             workers: BTreeMap::new(),
             cuts: Vec::new(),
             held: Vec::new(),
+            interference: Interference::default(),
             pending: HashSet::new(),
             tickets: HashMap::new(),
             report_tickets: HashMap::new(),
@@ -318,6 +347,19 @@
         self.workers.values().map(|w| w.lapsed_tasks).sum()
     }
 
+    /// Tasks of jobs that were accepted, are not over and have nothing on any machine.
+    pub fn waiting(&self) -> u64 {
+        let placed: HashSet<&str> = self
+            .workers
+            .values()
+            .filter(|worker| !worker.dead)
+            .flat_map(|worker| worker.tasks.keys())
+            .filter_map(|(task, _)| task.split('/').next())
+            .collect();
+        let unplaced = self.unfinished().into_iter().filter(|id| !placed.contains(id.as_str()));
+        unplaced.filter_map(|id| Some(self.jobs.get(&id)?.tasks)).sum()
+    }
+
     /// Jobs that were accepted and are neither done nor cancelled by now.
     pub fn unfinished(&self) -> Vec<String> {
         self.rules
@@ -454,6 +496,12 @@
             Happening::LateWrite { node, life, newer_than, txn } => {
                 self.late_write(node, life, newer_than, txn);
             }
+            Happening::LateCommand(message) => self.late_command(*message),
+            Happening::HeldReport(message) => self.held_report(*message),
+            Happening::MeshCopy { to, event } => {
+                self.met.mesh_copies += 1;
+                self.feed(to, event);
+            }
             Happening::AskAll => self.ask_all(),
             Happening::Timeout { node, life, call, event } => {
                 if self.live(node, life) && self.pending.remove(&(node, life, call)) {
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -46,6 +46,10 @@
             Cut::Refuse(_) | Cut::Cloud | Cut::Users(_) | Cut::Slow(_) => false,
             Cut::Boots | Cut::Mistakes | Cut::Questions | Cut::Heavy => false,
             Cut::LateWrites(_) | Cut::Long(_) => false,
+            Cut::Mute(_) | Cut::LostAnswers(_) | Cut::KeptCopies(_) | Cut::HeldReports(_) => false,
+            Cut::LateCommands(_) | Cut::OneWay(..) | Cut::MeshCopies(_) | Cut::SlowLinks(_) => {
+                false
+            }
         })
     }
 
@@ -95,6 +99,10 @@
     /// Sends a message; a cut holds it back until it heals.
     pub(super) fn send(&mut self, from: Place, to: Place, message: Message) {
         self.copy(&message);
+        if self.is_lost_between_nodes(from, to) {
+            return;
+        }
+        let Some(message) = self.as_intercepted(message) else { return };
         if self.is_lost(from, to) {
             self.met.unheard += 1;
             return;
@@ -103,7 +111,7 @@
             self.held.push((from, to, message));
             return;
         }
-        let mut delay = self.rng.random_range(1..6);
+        let mut delay = self.rng.random_range(1..6) * self.slowness(from, to);
         if self.rng.random_bool(0.004) {
             delay += self.rng.random_range(50..600);
         }
@@ -121,6 +129,7 @@
         let Some(life) = self.nodes[other].as_ref().map(|r| r.life) else { return };
         let Some(message) = self.as_sabotaged(message) else { return };
         let event = Event::Mesh { from: NodeName::from(format!("n{node}").as_str()), message };
+        self.copy_mesh(other, &event);
         let message = Message::Node { node: other, life, event };
         self.send(Place::Node(node), Place::Node(other), message);
     }
@@ -175,15 +184,19 @@
             Message::Direct { node, life, call, machine, body } => {
                 let now = self.now;
                 let from = self.machine(&machine);
+                self.note_told(&machine);
                 let Some(worker) = self.workers.get_mut(&machine) else { return };
                 if worker.dead {
                     return;
                 }
                 worker.check_lease(now, self.terms.lease);
-                if worker.direct(body.token, body.session, &body.commands, now, &self.jobs) {
+                let executed =
+                    worker.direct(body.token, body.session, &body.commands, now, &self.jobs);
+                let report = Box::new(worker.report());
+                if executed {
                     self.takeovers.told(&machine, body.token, starts(&body.commands), now);
+                    self.note_launch(&machine, &body.commands);
                 }
-                let report = Box::new(worker.report());
                 let event = Event::Worker { call, reply: DirectReply::Answered(report) };
                 self.send(from, Place::Node(node), Message::Node { node, life, event });
             }
--- a/crates/testkit/src/world/plan.rs
+++ b/crates/testkit/src/world/plan.rs
@@ -77,6 +77,27 @@
     CancelAll { through: usize },
     /// Garbage stands on a ledger page of a partition for a time.
     SpoilPage { partition: u32, ms: u64 },
+    /// So many machines reach no controller: their connections fail. Direct commands and questions reach
+    /// them.
+    Mute { count: usize, ms: u64 },
+    /// So many per cent of the transactions are carried out at once, and only their answers are lost.
+    LostAnswers { percent: u64, ms: u64 },
+    /// Of so many per cent of the reports a copy is kept, which reaches every controller just as the next
+    /// holder of a partition begins.
+    KeptCopies { percent: u64, ms: u64 },
+    /// So many per cent of the reports are held back until the next holder of a partition has acted, and
+    /// arrive there.
+    HeldReports { percent: u64, ms: u64 },
+    /// So many per cent of the direct commands get no answer and are carried out once, 2 to 16 s later, if
+    /// token and session still match.
+    LateCommands { percent: u64, ms: u64 },
+    /// What one node tells another is lost; what the other tells it arrives.
+    OneWay { from: usize, to: usize, ms: u64 },
+    /// Of so many per cent of what nodes tell each other a copy arrives again, a second to three leases
+    /// later, whoever lives there by then.
+    MeshCopies { percent: u64, ms: u64 },
+    /// Links among nodes and to machines are so many times slower.
+    SlowLinks { times: u64, ms: u64 },
 }
 
 /// A safety step that is deliberately broken, to show that the checker would tell.
@@ -111,6 +132,12 @@
     CopiesTrusted,
     /// Questions about every seventh job are not answered.
     SomeUnanswered,
+    /// Late direct commands are carried out whatever token and session they bear.
+    LateCommandsTrusted,
+    /// Late copies of signs of life claim to know all changes.
+    MeshCopiesTrusted,
+    /// Transactions whose answers would be lost are called committed and are not carried out.
+    LostNotCarriedOut,
 }
 
 /// What a run consists of.
@@ -126,6 +153,15 @@
     pub size: u64,
 }
 
+impl Plan {
+    /// A small site with long tasks, arrays and gangs with and without checkpoints, and services.
+    pub fn of_long_tasks(seed: u64, ms: u64, mut faults: Vec<(u64, Fault)>) -> Self {
+        faults.insert(0, (0, Fault::Long { times: 30, ms }));
+        faults.insert(1, (2_000, Fault::Burst { jobs: 24 }));
+        Plan { seed, ms, faults, sabotage: None, submit_ms: 40_000, size: 1 + seed % 2 }
+    }
+}
+
 impl Fault {
     /// How long it lasts, in ms.
     pub fn lasts(&self) -> u64 {
@@ -155,6 +191,14 @@
             | Fault::LateWrites { ms, .. }
             | Fault::Long { ms, .. }
             | Fault::SpoilPage { ms, .. } => *ms,
+            Fault::Mute { ms, .. }
+            | Fault::LostAnswers { ms, .. }
+            | Fault::KeptCopies { ms, .. }
+            | Fault::HeldReports { ms, .. }
+            | Fault::LateCommands { ms, .. }
+            | Fault::OneWay { ms, .. }
+            | Fault::MeshCopies { ms, .. }
+            | Fault::SlowLinks { ms, .. } => *ms,
             Fault::CrashAt { .. } => 6_000,
             Fault::Kill { .. }
             | Fault::Sick { .. }
--- a/crates/testkit/src/world/state.rs
+++ b/crates/testkit/src/world/state.rs
@@ -33,6 +33,7 @@
 
 impl World {
     pub(super) fn state_answer(&mut self, node: usize, life: u64, call: CallId, reply: StateReply) {
+        self.note_read(node, &reply);
         let event = Event::State { call, reply };
         let message = Message::Node { node, life, event };
         self.send(Place::State, Place::Node(node), message);
@@ -64,12 +65,14 @@
         if self.is_late(node, life, &request) {
             return;
         }
+        let lost = self.loses_answer(&request);
         let mut pretend = false;
         if let StateRequest::Txn(txn) = &mut request {
             let page = |w: &Write| matches!(w, Write::Put { put, .. } if put.starts_with("l/"));
             match self.plan.sabotage {
                 Some(Sabotage::PredecessorsForgotten) => forget_predecessors(&mut txn.writes),
                 Some(Sabotage::RoundsNotWritten) => pretend = txn.writes.iter().any(page),
+                Some(Sabotage::LostNotCarriedOut) => pretend = lost,
                 Some(Sabotage::NoFencing) => {
                     txn.conditions
                         .retain(|c| !c.key.starts_with("s/p/") && !c.key.starts_with("l/"));
@@ -83,7 +86,9 @@
             self.state.lose("s/e/");
         }
         // Now and then the answer is lost, although the request was executed.
-        if !self.rng.random_bool(0.003) {
+        if lost && !pretend {
+            self.note_lost_answer(node, &reply);
+        } else if !self.rng.random_bool(0.003) {
             self.state_answer(node, life, call, reply);
         }
         self.answer_watches();
@@ -109,6 +114,7 @@
         if let StateReply::Committed { .. } = reply {
             for ((partition, term), before) in records.into_iter().zip(before) {
                 let living = self.living_of(partition);
+                self.next_holder_begins(&living, partition);
                 self.takeovers.taken(partition, before.as_deref(), term, living, self.now);
             }
             if matches!(request, StateRequest::Txn(_)) {
--- /dev/null
+++ b/crates/testkit/tests/machine_meetings.rs
@@ -0,0 +1,362 @@
+//! Meetings of troubles on the machines' side: connections, reports, commands, answers of the state service
+//! and what controllers tell each other come late, twice, on one way only or not at all, while leaders
+//! change. One test a meeting, on the deciding code in the simulated world; each asserts that its meeting has
+//! come about, and one runs all of them again with a safety step broken on purpose.
+
+use testkit::{for_seeds, Boots, Fault, Met, Plan, Sabotage, World};
+
+/// Length of each run.
+const MS: u64 = 220_000;
+
+/// One seed's run to its end, with every rule checked after each step.
+fn whole_run(name: &str, seed: u64, faults: Vec<(u64, Fault)>) -> World {
+    let mut world = World::new(Plan::of_long_tasks(seed, MS, faults));
+    world.run();
+    assert_eq!(world.rules.broken, [], "{name}, seed {seed}");
+    world
+}
+
+/// Runs of so many seeds, and what has met in all of them together.
+fn whole_runs(
+    name: &str,
+    seeds: u64,
+    faults: impl Fn(u64) -> Vec<(u64, Fault)> + Sync,
+    add: impl Fn(&mut Met, &World) + Sync,
+) -> Met {
+    let met = std::sync::Mutex::new(Met::default());
+    for_seeds(seeds, |seed| {
+        let world = whole_run(name, seed, faults(seed));
+        add(&mut met.lock().expect("no run has panicked"), &world);
+    });
+    let met = met.into_inner().expect("no run has panicked");
+    println!("{name}: {met:?}");
+    met
+}
+
+/// Transactions are carried out at once and only their answers are lost, while leaders end and jobs are
+/// cancelled.
+fn answers_lost(seed: u64) -> Vec<(u64, Fault)> {
+    let node = seed as usize % 3;
+    vec![
+        (5_000, Fault::LostAnswers { percent: 20 + 10 * (seed % 4), ms: 130_000 }),
+        (40_000, Fault::Crash { node, back: 100 }),
+        (55_000 + seed * 130, Fault::CancelAll { through: (node + 1) % 3 }),
+        (55_300 + seed * 130, Fault::Refuse { node: Some(node), ms: 6_000 }),
+        (62_000, Fault::Burst { jobs: 10 }),
+        (66_000, Fault::Crash { node: (node + 1) % 3, back: 3_000 }),
+        (80_000, Fault::KillMany { count: 2 }),
+        (100_000, Fault::CancelAll { through: node }),
+        (100_200, Fault::Crash { node: (node + 2) % 3, back: 700 }),
+    ]
+}
+
+#[test]
+fn a_transaction_is_carried_out_and_only_its_answer_is_lost_while_others_read_it() {
+    let met = whole_runs("answers lost", 10, answers_lost, |met, world| {
+        met.lost_answers += world.met.lost_answers;
+        met.lost_and_read += world.met.lost_and_read;
+    });
+    assert!(met.lost_answers > 500 && met.lost_and_read > 300, "{met:?}");
+}
+
+/// When the leader ends as machines have just come up.
+const QUICK_ENDS: [u64; 3] = [48_200, 78_200, 108_200];
+
+/// Machines end, new ones are up within two seconds and get work at once, and a leader ends.
+fn quick_boots(seed: u64) -> Vec<(u64, Fault)> {
+    let mut faults = vec![
+        (0, Fault::Boots { how: Boots::Quick, ms: 200_000 }),
+        (30_000, Fault::LateWrites { percent: 25, ms: 100_000 }),
+    ];
+    for (nth, at) in QUICK_ENDS.into_iter().enumerate() {
+        let node = (nth + seed as usize) % 3;
+        faults.push((at - 4_000, Fault::KillMany { count: 5 }));
+        faults.push((at - 3_900, Fault::Burst { jobs: 8 }));
+        faults.push((at + seed * 170, Fault::Crash { node, back: 100 + seed * 400 }));
+        faults.push((at + seed * 170 + 1_500, Fault::CancelAll { through: (node + 1) % 3 }));
+    }
+    faults
+}
+
+#[test]
+fn new_machines_are_up_within_two_seconds_and_get_work_while_writes_lag_and_the_leader_ends() {
+    let met = whole_runs("quick boots", 10, quick_boots, |met, world| {
+        met.young_launches += world.met.young_launches;
+        met.late_after_newer += world.met.late_after_newer;
+        let taken = world.takeovers.list.iter().filter(|t| t.taken_at.is_some()).count();
+        assert!(taken > 0, "a leader ended");
+    });
+    assert!(met.young_launches > 60 && met.late_after_newer > 5, "{met:?}");
+}
+
+/// Leases lapse and leaders end while copies of reports are kept for the next leader.
+fn kept_copies(seed: u64) -> Vec<(u64, Fault)> {
+    let node = seed as usize % 3;
+    vec![
+        (20_000, Fault::KeptCopies { percent: 25, ms: 140_000 }),
+        (40_000, Fault::Unreached { count: 5, ms: 15_000 }),
+        (58_000 + seed * 110, Fault::Crash { node, back: 300 }),
+        (60_000, Fault::Refuse { node: None, ms: 32_000 }),
+        (96_000, Fault::Crash { node: (node + 1) % 3, back: 200 }),
+        (97_000, Fault::CancelAll { through: (node + 2) % 3 }),
+        (110_000, Fault::Burst { jobs: 10 }),
+        (118_000 + seed * 70, Fault::Crash { node: (node + 2) % 3, back: 100 }),
+    ]
+}
+
+#[test]
+fn an_old_report_reaches_every_controller_just_as_a_new_leader_begins() {
+    let met = whole_runs("kept copies", 10, kept_copies, |met, world| {
+        met.old_at_begin += world.met.old_at_begin;
+        met.old_sessions_at_begin += world.met.old_sessions_at_begin;
+    });
+    assert!(met.old_at_begin > 500 && met.old_sessions_at_begin > 50, "{met:?}");
+}
+
+/// Reports are held back as a leader ends, and come when its successor has acted.
+fn held_reports(seed: u64) -> Vec<(u64, Fault)> {
+    let mut faults = Vec::new();
+    for (nth, at) in [45_000, 70_000, 95_000].into_iter().enumerate() {
+        let node = (nth + seed as usize) % 3;
+        faults.push((at, Fault::HeldReports { percent: 40, ms: 6_000 }));
+        faults.push((at + 200, Fault::Burst { jobs: 6 }));
+        faults.push((at + 1_000 + seed * 140, Fault::Crash { node, back: 200 + seed * 600 }));
+        faults.push((at + 4_000 + seed * 140, Fault::CancelAll { through: (node + 1) % 3 }));
+    }
+    faults
+}
+
+#[test]
+fn a_report_is_held_back_until_a_new_leader_has_acted_and_arrives_there() {
+    let met = whole_runs("held reports", 10, held_reports, |met, world| {
+        met.held_reports += world.met.held_reports;
+    });
+    assert!(met.held_reports > 200, "{met:?}");
+}
+
+/// Machines can't open connections, for less and for more than a lease, and leaders end meanwhile.
+fn mute(seed: u64) -> Vec<(u64, Fault)> {
+    let node = seed as usize % 3;
+    // In every fifth run it is all of them.
+    let count = if seed.is_multiple_of(5) { 1_000 } else { 6 };
+    vec![
+        (45_000, Fault::Mute { count, ms: 5_000 + seed * 2_500 }),
+        (45_500, Fault::Burst { jobs: 8 }),
+        (47_000 + seed * 250, Fault::Crash { node, back: 100 + seed * 700 }),
+        (52_000, Fault::CancelAll { through: (node + 1) % 3 }),
+        (85_000, Fault::Burst { jobs: 10 }),
+        (90_000, Fault::Mute { count: 8, ms: 30_000 }),
+        (91_000 + seed * 300, Fault::CancelAll { through: node }),
+        (93_000, Fault::Refuse { node: None, ms: 20_000 }),
+    ]
+}
+
+#[test]
+fn machines_reach_no_controller_while_direct_commands_reach_them() {
+    let met = whole_runs("mute", 10, mute, |met, world| {
+        met.mute += world.met.mute;
+        met.mute_and_told += world.met.mute_and_told;
+    });
+    assert!(met.mute > 1_000 && met.mute_and_told > 200, "{met:?}");
+}
+
+/// Direct commands are held up as their leaders end, are deposed, or lose sight of what is cancelled.
+fn late_commands(seed: u64) -> Vec<(u64, Fault)> {
+    let mut faults = vec![(30_000, Fault::LateCommands { percent: 50, ms: 110_000 })];
+    for (nth, at) in [40_000, 70_000, 100_000].into_iter().enumerate() {
+        let node = (nth + seed as usize) % 3;
+        faults.push((at, Fault::KillMany { count: 2 }));
+        faults.push((at, Fault::Burst { jobs: 8 }));
+        let ends = if (seed + nth as u64).is_multiple_of(2) {
+            Fault::Crash { node, back: 200 + seed * 300 }
+        } else {
+            Fault::Blind { node, ms: 25_000, refused: seed.is_multiple_of(3) }
+        };
+        faults.push((at + 800 + seed * 210, ends));
+        faults.push((at + 5_000, Fault::CancelAll { through: (node + 1) % 3 }));
+        faults.push((at + 9_000, Fault::Burst { jobs: 6 }));
+    }
+    faults
+}
+
+#[test]
+fn a_command_of_a_leader_that_has_ended_or_been_deposed_arrives_after_its_successors() {
+    let met = whole_runs("late commands", 12, late_commands, |met, world| {
+        met.late_commands += world.met.late_commands;
+        met.late_commands_void += world.met.late_commands_void;
+        met.late_commands_of_the_dead += world.met.late_commands_of_the_dead;
+        met.late_commands_of_the_deposed += world.met.late_commands_of_the_deposed;
+    });
+    assert!(met.late_commands > 50 && met.late_commands_void > 50, "{met:?}");
+    let Met { late_commands_of_the_dead, late_commands_of_the_deposed, .. } = met;
+    assert!(late_commands_of_the_dead > 20 && late_commands_of_the_deposed > 20, "{met:?}");
+}
+
+/// Begin of the two minutes in which leaders change, and of the outage in their midst.
+const CHANGES_FROM: u64 = 45_000;
+const OUTAGE: (u64, u64) = (95_000, 18_000);
+
+/// One node after the other ends, also while the state service is out.
+fn ten_changes(seed: u64) -> Vec<(u64, Fault)> {
+    let (out, out_ms) = OUTAGE;
+    let mut faults = vec![(out, Fault::Refuse { node: None, ms: out_ms })];
+    for nth in 0..17 {
+        let node = (nth + seed as usize) % 3;
+        let at = CHANGES_FROM + nth as u64 * 7_000 + seed * 53;
+        faults.push((at, Fault::Crash { node, back: 1_500 + 400 * (seed % 8) }));
+    }
+    for at in [60_000, 90_000, 94_500, 125_000] {
+        faults.push((at + seed * 91, Fault::CancelAll { through: (seed as usize + 1) % 3 }));
+        faults.push((at + 3_000, Fault::Burst { jobs: 6 }));
+    }
+    faults
+}
+
+/// Runs two minutes on and counts how often each partition has got another holder.
+fn changes_in_two_minutes(world: &mut World) -> [u32; 3] {
+    let mut changes = [0; 3];
+    let holders = |world: &World| [0, 1, 2].map(|p| world.holder(p).map(str::to_owned));
+    let mut before = holders(world);
+    for at in (CHANGES_FROM..=CHANGES_FROM + 120_000).step_by(100) {
+        world.run_to(at);
+        let now = holders(world);
+        for (partition, count) in changes.iter_mut().enumerate() {
+            if now[partition].is_some() && now[partition] != before[partition] {
+                before[partition].clone_from(&now[partition]);
+                *count += 1;
+            }
+        }
+    }
+    changes
+}
+
+#[test]
+fn leaders_change_ten_times_in_two_minutes_also_inside_an_outage() {
+    for_seeds(8, |seed| {
+        let mut world = World::new(Plan::of_long_tasks(seed, MS, ten_changes(seed)));
+        let changes = changes_in_two_minutes(&mut world);
+        world.run();
+        assert_eq!(world.rules.broken, [], "ten changes, seed {seed}");
+        println!("ten changes, seed {seed}: {changes:?}");
+        assert!(changes.iter().any(|count| *count >= 10), "seed {seed}: {changes:?}");
+    });
+}
+
+/// More is submitted than there is room for, urgent and not, over slow links.
+fn overload(seed: u64) -> Vec<(u64, Fault)> {
+    let node = seed as usize % 3;
+    vec![
+        (15_000, Fault::SlowLinks { times: 40 + 20 * (seed % 3), ms: 120_000 }),
+        (16_000, Fault::Guests { jobs: 4 }),
+        (20_000, Fault::Heavy { ms: 60_000 }),
+        (22_000, Fault::Burst { jobs: 60 }),
+        (40_000, Fault::KillMany { count: 3 }),
+        (50_000 + seed * 120, Fault::Crash { node, back: 150 + seed * 500 }),
+        (52_000, Fault::Burst { jobs: 20 }),
+        (80_000, Fault::CancelAll { through: (node + 1) % 3 }),
+        (81_000, Fault::Burst { jobs: 30 }),
+    ]
+}
+
+#[test]
+fn there_is_more_work_than_room_urgent_and_not_over_slow_links() {
+    for_seeds(8, |seed| {
+        let mut world = World::new(Plan::of_long_tasks(seed, MS, overload(seed)));
+        world.run_to(49_000);
+        let waiting = world.waiting();
+        world.run();
+        assert_eq!(world.rules.broken, [], "overload, seed {seed}");
+        println!("overload, seed {seed}: {waiting} tasks wait");
+        assert!(waiting > 100, "seed {seed}: {waiting} tasks wait");
+    });
+}
+
+/// A leader hears the others and is not heard by them, or the other way round, and loses the state service;
+/// its jobs are cancelled through another.
+fn one_way(seed: u64) -> Vec<(u64, Fault)> {
+    let node = seed as usize % 3;
+    let ms = 60_000;
+    let mut faults = Vec::new();
+    for other in (0..3).filter(|other| *other != node) {
+        let (from, to) = if seed.is_multiple_of(2) { (node, other) } else { (other, node) };
+        faults.push((48_000, Fault::OneWay { from, to, ms }));
+    }
+    let state = match seed % 3 {
+        0 => Fault::CutState { node, ms: 40_000 },
+        1 => Fault::Refuse { node: Some(node), ms: 40_000 },
+        // Only its link is lost: it keeps its partition.
+        _ => Fault::Crash { node: (node + 1) % 3, back: 400 },
+    };
+    faults.push((50_000, state));
+    faults.push((50_100 + seed * 400, Fault::CancelAll { through: (node + 1) % 3 }));
+    faults.push((51_000 + seed * 400, Fault::Refuse { node: None, ms: 35_000 * (seed / 2 % 2) }));
+    faults.push((115_000, Fault::OneWay { from: node, to: (node + 1) % 3, ms: 20_000 }));
+    faults.push((117_000, Fault::Crash { node, back: 100 }));
+    faults
+}
+
+#[test]
+fn one_controller_hears_another_that_does_not_hear_it() {
+    let met = whole_runs("one way", 12, one_way, |met, world| {
+        met.lost_on_one_way += world.met.lost_on_one_way;
+    });
+    assert!(met.lost_on_one_way > 2_000, "{met:?}");
+}
+
+/// What controllers told each other comes again late, also from and to earlier lives, while they end, come
+/// back and are cut off.
+fn mesh_copies(seed: u64) -> Vec<(u64, Fault)> {
+    let node = seed as usize % 3;
+    vec![
+        (20_000, Fault::MeshCopies { percent: 30, ms: 140_000 }),
+        (45_000, Fault::Crash { node, back: 100 + seed * 300 }),
+        (58_000, Fault::Blind { node: (node + 1) % 3, ms: 25_000, refused: seed % 2 == 0 }),
+        (60_000 + seed * 500, Fault::CancelAll { through: (node + 2) % 3 }),
+        (61_000, Fault::CutWorkers { node: (node + 2) % 3, ms: 15_000 * (seed % 2) }),
+        (90_000, Fault::Burst { jobs: 10 }),
+        (95_000, Fault::Crash { node: (node + 2) % 3, back: 5_000 }),
+        (97_500, Fault::Crash { node: (node + 2) % 3, back: 100 }),
+        (110_000, Fault::CancelAll { through: node }),
+    ]
+}
+
+#[test]
+fn what_controllers_told_each_other_comes_again_late() {
+    let met = whole_runs("mesh copies", 12, mesh_copies, |met, world| {
+        met.mesh_copies += world.met.mesh_copies;
+    });
+    assert!(met.mesh_copies > 1_000, "{met:?}");
+}
+
+/// Each meeting again with a safety step broken on purpose: what it asserts can fail.
+#[test]
+fn each_meeting_tells_when_a_safety_step_is_broken() {
+    type Meeting<'a> = (&'a str, fn(u64) -> Vec<(u64, Fault)>, Sabotage);
+    let meetings: [Meeting; 10] = [
+        ("answers lost", answers_lost, Sabotage::LostNotCarriedOut),
+        ("quick boots", quick_boots, Sabotage::LateUnconditional),
+        ("kept copies", kept_copies, Sabotage::CopiesTrusted),
+        ("held reports", held_reports, Sabotage::ShortLease),
+        ("mute", mute, Sabotage::ShortLease),
+        ("late commands", late_commands, Sabotage::LateCommandsTrusted),
+        ("ten changes", ten_changes, Sabotage::RoundsNotWritten),
+        ("overload", overload, Sabotage::RoundsNotWritten),
+        ("one way", one_way, Sabotage::LongCancel),
+        ("mesh copies", mesh_copies, Sabotage::MeshCopiesTrusted),
+    ];
+    let untold = std::sync::Mutex::new(Vec::new());
+    for_seeds(meetings.len() as u64, |nth| {
+        let (name, faults, sabotage) = meetings[nth as usize - 1];
+        let told = (1..=20).find_map(|seed| {
+            let plan = Plan::of_long_tasks(seed, MS, faults(seed));
+            let mut world = World::new(Plan { sabotage: Some(sabotage), ..plan });
+            world.run();
+            world.rules.broken.first().map(|broken| (seed, broken.clone()))
+        });
+        println!("{name}, {sabotage:?}: {told:?}");
+        if told.is_none() {
+            untold.lock().expect("no run has panicked").push(name);
+        }
+    });
+    assert_eq!(untold.into_inner().expect("no run has panicked"), Vec::<&str>::new());
+}
--- a/crates/testkit/tests/meetings.rs
+++ b/crates/testkit/tests/meetings.rs
@@ -3,13 +3,10 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use testkit::{for_seeds, Fault, Met, Plan, Sabotage, World};
+use testkit::{for_seeds, Boots, Fault, Met, Plan, Sabotage, World};
 
-/// A small site with long tasks, arrays and gangs with and without checkpoints, and services.
-fn plan(seed: u64, ms: u64, mut faults: Vec<(u64, Fault)>) -> Plan {
-    faults.insert(0, (0, Fault::Long { times: 30, ms }));
-    faults.insert(1, (2_000, Fault::Burst { jobs: 24 }));
-    Plan { seed, ms, faults, sabotage: None, submit_ms: 40_000, size: 1 + seed % 2 }
+fn plan(seed: u64, ms: u64, faults: Vec<(u64, Fault)>) -> Plan {
+    Plan::of_long_tasks(seed, ms, faults)
 }
 
 fn site(seed: u64, ms: u64, faults: Vec<(u64, Fault)>) -> World {
@@ -458,6 +455,16 @@
         ("cloud out", Fault::CloudOutage { ms }),
         ("cancelled", Fault::CancelAll { through: (node + 1) % 3 }),
         ("page spoilt", Fault::SpoilPage { partition: node as u32, ms: ms.min(5_000) }),
+        ("mute", Fault::Mute { count: 5, ms }),
+        ("answers lost", Fault::LostAnswers { percent: 30, ms }),
+        ("kept copies", Fault::KeptCopies { percent: 30, ms }),
+        ("held reports", Fault::HeldReports { percent: 30, ms }),
+        ("late commands", Fault::LateCommands { percent: 50, ms }),
+        ("one way", Fault::OneWay { from: node, to: (node + 1) % 3, ms }),
+        ("mesh copies", Fault::MeshCopies { percent: 30, ms }),
+        ("quick boots", Fault::Boots { how: Boots::Quick, ms }),
+        ("slow links", Fault::SlowLinks { times: 60, ms }),
+        ("state slow for long", Fault::SlowState { times: 15 + ms % 26, ms: ms + 50_000 }),
     ]
 }
 
