--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -166,6 +166,11 @@
         true
     }
 
+    /// Keeps the lease up without an answer to a report, as no worker may.
+    pub fn renew_unasked(&mut self, now: u64) {
+        self.lease_from = now;
+    }
+
     fn raise(&mut self, token: u64) {
         if token > self.token {
             self.token = token;
--- a/crates/testkit/src/world/interference.rs
+++ b/crates/testkit/src/world/interference.rs
@@ -84,7 +84,10 @@
             }
         }
         for held in std::mem::take(&mut self.interference.reports) {
-            let Message::Report { machine, number, report, .. } = held else { continue };
+            let Message::Report { machine, number, mut report, .. } = held else { continue };
+            if self.plan.sabotage == Some(Sabotage::CopiesTrusted) {
+                report.seq += 1_000_000;
+            }
             let message = Message::Report { node: holder, machine, number, report };
             let after = self.rng.random_range(1_000..6_000);
             self.at(self.now + after, Happening::HeldReport(Box::new(message)));
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -190,6 +190,9 @@
                     return;
                 }
                 worker.check_lease(now, self.terms.lease);
+                if self.plan.sabotage == Some(Sabotage::DirectKeepsLease) {
+                    worker.renew_unasked(now);
+                }
                 let executed =
                     worker.direct(body.token, body.session, &body.commands, now, &self.jobs);
                 let report = Box::new(worker.report());
--- a/crates/testkit/src/world/plan.rs
+++ b/crates/testkit/src/world/plan.rs
@@ -134,6 +134,8 @@
     SomeUnanswered,
     /// Late direct commands are carried out whatever token and session they bear.
     LateCommandsTrusted,
+    /// Workers take direct commands and questions for answers to reports: these keep their leases up.
+    DirectKeepsLease,
     /// Late copies of signs of life claim to know all changes.
     MeshCopiesTrusted,
     /// Transactions whose answers would be lost are called committed and are not carried out.
