Simulated world: close looks, a history check of every answer, odd requests, cancellations

The world's users asked rarely and nobody checked a 201 against what others had been told. Now: - history.rs judges every answer by when its question was sent and when it came, in the total order of all questions and answers (linearizable by job). It takes the place of the checks of order in Rules::told, which compared milliseconds, and covers the 201 of a submission as well. - Troubles close_looks, cancel_at_end, cancel_now (with hanging machines), odd_requests (accepted_invalid, refused_wrongly) and one_task_jobs; sabotages for each. Starts after a confirmed cancellation are counted.

--- /dev/null
+++ b/crates/testkit/src/history.rs
@@ -0,0 +1,146 @@
+//! The history of each job as users see it, checked against real-time order: an answer may not be older
+//! than anything that was confirmed to anybody before its question was sent.
+
+use std::collections::HashMap;
+use wire::users::JobState;
+
+/// A question counts as close to a confirmation if it was sent at most so many ms after it.
+const CLOSE: u64 = 100;
+
+/// A point in the total order of all questions and answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Instant {
+    order: u64,
+    ms: u64,
+}
+
+/// What an answer says about a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answer {
+    /// The job is known and has this state.
+    Known(JobState),
+    /// There is no such job (404).
+    Missing,
+    /// The submission was refused for good (400 or 422).
+    Refused,
+}
+
+/// An answer that contradicts the history of its job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Contradiction {
+    pub rule: &'static str,
+    pub what: String,
+}
+
+impl Contradiction {
+    fn new(rule: &'static str, what: String) -> Self {
+        Contradiction { rule, what }
+    }
+}
+
+/// What has been confirmed about one job, and when first.
+#[derive(Debug, Default)]
+struct JobHistory {
+    known: Option<Instant>,
+    finished: Option<(JobState, Instant)>,
+    cancel_requested: Option<Instant>,
+}
+
+/// Answers whose questions were sent within milliseconds of a confirmation about the same job.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct CloseAnswers {
+    pub after_accepted: u64,
+    pub after_done: u64,
+    pub after_cancelled: u64,
+}
+
+/// The histories of all jobs.
+#[derive(Debug, Default)]
+pub struct History {
+    last_order: u64,
+    jobs: HashMap<String, JobHistory>,
+    pub answers: u64,
+    pub close_answers: CloseAnswers,
+}
+
+impl History {
+    /// A question is sent, or an answer comes.
+    pub fn next_instant(&mut self, ms: u64) -> Instant {
+        self.last_order += 1;
+        Instant { order: self.last_order, ms }
+    }
+
+    /// A user asks for the cancellation of a job.
+    pub fn cancel_requested(&mut self, id: &str, ms: u64) {
+        let now = self.next_instant(ms);
+        self.jobs.entry(id.to_owned()).or_default().cancel_requested.get_or_insert(now);
+    }
+
+    /// When the cancellation of a job was first asked for, in ms.
+    pub fn cancel_requested_at(&self, id: &str) -> Option<u64> {
+        Some(self.jobs.get(id)?.cancel_requested?.ms)
+    }
+
+    /// Judges an answer, which comes now, by what had been confirmed when its question was sent, and keeps what
+    /// it confirms.
+    pub fn record(
+        &mut self,
+        id: &str,
+        sent: Instant,
+        answer: Answer,
+        ms: u64,
+    ) -> Result<(), Contradiction> {
+        let now = self.next_instant(ms);
+        let job = self.jobs.entry(id.to_owned()).or_default();
+        self.answers += 1;
+        self.close_answers.count(job, sent);
+        let judged = job.judge(id, sent, answer);
+        job.confirm(answer, now);
+        judged
+    }
+}
+
+impl CloseAnswers {
+    fn count(&mut self, job: &JobHistory, sent: Instant) {
+        let close = |confirmed: Instant| confirmed < sent && sent.ms <= confirmed.ms + CLOSE;
+        match job.finished {
+            Some((JobState::Done, at)) => self.after_done += u64::from(close(at)),
+            Some((_, at)) => self.after_cancelled += u64::from(close(at)),
+            None => self.after_accepted += u64::from(job.known.is_some_and(close)),
+        }
+    }
+}
+
+impl JobHistory {
+    fn judge(&self, id: &str, sent: Instant, answer: Answer) -> Result<(), Contradiction> {
+        match answer {
+            Answer::Missing | Answer::Refused => {
+                if self.known.is_some_and(|at| at < sent) {
+                    return Err(Contradiction::new("forgotten", format!("{id}: {answer:?}")));
+                }
+            }
+            Answer::Known(JobState::Cancelled) if self.cancel_requested.is_none() => {
+                let what = format!("{id} is cancelled, and nobody asked for it");
+                return Err(Contradiction::new("went_back", what));
+            }
+            Answer::Known(state) => {
+                let Some((finished, at)) = self.finished else { return Ok(()) };
+                // Two final states contradict each other whenever they are told.
+                let is_final = matches!(state, JobState::Done | JobState::Cancelled);
+                if state != finished && (is_final || at < sent) {
+                    let what = format!("{id} was {finished:?} at {}, then {state:?}", at.ms);
+                    return Err(Contradiction::new("went_back", what));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn confirm(&mut self, answer: Answer, now: Instant) {
+        let Answer::Known(state) = answer else { return };
+        self.known.get_or_insert(now);
+        if matches!(state, JobState::Done | JobState::Cancelled) {
+            self.finished.get_or_insert((state, now));
+        }
+    }
+}
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -1,5 +1,6 @@
 //! The rules of the protocols, checked from what workers do and users are told.
 
+use crate::history::{Answer, Contradiction, History, Instant};
 use crate::worker::Worker;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use wire::users::{JobRequest, JobState};
@@ -24,6 +25,11 @@
     pub cancelled_told: BTreeMap<String, u64>,
     pub cancel_asked: BTreeSet<String>,
     pub done_tasks: BTreeSet<String>,
+    /// What users were told of each job, in real-time order.
+    pub history: History,
+    /// Starts of tasks whose jobs were confirmed as cancelled before, and the longest time between both, in ms.
+    pub started_after_cancel: u64,
+    pub longest_start_after_cancel: u64,
 }
 
 impl Rules {
@@ -81,6 +87,10 @@
         if job.spread && zones.get(on.zone.as_str()).is_some_and(|n| *n > limit) {
             self.broke("wrong_place", format!("{task}: spread in {zones:?}"), now);
         }
+        if let Some(told) = self.cancelled_told.get(id) {
+            self.started_after_cancel += 1;
+            self.longest_start_after_cancel = self.longest_start_after_cancel.max(now - told);
+        }
         self.check_cancelled(task, now);
     }
 
@@ -121,49 +131,44 @@
         }
     }
 
-    /// A user who asked at `asked` was given a status.
+    /// A user whose question was sent at `sent` was given a status.
     pub fn told(
         &mut self,
         id: &str,
         state: JobState,
         jobs: &HashMap<String, JobRequest>,
-        asked: u64,
+        sent: Instant,
         now: u64,
     ) {
-        let before = |told: &BTreeMap<String, u64>| told.get(id).is_some_and(|at| *at < asked);
         let Some(job) = jobs.get(id) else {
             self.broke("invented", id, now);
             return;
         };
+        self.judge(id, sent, Answer::Known(state), now);
         match state {
             JobState::Done => {
                 let all = (0..job.tasks).all(|i| self.done_tasks.contains(&format!("{id}/{i}")));
                 if !all {
                     self.broke("not_done", id, now);
                 }
-                if self.cancelled_told.contains_key(id) {
-                    self.broke("went_back", format!("{id}: cancelled, then done"), now);
-                }
                 self.done_told.entry(id.to_owned()).or_insert(now);
             }
             JobState::Cancelled => {
-                if !self.cancel_asked.contains(id) || self.done_told.contains_key(id) {
-                    self.broke("went_back", format!("{id} is called cancelled"), now);
-                }
                 self.cancelled_told.entry(id.to_owned()).or_insert(now);
             }
-            JobState::Queued | JobState::Running => {
-                if before(&self.done_told) || before(&self.cancelled_told) {
-                    self.broke("went_back", format!("{id} is open again"), now);
-                }
-            }
+            JobState::Queued | JobState::Running => {}
         }
     }
 
-    /// A user was told that there is no such job.
-    pub fn told_missing(&mut self, id: &str, asked: u64, now: u64) {
-        if self.accepted.get(id).is_some_and(|at| *at < asked) {
-            self.broke("forgotten", id, now);
+    /// A user whose question was sent at `sent` was told that there is no such job, or was refused for good.
+    pub fn told_missing(&mut self, id: &str, answer: Answer, sent: Instant, now: u64) {
+        self.judge(id, sent, answer, now);
+    }
+
+    /// Judges an answer by the history of its job.
+    fn judge(&mut self, id: &str, sent: Instant, answer: Answer, now: u64) {
+        if let Err(Contradiction { rule, what }) = self.history.record(id, sent, answer, now) {
+            self.broke(rule, what, now);
         }
     }
 }
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -130,6 +130,11 @@
         (report.session, report.seq) < (self.session, self.seq)
     }
 
+    /// Has the lease run from now on, without a report.
+    pub fn keep_lease(&mut self, now: u64) {
+        self.lease_from = now;
+    }
+
     /// Ends the session if the lease has run out.
     pub fn check_lease(&mut self, now: u64, lease: u64) {
         if now > self.lease_from + lease {
--- a/crates/testkit/src/world/faults.rs
+++ b/crates/testkit/src/world/faults.rs
@@ -138,6 +138,20 @@
             Fault::Heavy { ms } => (Cut::Heavy, ms),
             Fault::Mistakes { ms } => (Cut::Mistakes, ms),
             Fault::Questions { ms } => (Cut::Questions, ms),
+            Fault::CloseLooks { ms } => (Cut::CloseLooks, ms),
+            Fault::CancelAtEnd { percent, ms } => (Cut::CancelAtEnd(percent), ms),
+            Fault::OddRequests { ms } => {
+                self.at(self.now + 1, Happening::OddRequest);
+                (Cut::OddRequests, ms)
+            }
+            Fault::OneTaskJobs { ms } => {
+                self.at(self.now + 1, Happening::OneTaskJob);
+                (Cut::OneTaskJobs, ms)
+            }
+            Fault::CancelNow { count, hang_ms } => {
+                self.cancel_now(count, hang_ms);
+                return;
+            }
         };
         self.cut(cut, ms);
     }
--- a/crates/testkit/src/world/kinds.rs
+++ b/crates/testkit/src/world/kinds.rs
@@ -1,6 +1,7 @@
 //! What happens, and what is on its way.
 
 use super::plan::Fault;
+use crate::history::Instant;
 use coordination::{Effect, Event, Node, ReportReply, UserRequest};
 use model::CallId;
 use wire::cloud::CloudRequest;
@@ -83,6 +84,14 @@
         id: String,
         tries: u32,
     },
+    /// A question to one node that isn't repeated.
+    Look {
+        node: usize,
+        request: UserRequest,
+        id: String,
+    },
+    OddRequest,
+    OneTaskJob,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -106,6 +115,10 @@
     Copies,
     LateWrites(u64),
     Long(u64),
+    CloseLooks,
+    CancelAtEnd(u64),
+    OddRequests,
+    OneTaskJobs,
 }
 
 pub(super) struct Running {
@@ -157,7 +170,7 @@
     pub(super) request: UserRequest,
     pub(super) id: String,
     pub(super) tries: u32,
-    pub(super) asked: u64,
+    pub(super) sent: Instant,
 }
 
 /// Whether any of the commands starts a task.
--- a/crates/testkit/src/world/machines.rs
+++ b/crates/testkit/src/world/machines.rs
@@ -90,6 +90,11 @@
                 continue;
             }
             // A machine that hangs does not outlive its lease either.
+            if worker.hangs_until > now
+                && self.plan.sabotage == Some(Sabotage::HangingMachinesKeepLeases)
+            {
+                worker.keep_lease(now);
+            }
             worker.check_lease(now, self.terms.lease);
             if worker.hangs_until > now {
                 continue;
@@ -108,9 +113,7 @@
                             self.served.started(&task, job, limit.unwrap_or(f64::MAX), now);
                         }
                     }
-                    Happened::Done(task) => {
-                        self.rules.done_tasks.insert(task);
-                    }
+                    Happened::Done(task) => self.task_done(task),
                 }
             }
             self.step_report(&name);
@@ -192,7 +195,7 @@
                     }
                 } else if running && whole && done {
                     worker.set_gang(&key, TaskState::Exited, Some(ExitCause::Done));
-                    self.rules.done_tasks.insert(task);
+                    self.task_done(task);
                 } else if running && !whole && state == TaskState::Running {
                     worker.set_gang(&key, TaskState::Exited, Some(ExitCause::PeersGone));
                 }
--- a/crates/testkit/src/world/mod.rs
+++ b/crates/testkit/src/world/mod.rs
@@ -1,14 +1,18 @@
 //! The world: a queue of events in simulated time, a network, and real [`Node`]s.
 
+mod cancellations;
+mod close_looks;
 mod faults;
 mod kinds;
 mod machines;
 mod network;
+mod odd_requests;
 mod plan;
 mod sabotage;
 mod site;
 mod state;
 mod users;
+mod views;
 
 pub use plan::{Fault, Plan, Sabotage};
 
@@ -19,16 +23,19 @@
 use crate::state::StateService;
 use crate::takeovers::Takeovers;
 use crate::worker::{Happened, Worker, MISTAKEN};
+use close_looks::{Confirmation, Looks};
 use coordination::node::DirectReply;
 use coordination::{Effect, Event, Node, ReportReply, UserReply, UserRequest};
 use kinds::{starts, Asked, Cut, Happening, Message, Place, Queued, Running};
 use model::{CallId, JobId, Moment, NodeName, Settings};
+use odd_requests::Refusal;
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use site::{settings, Terms, NODES};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet};
+use users::LAST_TRY;
 use wire::cloud::{CloudReply, CloudRequest};
 use wire::mesh::{Hint, MeshMessage};
 use wire::state::{StateReply, StateRequest, Txn, Write};
@@ -52,6 +59,19 @@
     pub old_sessions: u64,
     /// Answers and commands that were lost on their way to machines whose reports arrive.
     pub unheard: u64,
+    /// Jobs that were cancelled at the moment of their acceptance, while they ran with long to go, and
+    /// around the end of their last task.
+    pub cancelled_at_acceptance: u64,
+    pub cancelled_running: u64,
+    pub cancelled_at_end: BTreeSet<String>,
+    /// Machines that hung while their jobs were cancelled.
+    pub hung_with_cancelled: u64,
+    /// Odd requests, by kind.
+    pub repeated_unfinished: u64,
+    pub cancelled_done: u64,
+    pub refused_unfit: u64,
+    pub refused_malformed: u64,
+    pub one_task_jobs: u64,
 }
 
 /// The world.
@@ -80,6 +100,10 @@
     /// Jobs whose tasks run so many times as long.
     long: HashMap<String, u64>,
     next_job: u64,
+    /// How often users have looked closely at each confirmation.
+    looks: Looks,
+    /// Submissions that have to be refused.
+    odd_jobs: HashMap<String, Refusal>,
     limits: BTreeMap<String, f64>,
     settled: BTreeSet<String>,
     submitted: HashMap<String, u64>,
@@ -132,6 +156,8 @@
             jobs: HashMap::new(),
             long: HashMap::new(),
             next_job: 0,
+            looks: Looks::default(),
+            odd_jobs: HashMap::new(),
             limits: (0..6).map(|t| (format!("t{t}"), 6.0 * plan.size as f64)).collect(),
             settled: BTreeSet::new(),
             submitted: HashMap::new(),
@@ -151,6 +177,7 @@
             terms,
             plan,
         };
+        world.pretend_large_machines();
         for node in 0..NODES {
             world.at(0, Happening::Boot { node });
         }
@@ -498,12 +525,15 @@
                 }
             }
             Happening::Cancel { id } => {
-                self.rules.cancel_asked.insert(id.clone());
+                self.note_cancel_requested(&id);
                 if let Some(job) = JobId::parse(&id) {
                     self.ask(UserRequest::Cancel(job), id, 0);
                 }
             }
             Happening::Ask { request, id, tries } => self.ask(request, id, tries),
+            Happening::Look { node, request, id } => self.look(node, request, id),
+            Happening::OddRequest => self.odd_request(),
+            Happening::OneTaskJob => self.one_task_job(),
             Happening::Boot { node } => self.boot(node),
             Happening::Fault(fault) => self.fault(fault),
             Happening::Heal(cut) => {
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -46,6 +46,7 @@
             Cut::Refuse(_) | Cut::Cloud | Cut::Users(_) | Cut::Slow(_) => false,
             Cut::Boots | Cut::Mistakes | Cut::Questions | Cut::Heavy => false,
             Cut::LateWrites(_) | Cut::Long(_) => false,
+            Cut::CloseLooks | Cut::CancelAtEnd(_) | Cut::OddRequests | Cut::OneTaskJobs => false,
         })
     }
 
--- a/crates/testkit/src/world/plan.rs
+++ b/crates/testkit/src/world/plan.rs
@@ -75,6 +75,17 @@
     Long { times: u64, ms: u64 },
     /// Users cancel every job that is accepted and not over, all through one node.
     CancelAll { through: usize },
+    /// Users ask every node again within milliseconds of each confirmation, and some cancel at once.
+    CloseLooks { ms: u64 },
+    /// So many per cent of the jobs that end are cancelled around the end of their last task.
+    CancelAtEnd { percent: u64, ms: u64 },
+    /// So many running jobs with long to go are cancelled within a fifth of a second; up to eight of their
+    /// machines hang that long.
+    CancelNow { count: usize, hang_ms: u64 },
+    /// Users repeat submissions, cancel jobs that are done, and send jobs that fit no machine or lack a field.
+    OddRequests { ms: u64 },
+    /// Jobs of one task come four a second, a quarter of them cancelled.
+    OneTaskJobs { ms: u64 },
     /// Garbage stands on a ledger page of a partition for a time.
     SpoilPage { partition: u32, ms: u64 },
 }
@@ -111,6 +122,14 @@
     CopiesTrusted,
     /// Questions about every seventh job are not answered.
     SomeUnanswered,
+    /// Reads of changes that are to be fresh tell nothing new.
+    FreshReadsOld,
+    /// Ends are written whatever has been cancelled since they were decided.
+    EndsIgnoreCancellations,
+    /// Jobs that fit no machine seem to fit, and missing fields are filled in.
+    OddRequestsTaken,
+    /// The lease of a machine that hangs does not run out.
+    HangingMachinesKeepLeases,
 }
 
 /// What a run consists of.
@@ -154,6 +173,10 @@
             | Fault::Blind { ms, .. }
             | Fault::LateWrites { ms, .. }
             | Fault::Long { ms, .. }
+            | Fault::CloseLooks { ms }
+            | Fault::CancelAtEnd { ms, .. }
+            | Fault::OddRequests { ms }
+            | Fault::OneTaskJobs { ms }
             | Fault::SpoilPage { ms, .. } => *ms,
             Fault::CrashAt { .. } => 6_000,
             Fault::Kill { .. }
@@ -162,7 +185,8 @@
             | Fault::Burst { .. }
             | Fault::KillMany { .. }
             | Fault::SickMany { .. }
-            | Fault::CancelAll { .. } => 0,
+            | Fault::CancelAll { .. }
+            | Fault::CancelNow { .. } => 0,
         }
     }
 }
--- a/crates/testkit/src/world/sabotage.rs
+++ b/crates/testkit/src/world/sabotage.rs
@@ -3,6 +3,15 @@
 use super::*;
 
 impl World {
+    /// The cloud claims that its machines hold any task.
+    pub(super) fn pretend_large_machines(&mut self) {
+        if self.plan.sabotage == Some(Sabotage::OddRequestsTaken) {
+            for kind in &mut self.cloud.types {
+                (kind.cpus, kind.gpus, kind.memory_gb) = (1_000.0, 8.0, 10_000.0);
+            }
+        }
+    }
+
     /// A message as followers get it: with lies, or in part.
     pub(super) fn as_sabotaged(&mut self, message: MeshMessage) -> Option<MeshMessage> {
         let MeshMessage::Hints(mut part) = message else { return Some(message) };
--- a/crates/testkit/src/world/state.rs
+++ b/crates/testkit/src/world/state.rs
@@ -1,6 +1,7 @@
 //! The state service's side of a request, and what is noticed on the way.
 
 use super::*;
+use wire::state::Changes;
 
 /// Partitions whose records a request writes, with the new terms.
 fn holders_written(request: &StateRequest) -> Vec<(u32, u64)> {
@@ -31,6 +32,11 @@
     }
 }
 
+/// Whether final states of jobs are written.
+fn writes_end(writes: &[Write]) -> bool {
+    writes.iter().any(|write| matches!(write, Write::Put { put, .. } if put.starts_with("s/e/")))
+}
+
 impl World {
     pub(super) fn state_answer(&mut self, node: usize, life: u64, call: CallId, reply: StateReply) {
         let event = Event::State { call, reply };
@@ -51,6 +57,11 @@
             return;
         }
         if let StateRequest::Watch { prefix, after, wait_ms } = &request {
+            if *wait_ms == 0 && self.plan.sabotage == Some(Sabotage::FreshReadsOld) {
+                let nothing = Changes { revision: *after, events: Vec::new() };
+                self.state_answer(node, life, call, StateReply::Changes(nothing));
+                return;
+            }
             match self.state.changes(prefix, *after) {
                 Some(reply) => self.state_answer(node, life, call, reply),
                 None => {
@@ -69,6 +80,10 @@
             let page = |w: &Write| matches!(w, Write::Put { put, .. } if put.starts_with("l/"));
             match self.plan.sabotage {
                 Some(Sabotage::PredecessorsForgotten) => forget_predecessors(&mut txn.writes),
+                Some(Sabotage::EndsIgnoreCancellations) => {
+                    txn.conditions
+                        .retain(|c| !c.key.starts_with("s/x/") || !writes_end(&txn.writes));
+                }
                 Some(Sabotage::RoundsNotWritten) => pretend = txn.writes.iter().any(page),
                 Some(Sabotage::NoFencing) => {
                     txn.conditions
--- a/crates/testkit/src/world/users.rs
+++ b/crates/testkit/src/world/users.rs
@@ -1,9 +1,12 @@
 //! Users: what they submit, ask and cancel, and what they make of the answers.
 
 use super::*;
+use crate::history::Answer;
 
 /// How long a node must have been healthy before a load balancer counts on it.
 const BALANCER: u64 = 3_000;
+/// Users give up after so many tries.
+pub(super) const LAST_TRY: u32 = 60;
 
 impl World {
     pub(super) fn submit(&mut self) {
@@ -95,54 +98,26 @@
         self.at(self.now + 4_000, Happening::Poll { id });
     }
 
-    /// Users cancel every job that is accepted and not over, all through one node.
-    pub(super) fn cancel_all(&mut self, through: usize) {
-        let Rules { accepted, done_told, cancel_asked, .. } = &self.rules;
-        let open = accepted.keys().filter(|id| !done_told.contains_key(*id));
-        let ids: Vec<String> = open.filter(|id| !cancel_asked.contains(*id)).cloned().collect();
-        for id in ids {
-            let Some(job) = JobId::parse(&id) else { continue };
-            self.rules.cancel_asked.insert(id.clone());
-            self.ask_node(through, UserRequest::Cancel(job), id, 0);
-        }
-    }
-
     pub(super) fn guest_job(&mut self) {
-        self.next_job += 1;
-        let id = format!("j-{:06}", self.next_job * 7);
         let job = JobRequest {
-            id: id.clone(),
             class: "guests".into(),
-            team: "guest".into(),
-            kind: JobKind::Array,
             priority: Priority::Low,
-            tasks: 20 * self.plan.size,
-            cpus: 1.0,
-            gpus: 0.0,
             memory_gb: 1.0,
             image: "img-guests".into(),
             image_gb: 0.5,
-            types: None,
-            spread: false,
-            zone: None,
-            one_zone: false,
-            spot: true,
             estimate_s: 20.0,
             checkpoint_s: 5.0,
             save_s: 1.0,
-            deadline_s: None,
+            ..self.plain_array("guest".into(), 20 * self.plan.size)
         };
-        self.jobs.insert(id.clone(), job.clone());
-        self.submitted.insert(id.clone(), self.now);
-        self.ask(UserRequest::Submit(Box::new(job)), id.clone(), 0);
-        self.at(self.now + 4_000, Happening::Poll { id });
+        self.submit_job(job);
     }
 
     pub(super) fn ask(&mut self, request: UserRequest, id: String, tries: u32) {
         let reached = |n: &usize| self.nodes[*n].is_some() && !self.cuts.contains(&Cut::Users(*n));
         let alive: Vec<usize> = (0..NODES).filter(reached).collect();
         if alive.is_empty() {
-            if tries < 60 {
+            if tries < LAST_TRY {
                 let what = Happening::Ask { request, id, tries: tries + 1 };
                 self.at(self.now + 1_000, what);
             }
@@ -152,11 +127,12 @@
         self.ask_node(node, request, id, tries);
     }
 
-    fn ask_node(&mut self, node: usize, request: UserRequest, id: String, tries: u32) {
+    pub(super) fn ask_node(&mut self, node: usize, request: UserRequest, id: String, tries: u32) {
         let Some(life) = self.nodes[node].as_ref().map(|r| r.life) else { return };
         self.next_ticket += 1;
         let ticket = self.next_ticket;
-        let asked = Asked { request: request.clone(), id, tries, asked: self.now };
+        let sent = self.rules.history.next_instant(self.now);
+        let asked = Asked { request: request.clone(), id, tries, sent };
         self.tickets.insert((node, life, ticket), asked);
         self.feed(node, Event::User { ticket, request });
     }
@@ -186,13 +162,17 @@
                 continue;
             };
             // Not made again if refused: the next one comes soon.
-            self.ask_node(*node, request, id, 60);
+            self.ask_node(*node, request, id, LAST_TRY);
         }
         self.at(self.now + pause, Happening::AskAll);
     }
 
     pub(super) fn user_answer(&mut self, asked: Asked, reply: UserReply) {
-        let Asked { request, id, tries, asked } = asked;
+        if let Some(expected) = self.odd_jobs.get(&asked.id).copied() {
+            self.odd_answer(asked, expected, reply);
+            return;
+        }
+        let Asked { request, id, tries, sent } = asked;
         let now = self.now;
         let unanswered = self.plan.sabotage == Some(Sabotage::SomeUnanswered)
             && JobId::parse(&id).is_some_and(|job| job.0 % 49 == 0);
@@ -203,7 +183,9 @@
             UserReply::Created(_) => {
                 let first = self.submitted.get(&id).copied().unwrap_or(now);
                 self.accept_ms.push(now - first);
-                self.rules.accepted.entry(id).or_insert(now);
+                self.rules.accepted.entry(id.clone()).or_insert(now);
+                self.rules.told(&id, JobState::Queued, &self.jobs, sent, now);
+                self.look_closely(&id, Confirmation::Accepted);
             }
             UserReply::Status(status) => {
                 if let UserRequest::Submit(_) = request {
@@ -212,10 +194,16 @@
                 if matches!(status.state, JobState::Done | JobState::Cancelled) {
                     self.settled.insert(id.clone());
                 }
-                self.rules.told(&id, status.state, &self.jobs, asked, now);
+                self.rules.told(&id, status.state, &self.jobs, sent, now);
+                match (status.state, &request) {
+                    (JobState::Done, _) => self.look_closely(&id, Confirmation::Done),
+                    (JobState::Cancelled, _) => self.look_closely(&id, Confirmation::Cancelled),
+                    (_, UserRequest::Submit(_)) => self.look_closely(&id, Confirmation::Accepted),
+                    _ => {}
+                }
             }
             UserReply::NotFound => {
-                self.rules.told_missing(&id, asked, now);
+                self.rules.told_missing(&id, Answer::Missing, sent, now);
                 if let UserRequest::Cancel(_) = request {
                     // Its submission may still be under way.
                     let what = Happening::Ask { request, id, tries: tries + 1 };
@@ -225,16 +213,26 @@
                 }
             }
             UserReply::Invalid(_) | UserReply::Rejected(_) => {
-                self.rules.told_missing(&id, asked, now);
+                self.rules.told_missing(&id, Answer::Refused, sent, now);
             }
             UserReply::Busy { retry_after_s } => {
                 self.turned_away += 1;
-                let again = !matches!(request, UserRequest::Get(_)) && tries < 60;
-                if again {
-                    let what = Happening::Ask { request, id, tries: tries + 1 };
-                    self.at(now + retry_after_s.max(1) * 1_000, what);
-                }
+                self.ask_again(request, id, tries, retry_after_s);
             }
         }
     }
+
+    /// Repeats a refused request, unless it is a question or its user gives up.
+    pub(super) fn ask_again(
+        &mut self,
+        request: UserRequest,
+        id: String,
+        tries: u32,
+        retry_after_s: u64,
+    ) {
+        if !matches!(request, UserRequest::Get(_)) && tries < LAST_TRY {
+            let what = Happening::Ask { request, id, tries: tries + 1 };
+            self.at(self.now + retry_after_s.max(1) * 1_000, what);
+        }
+    }
 }
