--- a/crates/testkit/src/world/mod.rs
+++ b/crates/testkit/src/world/mod.rs
@@ -1,15 +1,19 @@
 //! The world: a queue of events in simulated time, a network, and real [`Node`]s.
 
+mod cancellations;
+mod close_looks;
 mod faults;
 mod interference;
 mod kinds;
 mod machines;
 mod network;
+mod odd_requests;
 mod plan;
 mod sabotage;
 mod site;
 mod state;
 mod users;
+mod views;
 
 pub use plan::{Fault, Plan, Sabotage};
 
@@ -20,17 +24,20 @@
 use crate::state::StateService;
 use crate::takeovers::Takeovers;
 use crate::worker::{Happened, Worker, MISTAKEN};
+use close_looks::{Confirmation, Looks};
 use coordination::node::DirectReply;
 use coordination::{Effect, Event, Node, ReportReply, UserReply, UserRequest};
 use interference::Interference;
 use kinds::{starts, Asked, Cut, Happening, Message, Place, Queued, Running};
 use model::{CallId, JobId, Moment, NodeName, Settings};
+use odd_requests::Refusal;
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use site::{settings, Terms, NODES};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet};
+use users::LAST_TRY;
 use wire::cloud::{CloudReply, CloudRequest};
 use wire::mesh::{Hint, MeshMessage};
 use wire::state::{StateReply, StateRequest, Txn, Write};
@@ -79,6 +86,19 @@
     /// What nodes told each other and was lost on one way, and what came again late.
     pub lost_on_one_way: u64,
     pub mesh_copies: u64,
+    /// Jobs that were cancelled at the moment of their acceptance, while they ran with long to go, and
+    /// around the end of their last task.
+    pub cancelled_at_acceptance: u64,
+    pub cancelled_running: u64,
+    pub cancelled_at_end: BTreeSet<String>,
+    /// Machines that hung while their jobs were cancelled.
+    pub hung_with_cancelled: u64,
+    /// Odd requests, by kind.
+    pub repeated_unfinished: u64,
+    pub cancelled_done: u64,
+    pub refused_unfit: u64,
+    pub refused_malformed: u64,
+    pub one_task_jobs: u64,
 }
 
 /// The world.
@@ -108,6 +128,10 @@
     /// Jobs whose tasks run so many times as long.
     long: HashMap<String, u64>,
     next_job: u64,
+    /// How often users have looked closely at each confirmation.
+    looks: Looks,
+    /// Submissions that have to be refused.
+    odd_jobs: HashMap<String, Refusal>,
     limits: BTreeMap<String, f64>,
     settled: BTreeSet<String>,
     submitted: HashMap<String, u64>,
@@ -161,6 +185,8 @@
             jobs: HashMap::new(),
             long: HashMap::new(),
             next_job: 0,
+            looks: Looks::default(),
+            odd_jobs: HashMap::new(),
             limits: (0..6).map(|t| (format!("t{t}"), 6.0 * plan.size as f64)).collect(),
             settled: BTreeSet::new(),
             submitted: HashMap::new(),
@@ -180,6 +206,7 @@
             terms,
             plan,
         };
+        world.pretend_large_machines();
         for node in 0..NODES {
             world.at(0, Happening::Boot { node });
         }
@@ -546,12 +573,15 @@
                 }
             }
             Happening::Cancel { id } => {
-                self.rules.cancel_asked.insert(id.clone());
+                self.note_cancel_requested(&id);
                 if let Some(job) = JobId::parse(&id) {
                     self.ask(UserRequest::Cancel(job), id, 0);
                 }
             }
             Happening::Ask { request, id, tries } => self.ask(request, id, tries),
+            Happening::Look { node, request, id } => self.look(node, request, id),
+            Happening::OddRequest => self.odd_request(),
+            Happening::OneTaskJob => self.one_task_job(),
             Happening::Boot { node } => self.boot(node),
             Happening::Fault(fault) => self.fault(fault),
             Happening::Heal(cut) => {
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -50,6 +50,7 @@
             Cut::LateCommands(_) | Cut::OneWay(..) | Cut::MeshCopies(_) | Cut::SlowLinks(_) => {
                 false
             }
+            Cut::CloseLooks | Cut::CancelAtEnd(_) | Cut::OddRequests | Cut::OneTaskJobs => false,
         })
     }
 
--- a/crates/testkit/src/world/plan.rs
+++ b/crates/testkit/src/world/plan.rs
@@ -75,6 +75,17 @@
     Long { times: u64, ms: u64 },
     /// Users cancel every job that is accepted and not over, all through one node.
     CancelAll { through: usize },
+    /// Users ask every node again within milliseconds of each confirmation, and some cancel at once.
+    CloseLooks { ms: u64 },
+    /// So many per cent of the jobs that end are cancelled around the end of their last task.
+    CancelAtEnd { percent: u64, ms: u64 },
+    /// So many running jobs with long to go are cancelled within a fifth of a second; up to eight of their
+    /// machines hang that long.
+    CancelNow { count: usize, hang_ms: u64 },
+    /// Users repeat submissions, cancel jobs that are done, and send jobs that fit no machine or lack a field.
+    OddRequests { ms: u64 },
+    /// Jobs of one task come four a second, a quarter of them cancelled.
+    OneTaskJobs { ms: u64 },
     /// Garbage stands on a ledger page of a partition for a time.
     SpoilPage { partition: u32, ms: u64 },
     /// So many machines reach no controller: their connections fail. Direct commands and questions reach
@@ -140,6 +151,14 @@
     MeshCopiesTrusted,
     /// Transactions whose answers would be lost are called committed and are not carried out.
     LostNotCarriedOut,
+    /// Reads of changes that are to be fresh tell nothing new.
+    FreshReadsOld,
+    /// Ends are written whatever has been cancelled since they were decided.
+    EndsIgnoreCancellations,
+    /// Jobs that fit no machine seem to fit, and missing fields are filled in.
+    OddRequestsTaken,
+    /// The lease of a machine that hangs does not run out.
+    HangingMachinesKeepLeases,
 }
 
 /// What a run consists of.
@@ -192,6 +211,10 @@
             | Fault::Blind { ms, .. }
             | Fault::LateWrites { ms, .. }
             | Fault::Long { ms, .. }
+            | Fault::CloseLooks { ms }
+            | Fault::CancelAtEnd { ms, .. }
+            | Fault::OddRequests { ms }
+            | Fault::OneTaskJobs { ms }
             | Fault::SpoilPage { ms, .. } => *ms,
             Fault::Mute { ms, .. }
             | Fault::LostAnswers { ms, .. }
@@ -208,7 +231,8 @@
             | Fault::Burst { .. }
             | Fault::KillMany { .. }
             | Fault::SickMany { .. }
-            | Fault::CancelAll { .. } => 0,
+            | Fault::CancelAll { .. }
+            | Fault::CancelNow { .. } => 0,
         }
     }
 }
