standby: feed and follower become a replication stream and replicas

Cause: "feed", "follower", "copy", "in step" and "whole" are words of our own; a replica's lag and a machine in it were bare tuples.

Change: `Feed` is `ReplicationStream` (stream.rs), `Follower` is `Replicas` and `PartitionCopy` is `PartitionReplica` (replica.rs), `Source` is `ReplicationSource`; lag and replicated machines are structs with named fields, the loop that fills parts is three functions. The names on the wire and in the admin views stay.

Measured: tests of the crate pass (stream.rs: the same cases under the new names).

--- a/crates/coordination/src/node/standby.rs
+++ b/crates/coordination/src/node/standby.rs
@@ -1,4 +1,4 @@
-//! Following the holders of partitions that we stand by for, and telling our own followers.
+//! Replicas of partitions that we stand by for, and the streams to our own subscribers.
 
 use super::holder::Holding;
 use super::{Node, LEASE};
@@ -6,7 +6,7 @@
 use scheduler::Share;
 use serde_json::{json, Value};
 use standby::failure_detector::{Evidence, FailoverBlocker, FailureDetector};
-use standby::{assign, Feed, Follower, PartitionCopy, Source};
+use standby::{assign, PartitionReplica, Replicas, ReplicationSource, ReplicationStream};
 use std::collections::{BTreeMap, HashMap};
 use wire::mesh::{HintPart, MeshMessage};
 
@@ -14,7 +14,7 @@
 const LEASE_SLACK: Span = Span(1_000);
 /// Up to so many nodes follow everybody.
 const FEW: usize = 4;
-/// Time between two looks at what we know and our followers do not.
+/// Time between two looks at what we know and our subscribers do not.
 const LOOK: Span = Span(500);
 /// How long our home partition is left to its holder while we are not in step with it.
 pub(super) const WARMING: Span = Span(4_000);
@@ -22,8 +22,9 @@
 /// Standing by: the part of a node that is about following and being followed.
 #[derive(Debug, Default)]
 pub(crate) struct Standby {
-    pub(super) follower: Follower,
-    feeds: BTreeMap<PartitionId, (u64, Feed)>,
+    replicas: Replicas,
+    /// Streams of the partitions that we lead, each with the term in which it was started.
+    streams: BTreeMap<PartitionId, (u64, ReplicationStream)>,
     failure_detector: FailureDetector,
     /// Who stood by for each partition when it had a holder last.
     pub(super) assigned: BTreeMap<PartitionId, NodeName>,
@@ -53,7 +54,7 @@
     fn followed(
         &self,
         standbys: &BTreeMap<PartitionId, NodeName>,
-    ) -> BTreeMap<PartitionId, Source> {
+    ) -> BTreeMap<PartitionId, ReplicationSource> {
         let few = self.nodes.len() <= FEW;
         let mut wanted = BTreeMap::new();
         for (partition, held) in &self.mirror.partitions {
@@ -62,8 +63,8 @@
                 || standbys.get(partition) == Some(self.me())
                 || self.home_of(*partition) == Some(self.me());
             if ours && record.holder != *self.me() {
-                let source =
-                    Source { holder: record.holder.clone(), boot: record.boot, term: record.term };
+                let leader = record.holder.clone();
+                let source = ReplicationSource { leader, boot: record.boot, term: record.term };
                 wanted.insert(*partition, source);
             }
         }
@@ -79,28 +80,28 @@
         let standbys = self.standbys();
         let wanted = self.followed(&standbys);
         self.standby.assigned.extend(standbys);
-        for (to, message) in self.standby.follower.follow(&wanted, now) {
+        for (to, message) in self.standby.replicas.subscribe(&wanted, now) {
             self.mesh(&to, message);
         }
-        let mut out = Vec::new();
-        self.standby.feeds.retain(|partition, _| self.holdings.contains_key(partition));
-        for (partition, (term, feed)) in &mut self.standby.feeds {
+        let mut parts = Vec::new();
+        self.standby.streams.retain(|partition, _| self.holdings.contains_key(partition));
+        for (partition, (term, stream)) in &mut self.standby.streams {
             let holding = self.holdings.get(partition).filter(|h| h.term().0 == *term);
             let Some(share) = holding.and_then(Holding::share) else { continue };
-            if !feed.is_followed(now) {
+            if !stream.has_subscribers(now) {
                 continue;
             }
-            feed.refresh(share.hints(now));
-            let part = HintPart {
+            stream.update(share.hints(now));
+            let header = HintPart {
                 partition: partition.0,
                 boot: self.boot,
                 term: *term,
                 at_ms: now.0,
                 ..HintPart::default()
             };
-            out.extend(feed.parts(&part, now));
+            parts.extend(stream.due_parts(&header, now));
         }
-        for (to, part) in out {
+        for (to, part) in parts {
             self.mesh(&to, MeshMessage::Hints(part));
         }
     }
@@ -119,31 +120,31 @@
         if !held || boot != self.boot {
             return;
         }
-        let feed = self.standby.feeds.entry(partition).or_default();
-        if feed.0 != term {
-            *feed = (term, Feed::default());
+        let stream = self.standby.streams.entry(partition).or_default();
+        if stream.0 != term {
+            *stream = (term, ReplicationStream::default());
         }
-        feed.1.asked(from, have, self.now);
+        stream.1.subscribe(from, have, self.now);
     }
 
     pub(super) fn on_hints(&mut self, from: &NodeName, part: HintPart) {
         let now = self.now;
-        if let Some(answer) = self.standby.follower.take_in(from, part, now) {
+        if let Some(answer) = self.standby.replicas.apply(from, part, now) {
             self.mesh(from, answer);
         }
     }
 
     /// Whether our home partition could be taken on without a gap, or has been waited for long enough.
     pub(super) fn is_warm(&self, partition: PartitionId, homeless: Span) -> bool {
-        homeless >= WARMING || self.standby.follower.in_step(partition, self.now)
+        homeless >= WARMING || self.standby.replicas.is_in_sync(partition, self.now)
     }
 
     /// A worker that reports to another holder has come to us.
     pub(super) fn record_worker_contact(&mut self, partition: PartitionId, machine: &MachineName) {
-        let reports = |copy: &PartitionCopy| {
-            copy.machines.get(machine).is_some_and(|(hint, _)| hint.reporting)
+        let reports = |replica: &PartitionReplica| {
+            replica.machines.get(machine).is_some_and(|machine| machine.hint.reporting)
         };
-        if self.standby.follower.copy(partition).is_some_and(reports) {
+        if self.standby.replicas.get(partition).is_some_and(reports) {
             self.standby.failure_detector.record_worker_contact(partition, machine, self.now);
         }
     }
@@ -152,10 +153,11 @@
     pub(super) fn failover_blockers(&self, partition: PartitionId) -> Vec<FailoverBlocker> {
         let Some(held) = self.mirror.partitions.get(&partition) else { return Vec::new() };
         let (holder, boot) = (&held.record.holder, held.record.boot);
-        let copy =
-            self.standby.follower.copy(partition).filter(|copy| {
-                copy.source().boot == boot && copy.source().term == held.record.term
-            });
+        let term = held.record.term;
+        let is_current = |replica: &&PartitionReplica| {
+            replica.source().boot == boot && replica.source().term == term
+        };
+        let replica = self.standby.replicas.get(partition).filter(is_current);
         let view = self.peers.get(holder).filter(|peer| peer.boot == boot);
         let others = self.peers.iter().filter(|(name, _)| *name != holder && self.peer_lives(name));
         let peer_heartbeat_age = others
@@ -168,8 +170,8 @@
             now: self.now,
             last_heartbeat: view.map(|peer| peer.heard_at),
             peer_heartbeat_age,
-            reporting_machines: copy.map_or(0, PartitionCopy::reporting),
-            replica_complete: copy.is_some_and(PartitionCopy::is_whole),
+            reporting_machines: replica.map_or(0, PartitionReplica::reporting_machines),
+            replica_complete: replica.is_some_and(PartitionReplica::is_complete),
             last_state_read: self.contact_at,
             resumed_at: self.awake_since,
         };
@@ -205,23 +207,23 @@
 
     /// Gives a share what its last holder told us.
     pub(super) fn take_hints(&mut self, partition: PartitionId, share: &mut Share) -> usize {
-        let Some(copy) = self.standby.follower.take(partition) else { return 0 };
-        for (hint, idle_since) in copy.machines.values() {
-            share.follow_machine(hint, *idle_since);
+        let Some(replica) = self.standby.replicas.remove(partition) else { return 0 };
+        for machine in replica.machines.values() {
+            share.follow_machine(&machine.hint, machine.idle_since);
         }
-        for hint in copy.jobs.values() {
+        for hint in replica.jobs.values() {
             share.follow_job(hint, self.now);
         }
-        copy.machines.len()
+        replica.machines.len()
     }
 
     /// Partitions of others that we could take on with all that their holders know.
     pub(super) fn partitions_in_step(&self) -> usize {
-        let follower = &self.standby.follower;
-        follower.copies().filter(|(partition, _)| follower.in_step(**partition, self.now)).count()
+        let replicas = &self.standby.replicas;
+        replicas.iter().filter(|(partition, _)| replicas.is_in_sync(**partition, self.now)).count()
     }
 
-    /// Who stands by for whom, and how far behind each copy is.
+    /// Who stands by for whom, and how far behind each replica is.
     pub(super) fn standby_view(&self) -> Value {
         let now = self.now;
         let standbys = self.standbys();
@@ -247,26 +249,26 @@
             .collect();
         let copies: Vec<Value> = self
             .standby
-            .follower
-            .copies()
-            .map(|(partition, copy)| {
-                let (behind, since, heard_at) = copy.lag();
+            .replicas
+            .iter()
+            .map(|(partition, replica)| {
+                let lag = replica.lag();
                 json!({
-                    "partition": partition.0, "holder": copy.source().holder,
-                    "term": copy.source().term, "behind": behind,
-                    "in_step": self.standby.follower.in_step(*partition, now),
-                    "followed_s": now.since(since).as_secs(),
-                    "heard_s": heard_at.map(|at| now.since(at).as_secs()),
-                    "machines": copy.machines.len(), "jobs": copy.jobs.len(),
+                    "partition": partition.0, "holder": replica.source().leader,
+                    "term": replica.source().term, "behind": lag.changes,
+                    "in_step": self.standby.replicas.is_in_sync(*partition, now),
+                    "followed_s": now.since(lag.subscribed_since).as_secs(),
+                    "heard_s": lag.updated_at.map(|at| now.since(at).as_secs()),
+                    "machines": replica.machines.len(), "jobs": replica.jobs.len(),
                 })
             })
             .collect();
         let followers: Vec<Value> = self
             .standby
-            .feeds
+            .streams
             .iter()
-            .flat_map(|(partition, (_, feed))| {
-                feed.followers().map(move |(node, behind)| {
+            .flat_map(|(partition, (_, stream))| {
+                stream.subscribers().map(move |(node, behind)| {
                     json!({ "partition": partition.0, "node": node, "behind": behind })
                 })
             })
--- a/crates/standby/src/lib.rs
+++ b/crates/standby/src/lib.rs
@@ -2,7 +2,7 @@
 //! stopped.
 //!
 //! Deciding code without I/O: time and messages in, messages and verdicts out. What is followed
-//! here are *hints*, sent by the holder over the mesh ([`Feed`], [`Follower`]). They may be lost,
+//! here are *hints*, sent by the holder over the mesh ([`ReplicationStream`], [`Replicas`]). They may be lost,
 //! late or wrong: they choose whom to ask and what to try first, and prove nothing. Durable facts are
 //! read from the state service by whoever takes the partition.
 //!
@@ -13,9 +13,11 @@
 mod assign;
 pub mod checks;
 pub mod failure_detector;
-mod feed;
-mod follower;
+mod replica;
+mod stream;
 
 pub use assign::assign;
-pub use feed::Feed;
-pub use follower::{Follower, PartitionCopy, Source};
+pub use replica::{
+    PartitionReplica, Replicas, ReplicatedMachine, ReplicationLag, ReplicationSource,
+};
+pub use stream::ReplicationStream;
--- /dev/null
+++ b/crates/standby/src/replica.rs
@@ -0,0 +1,237 @@
+//! The subscriber's side of replication: replicas of what leaders report about their partitions.
+//!
+//! A part that does not connect to what the replica has applied is not used: what is missing is
+//! requested. A part of another term or incarnation than the replica's source is not used at all.
+//! After a change of leader the replica starts from 0, but keeps the former leader's hints until
+//! the first part of the new one.
+
+use model::{MachineName, Moment, NodeName, PartitionId, Span};
+use std::collections::BTreeMap;
+use wire::mesh::{Hint, HintKey, HintPart, JobHint, MachineHint, MeshMessage};
+
+/// Time between two renewals of a subscription.
+const RENEWAL_INTERVAL: Span = Span(1_000);
+/// A replica that has not been updated for longer is not in sync.
+const MAX_UPDATE_AGE: Span = Span(1_600);
+/// How long a replica is kept whose partition has no leader, or one we do not subscribe to.
+const RETENTION: Span = Span(30_000);
+/// Maximum number of hints kept for one partition.
+const MAX_HINTS: usize = 20_000;
+
+/// The leader that a replica subscribes to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReplicationSource {
+    pub leader: NodeName,
+    /// Incarnation of the leader.
+    pub boot: u64,
+    pub term: u64,
+}
+
+/// A machine as its partition leader reports it.
+#[derive(Debug)]
+pub struct ReplicatedMachine {
+    pub hint: MachineHint,
+    /// Since when it has been idle, by our clock.
+    pub idle_since: Option<Moment>,
+}
+
+/// How far a replica is behind its source.
+#[derive(Debug, Clone, Copy)]
+pub struct ReplicationLag {
+    /// Changes that it lacks.
+    pub changes: u64,
+    pub subscribed_since: Moment,
+    pub updated_at: Option<Moment>,
+}
+
+/// What a partition leader has reported about its partition.
+#[derive(Debug)]
+pub struct PartitionReplica {
+    source: ReplicationSource,
+    /// Changes up to this number have been applied.
+    applied: u64,
+    /// The last change that the source has announced.
+    announced: u64,
+    subscribed_since: Moment,
+    updated_at: Option<Moment>,
+    /// When the replica was last asked for.
+    wanted_at: Moment,
+    renewed_at: Option<Moment>,
+    /// Nothing was missing after the last update.
+    complete: bool,
+    pub machines: BTreeMap<MachineName, ReplicatedMachine>,
+    pub jobs: BTreeMap<u64, JobHint>,
+}
+
+impl PartitionReplica {
+    fn new(source: ReplicationSource, now: Moment) -> Self {
+        PartitionReplica {
+            source,
+            applied: 0,
+            announced: 0,
+            subscribed_since: now,
+            updated_at: None,
+            wanted_at: now,
+            renewed_at: None,
+            complete: false,
+            machines: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+        }
+    }
+
+    pub fn source(&self) -> &ReplicationSource {
+        &self.source
+    }
+
+    /// Whether nothing that its source had announced was missing after the last update.
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    pub fn lag(&self) -> ReplicationLag {
+        ReplicationLag {
+            changes: self.announced - self.applied,
+            subscribed_since: self.subscribed_since,
+            updated_at: self.updated_at,
+        }
+    }
+
+    /// Number of machines that report to the leader.
+    pub fn reporting_machines(&self) -> usize {
+        self.machines.values().filter(|machine| machine.hint.reporting).count()
+    }
+
+    /// A message that starts or renews the subscription after what has been applied.
+    fn subscription(&mut self, partition: PartitionId, now: Moment) -> MeshMessage {
+        self.renewed_at = Some(now);
+        let ReplicationSource { boot, term, .. } = self.source;
+        MeshMessage::Follow { partition: partition.0, boot, term, have: self.applied }
+    }
+
+    fn apply(&mut self, hint: Hint, sent_at: Moment, now: Moment) {
+        let full = self.machines.len() + self.jobs.len() >= MAX_HINTS;
+        match hint {
+            Hint::Machine(hint) => {
+                let name = MachineName::from(hint.machine.as_str());
+                if !full || self.machines.contains_key(&name) {
+                    let idle_since = idle_since(&hint, sent_at, now);
+                    self.machines.insert(name, ReplicatedMachine { hint, idle_since });
+                }
+            }
+            Hint::Job(hint) => {
+                if !full || self.jobs.contains_key(&hint.job) {
+                    self.jobs.insert(hint.job, hint);
+                }
+            }
+            Hint::Gone(HintKey::Machine(name)) => {
+                self.machines.remove(&MachineName::from(name.as_str()));
+            }
+            Hint::Gone(HintKey::Job(id)) => {
+                self.jobs.remove(&id);
+            }
+        }
+    }
+
+    /// Removes all hints, to start from 0.
+    fn reset(&mut self) {
+        self.machines.clear();
+        self.jobs.clear();
+        self.applied = 0;
+    }
+}
+
+/// Since when a machine has been idle, by our clock. Clocks of nodes differ: the time for which it
+/// had been idle when the hint was sent counts.
+fn idle_since(hint: &MachineHint, sent_at: Moment, now: Moment) -> Option<Moment> {
+    let idle_at = hint.idle_at?;
+    let idle_for = sent_at.0 - idle_at.min(sent_at.0);
+    Some(Moment(now.0.saturating_sub(idle_for)))
+}
+
+/// All replicas of a node.
+#[derive(Debug, Default)]
+pub struct Replicas {
+    by_partition: BTreeMap<PartitionId, PartitionReplica>,
+}
+
+impl Replicas {
+    /// Makes the subscriptions match the wanted ones; returns what to send to which leader.
+    pub fn subscribe(
+        &mut self,
+        wanted: &BTreeMap<PartitionId, ReplicationSource>,
+        now: Moment,
+    ) -> Vec<(NodeName, MeshMessage)> {
+        let mut messages = Vec::new();
+        for (partition, source) in wanted {
+            let replica = self
+                .by_partition
+                .entry(*partition)
+                .or_insert_with(|| PartitionReplica::new(source.clone(), now));
+            if replica.source != *source {
+                let new = PartitionReplica::new(source.clone(), now);
+                let old = std::mem::replace(replica, new);
+                replica.machines = old.machines;
+                replica.jobs = old.jobs;
+            }
+            replica.wanted_at = now;
+            if replica.renewed_at.is_none_or(|at| now.since(at) >= RENEWAL_INTERVAL) {
+                messages.push((source.leader.clone(), replica.subscription(*partition, now)));
+            }
+        }
+        self.by_partition.retain(|_, replica| now.since(replica.wanted_at) < RETENTION);
+        messages
+    }
+
+    /// Applies a part; returns what to ask its sender for if something is missing.
+    pub fn apply(&mut self, from: &NodeName, part: HintPart, now: Moment) -> Option<MeshMessage> {
+        let partition = PartitionId(part.partition);
+        let replica = self.by_partition.get_mut(&partition)?;
+        let ReplicationSource { leader, boot, term } = &replica.source;
+        if (leader, *boot, *term) != (from, part.boot, part.term) {
+            return None;
+        }
+        let has_gap = part.after > replica.applied;
+        if has_gap || part.upto < part.after || part.newest < part.upto {
+            return Some(replica.subscription(partition, now));
+        }
+        if replica.applied == 0 || replica.applied < part.floor {
+            // A former leader's hints are no longer valid; neither are our own if tombstones that
+            // we lack have been dropped.
+            if part.after != 0 {
+                return Some(replica.subscription(partition, now));
+            }
+            replica.reset();
+        } else if part.upto < replica.applied {
+            // It was sent before a part that we have applied and may be outdated.
+            return None;
+        }
+        for hint in part.hints {
+            replica.apply(hint, Moment(part.at_ms), now);
+        }
+        replica.applied = part.upto;
+        replica.announced = part.newest;
+        replica.complete = replica.applied == replica.announced;
+        replica.updated_at = Some(now);
+        None
+    }
+
+    pub fn get(&self, partition: PartitionId) -> Option<&PartitionReplica> {
+        self.by_partition.get(&partition)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&PartitionId, &PartitionReplica)> {
+        self.by_partition.iter()
+    }
+
+    /// Whether the partition could be taken over now with all that its leader knew.
+    pub fn is_in_sync(&self, partition: PartitionId, now: Moment) -> bool {
+        self.by_partition.get(&partition).is_some_and(|replica| {
+            replica.complete && replica.updated_at.is_some_and(|at| now.since(at) <= MAX_UPDATE_AGE)
+        })
+    }
+
+    /// Removes and returns a replica, for a takeover of its partition.
+    pub fn remove(&mut self, partition: PartitionId) -> Option<PartitionReplica> {
+        self.by_partition.remove(&partition)
+    }
+}
--- /dev/null
+++ b/crates/standby/src/stream.rs
@@ -0,0 +1,173 @@
+//! The leader's side of replication: hints, numbered by their last change, sent to subscribers.
+//!
+//! Each change of a hint gets the next sequence number. A part holds the hints that changed after
+//! one number up to another, so a subscriber that has missed something asks for what it lacks, and
+//! a new one starts from 0. Both the size of a part and the rate of parts are bounded: a hint that
+//! changed twice in the meantime is sent once.
+
+use model::{Moment, NodeName, Span};
+use std::collections::BTreeMap;
+use wire::mesh::{Hint, HintKey, HintPart};
+
+/// Approximate limit on the bytes of hints in one part.
+const MAX_PART_BYTES: usize = 16 * 1024;
+/// Time between two parts with changes to one subscriber.
+const MIN_SEND_INTERVAL: Span = Span(250);
+/// A subscriber without pending changes is sent an empty part this often.
+const KEEPALIVE_INTERVAL: Span = Span(500);
+/// A subscription that has not been renewed for this long ends.
+const SUBSCRIPTION_TIMEOUT: Span = Span(4_000);
+/// Tombstones that are kept; a subscriber that lacks dropped ones starts from 0.
+const MAX_TOMBSTONES: usize = 2_000;
+
+#[derive(Debug)]
+struct Entry {
+    /// Sequence number of its last change.
+    sequence: u64,
+    /// None is a tombstone: the hint was removed, which subscribers must learn too.
+    hint: Option<Hint>,
+    /// The last update that contained the hint.
+    update: u64,
+}
+
+#[derive(Debug)]
+struct Subscriber {
+    /// It has been sent all changes up to this number.
+    sent: u64,
+    renewed_at: Moment,
+    sent_at: Option<Moment>,
+}
+
+/// The hints that a partition leader replicates, and its subscribers.
+#[derive(Debug, Default)]
+pub struct ReplicationStream {
+    /// Sequence number of the last change.
+    last: u64,
+    /// Number of updates so far.
+    updates: u64,
+    entries: BTreeMap<HintKey, Entry>,
+    by_sequence: BTreeMap<u64, HintKey>,
+    tombstones: usize,
+    /// Tombstones up to this number have been dropped.
+    dropped: u64,
+    subscribers: BTreeMap<NodeName, Subscriber>,
+}
+
+impl ReplicationStream {
+    /// Starts or renews the subscription of a node that has applied all changes up to `applied`.
+    pub fn subscribe(&mut self, node: &NodeName, applied: u64, now: Moment) {
+        // A node that lacks dropped tombstones has to start from 0.
+        let applied = if applied < self.dropped { 0 } else { applied.min(self.last) };
+        match self.subscribers.get_mut(node) {
+            Some(subscriber) => {
+                subscriber.renewed_at = now;
+                subscriber.sent = subscriber.sent.min(applied);
+            }
+            None => {
+                let subscriber = Subscriber { sent: applied, renewed_at: now, sent_at: None };
+                self.subscribers.insert(node.clone(), subscriber);
+            }
+        }
+    }
+
+    /// Whether there are subscribers: otherwise the hints need not be collected.
+    pub fn has_subscribers(&mut self, now: Moment) -> bool {
+        self.subscribers.retain(|_, s| now.since(s.renewed_at) < SUBSCRIPTION_TIMEOUT);
+        !self.subscribers.is_empty()
+    }
+
+    /// Subscribers, and how many changes each has still to be sent.
+    pub fn subscribers(&self) -> impl Iterator<Item = (&NodeName, u64)> {
+        self.subscribers.iter().map(|(name, subscriber)| (name, self.last - subscriber.sent))
+    }
+
+    /// Compares all current hints with those known: each difference gets a new sequence number.
+    pub fn update(&mut self, hints: impl IntoIterator<Item = Hint>) {
+        self.updates += 1;
+        for hint in hints {
+            let key = hint.key();
+            match self.entries.get_mut(&key) {
+                Some(entry) if entry.hint.as_ref() == Some(&hint) => entry.update = self.updates,
+                _ => self.record_change(key, Some(hint)),
+            }
+        }
+        let removed: Vec<HintKey> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.hint.is_some() && entry.update != self.updates)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in removed {
+            self.record_change(key, None);
+        }
+        while self.tombstones > MAX_TOMBSTONES {
+            self.drop_oldest_tombstone();
+        }
+    }
+
+    fn record_change(&mut self, key: HintKey, hint: Option<Hint>) {
+        self.last += 1;
+        self.tombstones += usize::from(hint.is_none());
+        let entry = Entry { sequence: self.last, hint, update: self.updates };
+        if let Some(old) = self.entries.insert(key.clone(), entry) {
+            self.by_sequence.remove(&old.sequence);
+            self.tombstones -= usize::from(old.hint.is_none());
+        }
+        self.by_sequence.insert(self.last, key);
+    }
+
+    fn drop_oldest_tombstone(&mut self) {
+        let is_tombstone =
+            |key: &HintKey| self.entries.get(key).is_some_and(|entry| entry.hint.is_none());
+        let oldest = self.by_sequence.iter().find(|(_, key)| is_tombstone(key));
+        let Some((sequence, key)) = oldest else { return };
+        let (sequence, key) = (*sequence, key.clone());
+        self.by_sequence.remove(&sequence);
+        self.entries.remove(&key);
+        self.tombstones -= 1;
+        self.dropped = sequence;
+    }
+
+    /// The parts that are due, each with its subscriber. `header` gives the fields that do not
+    /// depend on the subscriber.
+    pub fn due_parts(&mut self, header: &HintPart, now: Moment) -> Vec<(NodeName, HintPart)> {
+        let due: Vec<(NodeName, u64)> = self
+            .subscribers
+            .iter()
+            .filter(|(_, subscriber)| self.is_due(subscriber, now))
+            .map(|(name, subscriber)| (name.clone(), subscriber.sent))
+            .collect();
+        let mut parts = Vec::new();
+        for (name, after) in due {
+            let part = self.part_after(after, header);
+            if let Some(subscriber) = self.subscribers.get_mut(&name) {
+                subscriber.sent_at = Some(now);
+                subscriber.sent = part.upto;
+            }
+            parts.push((name, part));
+        }
+        parts
+    }
+
+    fn is_due(&self, subscriber: &Subscriber, now: Moment) -> bool {
+        let has_changes = subscriber.sent < self.last;
+        let interval = if has_changes { MIN_SEND_INTERVAL } else { KEEPALIVE_INTERVAL };
+        subscriber.sent_at.is_none_or(|at| now.since(at) >= interval)
+    }
+
+    /// The changes after a sequence number, as many as fit into one part.
+    fn part_after(&self, after: u64, header: &HintPart) -> HintPart {
+        let (mut upto, mut bytes, mut hints) = (self.last, 0, Vec::new());
+        for (sequence, key) in self.by_sequence.range(after + 1..) {
+            if bytes >= MAX_PART_BYTES {
+                upto = sequence - 1;
+                break;
+            }
+            let hint = self.entries.get(key).and_then(|entry| entry.hint.clone());
+            let hint = hint.unwrap_or_else(|| Hint::Gone(key.clone()));
+            bytes += hint.weight();
+            hints.push(hint);
+        }
+        HintPart { after, upto, newest: self.last, floor: self.dropped, hints, ..header.clone() }
+    }
+}
--- a/crates/standby/tests/stream.rs
+++ b/crates/standby/tests/stream.rs
@@ -4,7 +4,7 @@
 use model::{MachineName, Moment, NodeName, PartitionId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use standby::{Feed, Follower, Source};
+use standby::{Replicas, ReplicationSource, ReplicationStream};
 use std::collections::{BTreeMap, BTreeSet};
 use wire::mesh::{Hint, HintPart, JobHint, MachineHint, MeshMessage};
 
@@ -36,7 +36,7 @@
 
 /// The holder's side, its incarnation and its truth.
 struct Holder {
-    feed: Feed,
+    stream: ReplicationStream,
     boot: u64,
     truth: BTreeMap<u32, u64>,
     jobs: BTreeMap<u64, u32>,
@@ -44,7 +44,12 @@
 
 impl Holder {
     fn new(boot: u64) -> Self {
-        Holder { feed: Feed::default(), boot, truth: BTreeMap::new(), jobs: BTreeMap::new() }
+        Holder {
+            stream: ReplicationStream::default(),
+            boot,
+            truth: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+        }
     }
 
     fn change(&mut self, rng: &mut SmallRng, said: &mut BTreeSet<(String, u64)>) {
@@ -61,7 +66,7 @@
         self.jobs.insert(rng.random_range(0..40), rng.random_range(1..9));
         let machines = self.truth.iter().map(|(n, session)| machine(*n, *session));
         let jobs = self.jobs.iter().map(|(n, failures)| job(*n, *failures));
-        self.feed.refresh(machines.chain(jobs));
+        self.stream.update(machines.chain(jobs));
     }
 
     fn part(&self, now: Moment) -> HintPart {
@@ -77,7 +82,7 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut said = BTreeSet::new();
         let mut holder = Holder::new(1);
-        let mut follower = Follower::default();
+        let mut replicas = Replicas::default();
         let mut on_way: Vec<(Moment, HintPart)> = Vec::new();
         let (well_from, ends) = (20_000, 32_000);
         for at in (0..ends).step_by(250) {
@@ -91,21 +96,22 @@
                 }
             }
             let loss = if at < well_from { 0.2 } else { 0.0 };
-            let source = Source { holder: holder_name.clone(), boot: holder.boot, term: 7 };
-            let mut words = follower.follow(&BTreeMap::from([(P, source)]), now);
+            let source =
+                ReplicationSource { leader: holder_name.clone(), boot: holder.boot, term: 7 };
+            let mut words = replicas.subscribe(&BTreeMap::from([(P, source)]), now);
             on_way.sort_by_key(|(at, _)| *at);
             let due: Vec<_> = on_way.extract_if(.., |(at, _)| *at <= now).collect();
             for (_, part) in due {
-                words.extend(follower.take_in(&holder_name, part, now).map(|m| (me.clone(), m)));
+                words.extend(replicas.apply(&holder_name, part, now).map(|m| (me.clone(), m)));
             }
             for (_, word) in words {
                 if let MeshMessage::Follow { boot, have, .. } = word {
                     if boot == holder.boot && !rng.random_bool(loss) {
-                        holder.feed.asked(&me, have, now);
+                        holder.stream.subscribe(&me, have, now);
                     }
                 }
             }
-            for (_, part) in holder.feed.parts(&holder.part(now), now) {
+            for (_, part) in holder.stream.due_parts(&holder.part(now), now) {
                 let bytes: usize = part.hints.iter().map(Hint::weight).sum();
                 assert!(bytes < 20 * 1024, "seed {seed}: a part of {bytes} bytes");
                 if rng.random_bool(loss) {
@@ -117,15 +123,19 @@
                     on_way.push((Moment(at + delay + 900), part));
                 }
             }
-            for (name, (hint, _)) in follower.copy(P).into_iter().flat_map(|c| &c.machines) {
-                let known = (name.to_string(), hint.session);
+            let replica = replicas.get(P);
+            for (name, machine) in replica.into_iter().flat_map(|replica| &replica.machines) {
+                let known = (name.to_string(), machine.hint.session);
                 assert!(said.contains(&known), "seed {seed}: {known:?} was never said");
             }
         }
-        assert!(follower.in_step(P, Moment(ends)), "seed {seed}");
-        let Some(copy) = follower.take(P) else { panic!("seed {seed}: no copy") };
-        let machines: BTreeMap<MachineName, u64> =
-            copy.machines.iter().map(|(name, (hint, _))| (name.clone(), hint.session)).collect();
+        assert!(replicas.is_in_sync(P, Moment(ends)), "seed {seed}");
+        let Some(copy) = replicas.remove(P) else { panic!("seed {seed}: no copy") };
+        let machines: BTreeMap<MachineName, u64> = copy
+            .machines
+            .iter()
+            .map(|(name, machine)| (name.clone(), machine.hint.session))
+            .collect();
         let truth: BTreeMap<MachineName, u64> = holder
             .truth
             .iter()
@@ -143,8 +153,9 @@
 #[test]
 fn words_of_others_are_not_used() {
     let (old, new) = (NodeName::from("n0"), NodeName::from("n1"));
-    let mut follower = Follower::default();
-    let source = |holder: &NodeName, boot, term| Source { holder: holder.clone(), boot, term };
+    let mut replicas = Replicas::default();
+    let source =
+        |leader: &NodeName, boot, term| ReplicationSource { leader: leader.clone(), boot, term };
     let part = |boot, term, session| HintPart {
         partition: P.0,
         boot,
@@ -156,21 +167,21 @@
         at_ms: 10,
         hints: vec![machine(1, session)],
     };
-    let session = |follower: &Follower| {
-        let copy = follower.copy(P).expect("a copy");
-        copy.machines.values().next().map(|(hint, _)| hint.session)
+    let session = |replicas: &Replicas| {
+        let copy = replicas.get(P).expect("a copy");
+        copy.machines.values().next().map(|machine| machine.hint.session)
     };
-    follower.follow(&BTreeMap::from([(P, source(&old, 5, 3))]), Moment(10));
-    assert_eq!(follower.take_in(&old, part(5, 3, 11), Moment(20)), None);
-    assert_eq!(session(&follower), Some(11));
-    follower.follow(&BTreeMap::from([(P, source(&new, 6, 4))]), Moment(30));
-    assert!(!follower.in_step(P, Moment(30)), "the new holder has said nothing yet");
-    follower.take_in(&old, part(5, 3, 12), Moment(40));
-    follower.take_in(&old, part(6, 4, 13), Moment(40));
-    follower.take_in(&new, part(6, 3, 14), Moment(40));
-    follower.take_in(&new, part(9, 4, 15), Moment(40));
-    assert_eq!(session(&follower), Some(11));
-    follower.take_in(&new, part(6, 4, 16), Moment(50));
-    assert_eq!(session(&follower), Some(16));
-    assert!(follower.in_step(P, Moment(50)));
+    replicas.subscribe(&BTreeMap::from([(P, source(&old, 5, 3))]), Moment(10));
+    assert_eq!(replicas.apply(&old, part(5, 3, 11), Moment(20)), None);
+    assert_eq!(session(&replicas), Some(11));
+    replicas.subscribe(&BTreeMap::from([(P, source(&new, 6, 4))]), Moment(30));
+    assert!(!replicas.is_in_sync(P, Moment(30)), "the new holder has said nothing yet");
+    replicas.apply(&old, part(5, 3, 12), Moment(40));
+    replicas.apply(&old, part(6, 4, 13), Moment(40));
+    replicas.apply(&new, part(6, 3, 14), Moment(40));
+    replicas.apply(&new, part(9, 4, 15), Moment(40));
+    assert_eq!(session(&replicas), Some(11));
+    replicas.apply(&new, part(6, 4, 16), Moment(50));
+    assert_eq!(session(&replicas), Some(16));
+    assert!(replicas.is_in_sync(P, Moment(50)));
 }
--- a/crates/testkit/benches/scale.rs
+++ b/crates/testkit/benches/scale.rs
@@ -11,7 +11,7 @@
 };
 use queue::QueueConfig;
 use scheduler::{Machine, Policy, Share, Source};
-use standby::{Feed, Follower, Source as Followed};
+use standby::{Replicas, ReplicationSource, ReplicationStream};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
@@ -99,47 +99,51 @@
     let mut group = c.benchmark_group("standby");
     group.sample_size(10);
     let (holder, follower) = (NodeName::from("n0"), NodeName::from("n1"));
-    let source = Followed { holder: holder.clone(), boot: 1, term: 5 };
+    let source = ReplicationSource { leader: holder.clone(), boot: 1, term: 5 };
     let part = HintPart { boot: 1, term: 5, ..HintPart::default() };
     for size in SIZES {
         let mut share = share(size);
-        let mut feed = Feed::default();
-        feed.refresh(share.hints(Moment(2)));
-        feed.asked(&follower, 0, Moment(2));
+        let mut stream = ReplicationStream::default();
+        stream.update(share.hints(Moment(2)));
+        stream.subscribe(&follower, 0, Moment(2));
         group.bench_function(BenchmarkId::new("look", size), |b| {
             b.iter(|| {
-                feed.refresh(share.hints(Moment(2)));
-                feed.parts(&part, Moment(2)).len()
+                stream.update(share.hints(Moment(2)));
+                stream.due_parts(&part, Moment(2)).len()
             });
         });
         let mut clock = 10_000;
-        let mut whole = |feed: &mut Feed| {
-            feed.asked(&follower, 0, Moment(clock));
+        let mut whole = |stream: &mut ReplicationStream| {
+            stream.subscribe(&follower, 0, Moment(clock));
             let mut parts: Vec<HintPart> = Vec::new();
             while parts.last().is_none_or(|part| part.upto < part.newest) {
                 clock += 1_000;
-                parts.extend(feed.parts(&part, Moment(clock)).into_iter().map(|(_, part)| part));
+                parts.extend(
+                    stream.due_parts(&part, Moment(clock)).into_iter().map(|(_, part)| part),
+                );
             }
             parts
         };
         group.bench_function(BenchmarkId::new("whole_sent", size), |b| {
-            b.iter(|| whole(&mut feed).len());
+            b.iter(|| whole(&mut stream).len());
         });
-        let parts = whole(&mut feed);
+        let parts = whole(&mut stream);
         let wanted = BTreeMap::from([(PartitionId(0), source.clone())]);
         let follow = || {
-            let mut copies = Follower::default();
-            copies.follow(&wanted, Moment(4));
+            let mut replicas = Replicas::default();
+            replicas.subscribe(&wanted, Moment(4));
             for part in &parts {
-                copies.take_in(&holder, part.clone(), Moment(4));
+                replicas.apply(&holder, part.clone(), Moment(4));
             }
-            copies
+            replicas
         };
         group.bench_function(BenchmarkId::new("whole_taken", size), |b| b.iter(follow));
-        let Some(copy) = follow().take(PartitionId(0)) else { continue };
+        let Some(replica) = follow().remove(PartitionId(0)) else { continue };
         group.bench_function(BenchmarkId::new("used", size), |b| {
             b.iter(|| {
-                copy.machines.values().for_each(|(hint, idle)| share.follow_machine(hint, *idle));
+                for machine in replica.machines.values() {
+                    share.follow_machine(&machine.hint, machine.idle_since);
+                }
             });
         });
     }
