standby: the checks before the first decision become `readiness`

Cause: `checks::open`, `Check` and a second `Facts` in one crate do not say what is checked; `rival`, `held` and `contact` need explaining.

The names of the checks, which the log and `admin standby` show, stay, as does the field `open` of the log line. The test moved to tests/readiness.rs: the same cases.

--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -8,7 +8,7 @@
 use crate::records::{demand_key, partition_key, DemandRecord, COUNTER};
 use model::{JobId, MachineName, Moment, NodeName, PartitionId, Revision, Span, Token, Version};
 use scheduler::{Question, Route, Share, Source, Written};
-use standby::checks::Check;
+use standby::readiness::ReadinessCheck;
 use std::collections::BTreeMap;
 use wire::mesh::{MeshMessage, PartitionLoad};
 use wire::state::{Item, StateReply, StateRequest, Txn, Write};
@@ -57,7 +57,7 @@
     pub(super) read_at: Option<Revision>,
     /// The ledger as read, while checks do not hold: which did not when they were last tried.
     pub(super) read: Option<(Revision, Ledger)>,
-    pub(super) open: Vec<Check>,
+    pub(super) failed_checks: Vec<ReadinessCheck>,
     /// Reports answered before the share was built; they still prove what they prove.
     pub(super) early: BTreeMap<MachineName, (Report, Moment)>,
     suspects: Vec<(NodeName, u64)>,
@@ -103,7 +103,7 @@
             pages: Vec::new(),
             read_at: None,
             read: None,
-            open: Vec::new(),
+            failed_checks: Vec::new(),
             early: BTreeMap::new(),
             suspects,
             entitled_until,
--- a/crates/coordination/src/node/rebuild.rs
+++ b/crates/coordination/src/node/rebuild.rs
@@ -9,7 +9,7 @@
 use crate::records::{ledger_prefix, MachineRecord};
 use model::{MachineName, Moment, PartitionId, Revision, Span, Token, ZoneName};
 use scheduler::{Machine, Share, Source};
-use standby::checks::{self, Check, Facts};
+use standby::readiness::{failed_checks, LeadershipFacts, ReadinessCheck};
 use wire::state::{StateReply, StateRequest};
 
 /// Pause before the ledger is read again that could not be, and before one is that is not sound.
@@ -70,25 +70,25 @@
     /// Builds the share once all checks hold. Until then workers are answered, with no orders but
     /// the halts of what is recorded as cancelled.
     pub(super) fn take_on(&mut self, partition: PartitionId) {
-        let Some(facts) = self.checked(partition) else { return };
-        let open = checks::open(&facts);
+        let Some(facts) = self.leadership_facts(partition) else { return };
+        let failed = failed_checks(&facts);
         let Some(holding) = self.holdings.get_mut(&partition) else { return };
-        if open != holding.open && !open.is_empty() {
+        if failed != holding.failed_checks && !failed.is_empty() {
             let unreadable = holding.read.as_ref().map(|(_, ledger)| ledger.unreadable());
-            tracing::warn!(%partition, ?open, ?unreadable, "not ready to decide");
+            tracing::warn!(%partition, open = ?failed, ?unreadable, "not ready to decide");
         }
-        holding.open.clone_from(&open);
-        if open.is_empty() {
+        holding.failed_checks.clone_from(&failed);
+        if failed.is_empty() {
             self.rebuild(partition);
-        } else if open.contains(&Check::PagesSound) {
+        } else if failed.contains(&ReadinessCheck::PagesSound) {
             self.list_again(partition, UNSOUND);
-        } else if open.contains(&Check::LedgerRead) {
+        } else if failed.contains(&ReadinessCheck::LedgerRead) {
             self.list_again(partition, AGAIN);
         }
     }
 
     /// What the checks are made of, once the ledger has been read.
-    fn checked(&self, partition: PartitionId) -> Option<Facts> {
+    fn leadership_facts(&self, partition: PartitionId) -> Option<LeadershipFacts> {
         let holding = self.holdings.get(&partition)?;
         let (ledger, pages) = holding.read.as_ref()?;
         let ours = |p: &&crate::mirror::Versioned<crate::records::PartitionRecord>| {
@@ -97,16 +97,16 @@
                 && record.boot == self.boot
                 && record.term == holding.term().0
         };
-        Some(Facts {
-            record: self.mirror.partitions.get(&partition).filter(ours).map(|p| p.version),
-            held: holding.version(),
+        Some(LeadershipFacts {
+            mirrored_record: self.mirror.partitions.get(&partition).filter(ours).map(|p| p.version),
+            own_version: holding.version(),
             term: holding.term(),
             next_token: Token(self.mirror.next_token()),
-            mirror: self.mirror.revision,
-            ledger: Some(*ledger),
-            unreadable: pages.unreadable().len(),
-            rival: holding.is_yielding() || holding.successor().is_some(),
-            contact: self.in_contact(LAUNCH_CONTACT),
+            mirror_revision: self.mirror.revision,
+            ledger_revision: Some(*ledger),
+            unreadable_pages: pages.unreadable().len(),
+            has_rival: holding.is_yielding() || holding.successor().is_some(),
+            state_is_fresh: self.in_contact(LAUNCH_CONTACT),
         })
     }
 
--- a/crates/coordination/src/node/standby.rs
+++ b/crates/coordination/src/node/standby.rs
@@ -237,9 +237,10 @@
                 } else {
                     Vec::new()
                 };
-                let open = self.holdings.get(partition).map(|h| format!("{:?}", h.open));
+                let holding = self.holdings.get(partition);
+                let failed_checks = holding.map(|h| format!("{:?}", h.failed_checks));
                 json!({
-                    "waits_for": open,
+                    "waits_for": failed_checks,
                     "partition": partition.0, "holder": held.record.holder, "term": held.record.term,
                     "standby": standbys.get(partition), "failover_blockers": blockers,
                     // The name of an earlier version, kept for one release.
--- a/crates/standby/src/lib.rs
+++ b/crates/standby/src/lib.rs
@@ -1,18 +1,18 @@
-//! Standing by for a partition: following its holder, telling that it has ended, going on where it
-//! stopped.
+//! Standing by for a partition: replicating what its leader knows, suspecting that it has crashed,
+//! continuing where it stopped.
 //!
-//! Deciding code without I/O: time and messages in, messages and verdicts out. What is followed
-//! here are *hints*, sent by the holder over the mesh ([`ReplicationStream`], [`Replicas`]). They may be lost,
-//! late or wrong: they choose whom to ask and what to try first, and prove nothing. Durable facts are
-//! read from the state service by whoever takes the partition.
+//! Decisions without I/O: time and messages in, messages and verdicts out. What is replicated are
+//! *hints*, sent by the partition leader over the mesh ([`ReplicationStream`], [`Replicas`]). They
+//! may be lost, late or wrong: they choose whom to ask and what to try first, and prove nothing.
+//! Durable facts are read from the state service by the node that takes the partition over.
 //!
-//! [`failure_detector`] suspects a holder whose record still stands of having crashed, [`checks`] is what a new
-//! holder goes through before its first decision, [`assign`] says who stands by for whom.
-//! `docs/standby.md` weighs the ways and argues why no rule hangs on any of it.
+//! [`failure_detector`] suspects a leader whose record still stands, [`readiness`] is what a new
+//! leader checks before its first decision, [`assign`] chooses the standby of each partition.
+//! `docs/standby.md` compares the alternatives and argues why no rule depends on any of it.
 
 mod assign;
-pub mod checks;
 pub mod failure_detector;
+pub mod readiness;
 mod replica;
 mod stream;
 
--- /dev/null
+++ b/crates/standby/tests/readiness.rs
@@ -0,0 +1,40 @@
+//! What keeps a new partition leader from deciding.
+
+use model::{Revision, Token, Version};
+use standby::readiness::{failed_checks, LeadershipFacts, ReadinessCheck};
+
+#[test]
+fn each_failed_check_alone_keeps_a_leader_from_deciding() {
+    let sound = LeadershipFacts {
+        mirrored_record: Some(Version(70)),
+        own_version: Version(70),
+        term: Token(8),
+        next_token: Token(9),
+        mirror_revision: Revision(70),
+        ledger_revision: Some(Revision(71)),
+        unreadable_pages: 0,
+        has_rival: false,
+        state_is_fresh: true,
+    };
+    assert_eq!(failed_checks(&sound), []);
+    let cases = [
+        (LeadershipFacts { mirrored_record: None, ..sound }, ReadinessCheck::OwnRecord),
+        (
+            LeadershipFacts { mirrored_record: Some(Version(69)), ..sound },
+            ReadinessCheck::OwnRecord,
+        ),
+        (LeadershipFacts { next_token: Token(8), ..sound }, ReadinessCheck::TermGivenOut),
+        (LeadershipFacts { mirror_revision: Revision(69), ..sound }, ReadinessCheck::MirrorReached),
+        (LeadershipFacts { ledger_revision: None, ..sound }, ReadinessCheck::LedgerRead),
+        (
+            LeadershipFacts { ledger_revision: Some(Revision(69)), ..sound },
+            ReadinessCheck::LedgerRead,
+        ),
+        (LeadershipFacts { unreadable_pages: 1, ..sound }, ReadinessCheck::PagesSound),
+        (LeadershipFacts { has_rival: true, ..sound }, ReadinessCheck::Unrivalled),
+        (LeadershipFacts { state_is_fresh: false, ..sound }, ReadinessCheck::Contact),
+    ];
+    for (facts, check) in cases {
+        assert_eq!(failed_checks(&facts), [check]);
+    }
+}
