--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -6,8 +6,9 @@
 //! again. An item that has become empty is kept until every page that may hold an older copy
 //! has been rewritten.
 
+use model::job::MAX_TASKS;
 use model::{JobId, PartitionId, Version};
-use scheduler::{ChunkBody, ChunkKey};
+use scheduler::{ChunkBody, ChunkKey, CHUNK};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use wire::state::{Item, Txn, Write};
@@ -75,6 +76,36 @@
     unreadable: Vec<String>,
 }
 
+/// Why a page of the ledger is not used.
+#[derive(Debug, thiserror::Error)]
+enum PageError {
+    #[error(transparent)]
+    Unreadable(#[from] serde_json::Error),
+    #[error("its round {0} leaves no room to count on")]
+    Round(u64),
+    #[error("its item {1} of job {0} is not sound")]
+    Item(u64, u32),
+}
+
+/// Reads a page, and checks that all of it can be taken over: a part left out would be work done twice.
+fn read_page(value: &serde_json::Value) -> Result<PageBody, PageError> {
+    let body = PageBody::deserialize(value)?;
+    if body.round >= ROUND_LIMIT {
+        return Err(PageError::Round(body.round));
+    }
+    let sound = |Entry(_, chunk, body): &&Entry| *chunk < CHUNKS && body.is_sound();
+    match body.items.iter().find(|entry| !sound(entry)) {
+        Some(Entry(job, chunk, _)) => Err(PageError::Item(*job, *chunk)),
+        None => Ok(body),
+    }
+}
+
+/// Highest number of a page: far more than a partition fills.
+const LAST_PAGE: usize = 100_000;
+/// Rounds at or above this are not reached in the life of a site, and leave no room to count on.
+const ROUND_LIMIT: u64 = 1 << 62;
+/// Chunks that the largest job has.
+const CHUNKS: u32 = (MAX_TASKS as u32).div_ceil(CHUNK);
 /// Pages that a partition starts with.
 const FIRST_PAGES: usize = 4;
 
@@ -103,15 +134,9 @@
             unreadable: Vec::new(),
         };
         for item in items {
-            let Some(number) =
-                item.key.rsplit('/').next().and_then(|text| text.parse::<usize>().ok())
-            else {
-                continue;
-            };
-            if number > 100_000 {
-                continue;
-            }
-            let body = match PageBody::deserialize(&item.value) {
+            let number = item.key.rsplit('/').next().and_then(|text| text.parse::<usize>().ok());
+            let Some(number) = number.filter(|number| *number <= LAST_PAGE) else { continue };
+            let body = match read_page(&item.value) {
                 Ok(body) => body,
                 Err(error) => {
                     tracing::error!(key = %item.key, %error, "a ledger page cannot be read");
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod node;
 mod pipe;
 pub mod records;
+pub mod rejections;
 
 pub use node::admin::{AdminReply, AdminRequest};
 pub use node::{Effect, Event, Node, ReportReply, Tuning, UserReply, UserRequest};
--- a/crates/coordination/src/mirror.rs
+++ b/crates/coordination/src/mirror.rs
@@ -119,16 +119,28 @@
     pub tuning: Option<Versioned<Value>>,
     /// All changes up to here have been applied.
     pub revision: Revision,
+    /// Records and entries that could not be used, until they are counted.
+    rejected: u64,
 }
 
-fn decode<T: DeserializeOwned>(key: &str, value: &Value) -> Option<T> {
-    match T::deserialize(value) {
-        Ok(record) => Some(record),
-        Err(error) => {
-            tracing::error!(key, %error, "a record cannot be read");
-            None
-        }
-    }
+/// Highest number of a page of packed records: far more than a site fills.
+const LAST_PAGE: u32 = 99_999;
+/// Tokens at or above this are not given out in the life of a site; attempts are made of them, shifted.
+const TOKEN_LIMIT: u64 = 1 << 39;
+
+/// A number as keys spell it: digits only.
+fn number(text: &str) -> Option<u32> {
+    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok()).flatten()
+}
+
+/// A partition as keys spell it.
+fn partition(text: &str) -> Option<PartitionId> {
+    number(text).map(PartitionId)
+}
+
+/// A page as keys spell it.
+fn page_number(text: &str) -> Option<u32> {
+    number(text).filter(|page| *page <= LAST_PAGE)
 }
 
 /// `s/KIND/NAME` as its two parts.
@@ -158,13 +170,60 @@
         self.listed.has(id)
     }
 
+    /// How many records and entries could not be used since this was asked last.
+    pub fn take_rejected(&mut self) -> u64 {
+        std::mem::take(&mut self.rejected)
+    }
+
+    /// Counts a record or an entry that is left out of account; what was known stays.
+    fn reject(&mut self, key: &str, problem: &dyn std::fmt::Display) {
+        tracing::error!(key, %problem, "a record cannot be used");
+        self.rejected += 1;
+    }
+
+    fn decode<T: DeserializeOwned>(&mut self, key: &str, value: &Value) -> Option<T> {
+        T::deserialize(value).map_err(|error| self.reject(key, &error)).ok()
+    }
+
+    /// Reads the number in a key with its record.
+    fn decode_numbered<N, T: DeserializeOwned>(
+        &mut self,
+        key: &str,
+        number: Option<N>,
+        value: &Value,
+    ) -> Option<(N, T)> {
+        let Some(number) = number else {
+            self.reject(key, &"its key has no such number");
+            return None;
+        };
+        self.decode(key, value).map(|record| (number, record))
+    }
+
+    /// Takes in the counter. Tokens only rise, whatever is written there.
+    fn put_counter(&mut self, key: &str, value: &Value, version: Version) {
+        let Some(mut record) = self.decode::<CounterRecord>(key, value) else { return };
+        if record.next >= TOKEN_LIMIT {
+            self.reject(key, &"no tokens are left");
+            return;
+        }
+        let known = self.counter.as_ref().map_or(0, |counter| counter.record.next);
+        if record.next < known {
+            self.reject(key, &"tokens were given out beyond it");
+            record.next = known;
+        }
+        self.counter = Some(Versioned { record, version });
+    }
+
     fn put(&mut self, key: &str, value: &Value, version: u64, changed: &mut Vec<Changed>) {
         let version = Version(version);
-        let Some((kind, name)) = parts(key) else { return };
+        let Some((kind, name)) = parts(key) else {
+            self.reject(key, &"it is not under the watched prefix");
+            return;
+        };
         match kind {
             "j" => self.put_intake(key, value, version, changed),
             "x" => {
-                let Some(record) = decode::<CancelsRecord>(key, value) else { return };
+                let Some(record) = self.decode::<CancelsRecord>(key, value) else { return };
                 let record: BTreeSet<JobId> = record.jobs.into_iter().map(JobId).collect();
                 let name = NodeName::from(name);
                 let before = self.cancels.get(&name).map(|c| &c.record);
@@ -174,44 +233,47 @@
             }
             "e" => self.put_ends(key, name, value, version, changed),
             "p" => {
-                let (Ok(number), Some(record)) = (name.parse(), decode(key, value)) else {
-                    return;
-                };
-                self.partitions.insert(PartitionId(number), Versioned { record, version });
-                changed.push(Changed::Partition(PartitionId(number)));
+                let read = self.decode_numbered(key, partition(name), value);
+                let Some((partition, record)) = read else { return };
+                self.partitions.insert(partition, Versioned { record, version });
+                changed.push(Changed::Partition(partition));
             }
             "w" => {
-                if let (Ok(number), Some(record)) = (name.parse(), decode(key, value)) {
-                    self.wishes.insert(PartitionId(number), Versioned { record, version });
+                let read = self.decode_numbered(key, partition(name), value);
+                if let Some((partition, record)) = read {
+                    self.wishes.insert(partition, Versioned { record, version });
                 }
             }
             "d" => {
-                if let (Ok(number), Some(record)) = (name.parse(), decode(key, value)) {
-                    self.demands.insert(PartitionId(number), version);
-                    changed.push(Changed::Demand(PartitionId(number), record));
+                let read = self.decode_numbered(key, partition(name), value);
+                if let Some((partition, record)) = read {
+                    self.demands.insert(partition, version);
+                    changed.push(Changed::Demand(partition, record));
                 }
             }
             "m" => {
-                if let (Ok(page), Some(record)) = (name.parse(), decode(key, value)) {
+                let read = self.decode_numbered(key, page_number(name), value);
+                if let Some((page, record)) = read {
                     self.put_machines(page, record, version, changed);
                 }
             }
             "b" => {
-                let Some(record) = decode(key, value) else { return };
+                let Some(record) = self.decode(key, value) else { return };
                 let name = NodeName::from(name);
                 self.boots.insert(name.clone(), Versioned { record, version });
                 changed.push(Changed::Boot(name));
             }
-            "t" => self.counter = decode(key, value).map(|record| Versioned { record, version }),
+            "t" => self.put_counter(key, value, version),
             "k" => {
-                self.types = decode(key, value).map(|record| Versioned { record, version });
+                let Some(record) = self.decode(key, value) else { return };
+                self.types = Some(Versioned { record, version });
                 changed.push(Changed::Types);
             }
             "c" => {
                 self.tuning = Some(Versioned { record: value.clone(), version });
                 changed.push(Changed::Tuning);
             }
-            _ => {}
+            _ => self.reject(key, &"nothing of this kind is kept"),
         }
     }
 
@@ -222,11 +284,13 @@
         version: Version,
         changed: &mut Vec<Changed>,
     ) {
-        let Some(page) = decode::<IntakePage>(key, value) else { return };
+        let number = key.rsplit_once('/').and_then(|(_, page)| page_number(page));
+        let read = self.decode_numbered::<_, IntakePage>(key, number, value);
+        let Some((_, page)) = read else { return };
         let mut ids = Vec::new();
         for entry in &page.jobs {
             let Some(id) = entry.get(1).and_then(Value::as_str).and_then(JobId::parse) else {
-                tracing::error!(key, "an entry without a job id");
+                self.reject(key, &"an entry has no job id");
                 continue;
             };
             ids.push(id);
@@ -235,10 +299,13 @@
             if self.jobs.contains_key(&id) || self.ended.has(id) {
                 continue;
             }
-            let Some(packed) = decode::<PackedJob>(key, entry) else { continue };
-            let Ok(spec) = JobSpec::try_from(&packed.request()) else {
-                tracing::error!(key, "a recorded job does not pass the checks");
-                continue;
+            let Some(packed) = self.decode::<PackedJob>(key, entry) else { continue };
+            let spec = match JobSpec::try_from(&packed.request()) {
+                Ok(spec) => spec,
+                Err(error) => {
+                    self.reject(key, &error);
+                    continue;
+                }
             };
             let size = packed_size(&packed);
             let job = OpenJob { packed: Arc::new(packed), size, spec: Arc::new(spec) };
@@ -263,9 +330,10 @@
         changed: &mut Vec<Changed>,
     ) {
         let place = name.split_once('/').and_then(|(partition, page)| {
-            Some((PartitionId(partition.parse().ok()?), page.parse().ok()?))
+            Some((PartitionId(number(partition)?), page_number(page)?))
         });
-        let (Some(place), Some(record)) = (place, decode::<EndsPage>(key, value)) else { return };
+        let read = self.decode_numbered::<_, EndsPage>(key, place, value);
+        let Some((place, record)) = read else { return };
         for (id, state) in record.jobs() {
             if self.ended.add(id) {
                 self.jobs.remove(&id);
@@ -288,6 +356,10 @@
     ) {
         let mut new = MachinePage::default();
         for packed in record.machines {
+            if packed.0.is_empty() {
+                self.reject(&machines_key(page), &"a machine has no name");
+                continue;
+            }
             let name = MachineName::from(packed.0.as_str());
             let record = packed.record();
             let size = match self.machines.get(&name) {
@@ -308,6 +380,10 @@
             old.into_iter().flat_map(|old| old.difference(&new.names)).cloned().collect();
         self.machine_pages.insert(page, Versioned { record: new, version });
         for name in gone {
+            if self.machines.get(&name).is_some_and(|known| known.page != page) {
+                // It has been put on another page meanwhile.
+                continue;
+            }
             self.machines.remove(&name);
             changed.push(Changed::Machine(name));
         }
@@ -317,14 +393,14 @@
         let Some((kind, name)) = parts(key) else { return };
         match kind {
             "p" => {
-                if let Ok(number) = name.parse() {
-                    self.partitions.remove(&PartitionId(number));
-                    changed.push(Changed::Partition(PartitionId(number)));
+                if let Some(partition) = partition(name) {
+                    self.partitions.remove(&partition);
+                    changed.push(Changed::Partition(partition));
                 }
             }
             "w" => {
-                if let Ok(number) = name.parse() {
-                    self.wishes.remove(&PartitionId(number));
+                if let Some(partition) = partition(name) {
+                    self.wishes.remove(&partition);
                 }
             }
             "c" => {
@@ -349,20 +425,30 @@
                 self.put(key, event.value.as_ref().unwrap_or(&null), event.version, &mut changed);
             } else if let Some(key) = &event.delete {
                 self.delete(key, &mut changed);
+            } else {
+                self.reject("", &"a change names no key");
             }
         }
         self.revision = self.revision.max(Revision(changes.revision));
         changed
     }
 
+    /// What a full read shows of the counter is no lower than what was known before.
+    fn keep_tokens_rising(&mut self, before: Option<Versioned<CounterRecord>>) {
+        let (Some(counter), Some(before)) = (&mut self.counter, before) else { return };
+        counter.record.next = counter.record.next.max(before.record.next);
+    }
+
     /// Replaces the copy by a full read, begun at `revision`. Keys come in order, so the ends
     /// of jobs are known before the pages that show them.
     pub fn replace(&mut self, items: &[Item], revision: u64) -> Vec<Changed> {
         let old = std::mem::take(self);
+        self.rejected = old.rejected;
         let mut list = Vec::new();
         for item in items {
             self.put(&item.key, &item.value, item.version, &mut list);
         }
+        self.keep_tokens_rising(old.counter);
         let gone = |kept: bool, change: Changed| (!kept).then_some(change);
         list.extend(
             old.partitions
--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -6,6 +6,7 @@
 use crate::budget::Importance;
 use crate::ledger::{Ledger, Round, RoundId};
 use crate::records::{demand_key, partition_key, DemandRecord, COUNTER};
+use crate::rejections::{MessageFault, MessageSource};
 use model::{JobId, MachineName, Moment, NodeName, PartitionId, Revision, Span, Token, Version};
 use scheduler::{Question, Route, Share, Source, Written};
 use standby::checks::Check;
@@ -84,6 +85,16 @@
     }
 }
 
+/// What came of a report.
+#[derive(Debug)]
+pub(super) enum ReportOutcome {
+    Answered(Vec<Command>),
+    /// Something newer is known of the machine: it proves nothing, and is answered with these commands.
+    Stale(Vec<Command>),
+    /// It must not be answered.
+    Withheld,
+}
+
 impl Holding {
     pub(super) fn new(
         term: Token,
@@ -203,7 +214,7 @@
         Some((u64::from(job.done_count()), u64::from(job.running_count())))
     }
 
-    /// Takes in a report and returns the commands for its answer; none: it must not be answered. `halts`
+    /// Takes in a report and works out the commands for its answer. `halts`
     /// are those of tasks that are cancelled by the records alone, worked out only where the share does not tell.
     pub(super) fn answer_report(
         &mut self,
@@ -213,31 +224,33 @@
         launches: bool,
         halts: impl FnOnce() -> Vec<Command>,
         now: Moment,
-    ) -> Option<Vec<Command>> {
+    ) -> ReportOutcome {
         let Some(loaded) = &mut self.loaded else {
             // Keep the lease alive; what to do with tasks is not known yet, but for those that a user
             // has cancelled. Our token voids what a predecessor has under way.
             self.early.insert(name.clone(), (report.clone(), now));
-            return Some(halts());
+            return ReportOutcome::Answered(halts());
         };
         let share = &mut loaded.share;
-        let Some(machine) = share.machines.get_mut(name) else { return Some(halts()) };
+        let Some(machine) = share.machines.get_mut(name) else {
+            return ReportOutcome::Answered(halts());
+        };
         machine.token = machine.token.max(token);
         let newer = share.observe(report, Source::Report, now);
         if !share.may_answer(name, now) {
-            return None;
+            return ReportOutcome::Withheld;
         }
         if let Some(machine) = share.machines.get_mut(name) {
             machine.answer(newer, now);
         }
         if !newer {
-            return Some(halts());
+            return ReportOutcome::Stale(halts());
         }
         let mut commands = share.commands_for(name, Route::Answer, now);
         if !launches {
             commands.retain(|c| !matches!(c, Command::Start { .. }));
         }
-        Some(commands)
+        ReportOutcome::Answered(commands)
     }
 
     pub(super) fn wants_tick(&self, now: Moment) -> Option<Moment> {
@@ -622,6 +635,10 @@
             return;
         };
         let partition = record.partition;
+        if to.is_some_and(|to| to >= self.partition_count()) {
+            self.counters.rejections.add(MessageSource::Peer, MessageFault::Malformed);
+            return;
+        }
         let Some(loaded) = self.holdings.get_mut(&partition).and_then(|h| h.loaded.as_mut()) else {
             return;
         };
@@ -633,10 +650,9 @@
         machine.leaving = true;
         match to {
             None => self.machine_changes.want(&name, MachineChange::Leave),
-            Some(other) if other < self.partition_count() => {
+            Some(other) => {
                 self.machine_changes.want(&name, MachineChange::Shift(PartitionId(other)));
             }
-            Some(_) => {}
         }
     }
 
@@ -644,6 +660,7 @@
     pub(super) fn on_cede_asked(&mut self, message: &MeshMessage) {
         let MeshMessage::Cede { from, to, count, shape } = message else { return };
         if *to >= self.partition_count() || from == to {
+            self.counters.rejections.add(MessageSource::Peer, MessageFault::Malformed);
             return;
         }
         let now = self.now;
--- a/crates/coordination/src/node/leader.rs
+++ b/crates/coordination/src/node/leader.rs
@@ -4,6 +4,7 @@
 use super::{Node, Purpose, LEAD};
 use crate::budget::{Bucket, Importance};
 use crate::records::{DemandRecord, MachineRecord, TYPES};
+use crate::rejections::{MessageFault, MessageSource};
 use fleet::{FleetAction, FleetMachine, Offer, PartitionNeed};
 use model::{CallId, MachineName, Moment, NodeName, PartitionId, Span, ZoneName};
 use std::collections::{BTreeMap, HashMap};
@@ -257,7 +258,10 @@
     }
 
     pub(super) fn on_cloud(&mut self, call: CallId, reply: CloudReply) {
-        let Some(purpose) = self.calls.remove(&call) else { return };
+        let Some(purpose) = self.calls.remove(&call) else {
+            self.counters.rejections.add(MessageSource::Cloud, MessageFault::Stale);
+            return;
+        };
         if reply == CloudReply::Refused {
             self.counters.cloud_refused += 1;
         }
@@ -350,7 +354,14 @@
             self.leader.listing = false;
             return;
         };
+        let before = gathered.last().map(|m| m.id.as_str());
         let after = list.machines.last().map(|m| m.id.clone());
+        if list.more && (after.is_none() || after.as_deref() == before) {
+            // It would be asked for again and again; what it lacks must not count as gone.
+            self.counters.rejections.add(MessageSource::Cloud, MessageFault::Malformed);
+            self.leader.listing = false;
+            return;
+        }
         gathered.extend(list.machines);
         if let (true, Some(after)) = (list.more, after) {
             self.cloud(CloudRequest::List { after, limit: 500 }, Purpose::CloudList { gathered });
--- a/crates/coordination/src/node/mod.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod partitions;
 mod questions;
 mod rebuild;
+mod report_checks;
 mod standby;
 mod steady;
 mod sync;
@@ -18,6 +19,7 @@
 use crate::budget::{Bucket, Importance};
 use crate::ledger::RoundId;
 use crate::mirror::Mirror;
+use crate::rejections::RejectionCounts;
 use admin::{AdminReply, AdminRequest};
 use fleet::FleetPolicy;
 use holder::Holding;
@@ -78,6 +80,8 @@
     Answer(ReportAnswer),
     Redirect(Option<NodeName>),
     Unavailable,
+    /// 400: nothing was concluded from it.
+    Malformed,
 }
 
 /// How a direct call to a worker ended.
@@ -162,7 +166,10 @@
     /// A partition given up.
     GiveUp(PartitionId),
     /// A call to a worker of a partition that we gave up: does it reach us again?
-    Probe(PartitionId),
+    Probe {
+        partition: PartitionId,
+        machine: MachineName,
+    },
     /// A question to a machine that has been quiet: is it there?
     Ask {
         partition: PartitionId,
@@ -246,6 +253,8 @@
     pub cloud_calls: u64,
     pub cloud_refused: u64,
     pub refusals: BTreeMap<&'static str, u64>,
+    /// Messages that changed nothing, to be drained by the metrics.
+    pub rejections: RejectionCounts,
     /// Waits from first sight to placement (ms), to be drained by the metrics.
     pub waits: Vec<u64>,
 }
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -6,7 +6,8 @@
 use super::{Node, PeerView, Purpose};
 use crate::budget::Importance;
 use crate::records::{partition_key, wish_key, PartitionRecord, WishRecord, COUNTER};
-use model::{Moment, NodeName, PartitionId, Session, Span, Token};
+use crate::rejections::{MessageFault, MessageSource};
+use model::{MachineName, Moment, NodeName, PartitionId, Session, Span, Token};
 use standby::signs::SILENT;
 use wire::mesh::MeshMessage;
 use wire::state::{StateReply, StateRequest, Txn, Write};
@@ -45,8 +46,8 @@
     until: Moment,
     /// The pause after the next time.
     pause: Span,
-    /// Addresses of some of its workers.
-    workers: Vec<String>,
+    /// Some of its machines, with their addresses.
+    workers: Vec<(MachineName, String)>,
     probed_at: Moment,
     /// One of them has answered since.
     reached: bool,
@@ -154,11 +155,11 @@
             let waits = now >= shun.until && !shun.reached && now < shun.until + LONGEST_SHUN;
             if waits && now.since(shun.probed_at) >= PROBE {
                 shun.probed_at = now;
-                due.extend(shun.workers.iter().map(|address| (*partition, address.clone())));
+                due.extend(shun.workers.iter().map(|worker| (*partition, worker.clone())));
             }
         }
-        for (partition, address) in due {
-            let purpose = Purpose::Probe(partition);
+        for (partition, (machine, address)) in due {
+            let purpose = Purpose::Probe { partition, machine };
             self.ask_worker(address, Token(0), Session(0), purpose, WORKER_TIMEOUT);
         }
     }
@@ -508,6 +509,7 @@
 
     pub(super) fn on_mesh(&mut self, from: NodeName, message: MeshMessage) {
         if !self.settings.peers.iter().any(|p| p.name == from) {
+            self.counters.rejections.add(MessageSource::Peer, MessageFault::UnknownSender);
             return;
         }
         match message {
@@ -530,6 +532,9 @@
             MeshMessage::Hints(part) => self.on_hints(&from, part),
             MeshMessage::Release { machine, to } => self.on_release_asked(&machine, to),
             MeshMessage::Cede { .. } => self.on_cede_asked(&message),
+            MeshMessage::Taken { holder, .. } if holder != from.as_str() => {
+                self.counters.rejections.add(MessageSource::Peer, MessageFault::Misrouted);
+            }
             MeshMessage::Taken { partition, term, holder } => {
                 if let Some(holding) = self.holdings.get_mut(&PartitionId(partition)) {
                     if Token(term) > holding.term() {
--- a/crates/coordination/src/node/rebuild.rs
+++ b/crates/coordination/src/node/rebuild.rs
@@ -7,6 +7,7 @@
 use crate::budget::Importance;
 use crate::ledger::Ledger;
 use crate::records::{ledger_prefix, MachineRecord};
+use crate::rejections::{MessageFault, MessageSource};
 use model::{MachineName, Moment, PartitionId, Revision, Span, Token, ZoneName};
 use scheduler::{Machine, Share, Source};
 use standby::checks::{self, Check, Facts};
@@ -54,6 +55,13 @@
             self.list_again(partition, AGAIN);
             return;
         };
+        let last = holding.pages.last().map_or("", |item| item.key.as_str());
+        if !page.follows(&ledger_prefix(partition), last) {
+            tracing::error!(%partition, last, "a page of the ledger's read does not follow the one before");
+            self.counters.rejections.add(MessageSource::State, MessageFault::Malformed);
+            self.list_again(partition, AGAIN);
+            return;
+        }
         // Later pages may be newer; what counts is when the first was read.
         let revision = *holding.read_at.get_or_insert(Revision(page.revision));
         let after = page.items.last().map(|item| item.key.clone());
@@ -63,7 +71,14 @@
             return;
         }
         let pages = std::mem::take(&mut holding.pages);
-        holding.read = Some((revision, Ledger::load(partition, &pages, bytes, ops)));
+        let ledger = Ledger::load(partition, &pages, bytes, ops);
+        let unreadable = ledger.unreadable().len() as u64;
+        holding.read = Some((revision, ledger));
+        self.counters.rejections.add_many(
+            MessageSource::State,
+            MessageFault::Malformed,
+            unreadable,
+        );
         self.take_on(partition);
     }
 
--- a/crates/coordination/src/node/standby.rs
+++ b/crates/coordination/src/node/standby.rs
@@ -2,6 +2,7 @@
 
 use super::holder::Holding;
 use super::{Node, LEASE};
+use crate::rejections::{MessageFault, MessageSource};
 use model::{MachineName, Moment, NodeName, PartitionId, Span, ZoneName};
 use scheduler::Share;
 use serde_json::{json, Value};
@@ -117,6 +118,7 @@
         let held = self.holdings.get(&partition).is_some_and(|h| h.term().0 == term);
         // Whoever follows another incarnation of ours sees the record of this one soon.
         if !held || boot != self.boot {
+            self.counters.rejections.add(MessageSource::Peer, MessageFault::Stale);
             return;
         }
         let feed = self.standby.feeds.entry(partition).or_default();
--- a/crates/coordination/src/node/sync.rs
+++ b/crates/coordination/src/node/sync.rs
@@ -4,6 +4,7 @@
 use crate::budget::Importance;
 use crate::mirror::Changed;
 use crate::records::WATCHED;
+use crate::rejections::{MessageFault, MessageSource};
 use model::{CallId, LeaseId, Moment, Span};
 use wire::state::{Changes, Item, StateReply, StateRequest};
 
@@ -78,7 +79,10 @@
     /// An answer of the state service.
     pub(super) fn on_state(&mut self, call: CallId, reply: StateReply) {
         let sent = self.sent_at.remove(&call).unwrap_or(self.now);
-        let Some(purpose) = self.calls.remove(&call) else { return };
+        let Some(purpose) = self.calls.remove(&call) else {
+            self.counters.rejections.add(MessageSource::State, MessageFault::Stale);
+            return;
+        };
         if let StateReply::Refused { throttled } = reply {
             self.counters.state_refused += 1;
             // What changes something may have met either limit; the rest only that of requests.
@@ -136,7 +140,7 @@
             | Purpose::Rent { .. }
             | Purpose::Release(_)
             | Purpose::CloudList { .. }
-            | Purpose::Probe(_)
+            | Purpose::Probe { .. }
             | Purpose::Ask { .. }
             | Purpose::Direct { .. } => {}
         }
@@ -146,6 +150,13 @@
         match reply {
             StateReply::List(page) => {
                 let Some(listing) = self.listing.as_mut() else { return };
+                let last = listing.items.last().map_or("", |item| item.key.as_str());
+                if !page.follows(WATCHED, last) {
+                    tracing::error!(last, "a page of the full read does not follow the one before");
+                    self.counters.rejections.add(MessageSource::State, MessageFault::Malformed);
+                    self.list_anew();
+                    return;
+                }
                 // Later pages may be newer; the watch repeats what lies between.
                 listing.revision.get_or_insert(page.revision);
                 let after = page.items.last().map(|item| item.key.clone());
@@ -162,14 +173,17 @@
                     }
                 }
             }
-            _ => {
-                self.listing = Some(Listing::default());
-                let request = list_request(String::new());
-                self.again(Span(200), Importance::Lease, request, Purpose::List);
-            }
+            _ => self.list_anew(),
         }
     }
 
+    /// Begins the full read again, after a pause.
+    fn list_anew(&mut self) {
+        self.listing = Some(Listing::default());
+        let request = list_request(String::new());
+        self.again(Span(200), Importance::Lease, request, Purpose::List);
+    }
+
     fn on_watch(&mut self, reply: StateReply, sent: Moment) {
         match reply {
             StateReply::Changes(changes) => {
@@ -195,6 +209,12 @@
     }
 
     fn on_changed(&mut self, changed: Vec<Changed>) {
+        let unreadable = self.mirror.take_rejected();
+        self.counters.rejections.add_many(
+            MessageSource::State,
+            MessageFault::Malformed,
+            unreadable,
+        );
         for change in changed {
             match change {
                 Changed::Job(id) => self.job_changed(id),
--- a/crates/coordination/src/node/workers.rs
+++ b/crates/coordination/src/node/workers.rs
@@ -1,7 +1,10 @@
 //! Reports of workers and direct calls to them.
 
+use super::holder::ReportOutcome;
+use super::report_checks::{check_answer, check_report, ReportFault};
 use super::{DirectReply, Effect, Node, Purpose, ReportReply, Ticket, LAUNCH_CONTACT};
 use crate::mirror::Mirror;
+use crate::rejections::{MessageFault, MessageSource};
 use model::{CallId, MachineName, PartitionId, Session, Span, TaskId, Token};
 use scheduler::{Route, Source};
 use wire::workers::{Command, DirectCommands, Report, ReportAnswer, TaskReport, TaskState};
@@ -11,7 +14,17 @@
 
 impl Node {
     pub(super) fn on_report(&mut self, ticket: Ticket, report: Report) {
-        let reply = self.report_reply(&report);
+        let reply = match check_report(&report) {
+            Ok(()) => self.report_reply(&report),
+            Err(fault) => {
+                tracing::warn!(machine = report.machine, ?fault, "a report is rejected");
+                self.counters.rejections.add(MessageSource::Worker, MessageFault::Malformed);
+                ReportReply::Malformed
+            }
+        };
+        if let ReportReply::Redirect(_) = reply {
+            self.counters.rejections.add(MessageSource::Worker, MessageFault::Misrouted);
+        }
         if reply == ReportReply::Unavailable {
             *self.counters.refusals.entry("report").or_default() += 1;
         }
@@ -51,11 +64,18 @@
             return ReportReply::Redirect(None);
         }
         let halts = || halts_of_cancelled(&self.mirror, report);
-        let answer = holding.answer_report(&name, report, token, launches, halts, self.now);
-        let Some(commands) = answer else {
-            tracing::warn!(machine = %name, "not answered: a launch of a cancelled task may come yet");
-            self.counters.answers_withheld += 1;
-            return ReportReply::Unavailable;
+        let commands = match holding.answer_report(&name, report, token, launches, halts, self.now)
+        {
+            ReportOutcome::Answered(commands) => commands,
+            ReportOutcome::Stale(commands) => {
+                self.counters.rejections.add(MessageSource::Worker, MessageFault::Stale);
+                commands
+            }
+            ReportOutcome::Withheld => {
+                tracing::warn!(machine = %name, "not answered: a launch of a cancelled task may come yet");
+                self.counters.answers_withheld += 1;
+                return ReportReply::Unavailable;
+            }
         };
         ReportReply::Answer(ReportAnswer { token: token.0, commands })
     }
@@ -141,39 +161,62 @@
         let share = self.holdings.get_mut(&partition).and_then(|h| h.share_mut());
         let Some(share) = share else { return };
         match reply {
-            DirectReply::Answered(report) if report.machine == machine.as_str() => {
+            DirectReply::Answered(report) => {
                 share.was_asked(machine, true, now);
                 share.observe(&report, Source::Direct, now);
             }
-            _ => share.was_asked(machine, false, now),
+            DirectReply::Unknown => share.was_asked(machine, false, now),
         }
     }
 
+    /// An answer that proves nothing about the machine that was asked counts as none: what was sent
+    /// there may yet be executed.
+    fn checked_answer(&mut self, asked: &MachineName, reply: DirectReply) -> DirectReply {
+        let DirectReply::Answered(report) = &reply else { return reply };
+        let Err(fault) = check_answer(report, asked) else { return reply };
+        tracing::warn!(%asked, by = report.machine, ?fault, "a worker's answer is rejected");
+        let fault = match fault {
+            ReportFault::OtherMachine => MessageFault::Misrouted,
+            ReportFault::Name | ReportFault::Task => MessageFault::Malformed,
+        };
+        self.counters.rejections.add(MessageSource::Worker, fault);
+        DirectReply::Unknown
+    }
+
     pub(super) fn on_direct(&mut self, call: CallId, reply: DirectReply) {
-        let (partition, machine, launches) = match self.calls.remove(&call) {
+        match self.calls.remove(&call) {
             Some(Purpose::Direct { partition, machine, launches }) => {
-                (partition, machine, launches)
+                let reply = self.checked_answer(&machine, reply);
+                self.on_commanded(partition, &machine, &launches, reply);
             }
-            Some(Purpose::Probe(partition)) => {
+            Some(Purpose::Probe { partition, machine }) => {
+                let reply = self.checked_answer(&machine, reply);
                 self.on_probed(partition, matches!(reply, DirectReply::Answered(_)));
-                return;
             }
             Some(Purpose::Ask { partition, machine }) => {
+                let reply = self.checked_answer(&machine, reply);
                 self.on_asked(partition, &machine, reply);
-                return;
             }
-            _ => return,
-        };
+            _ => self.counters.rejections.add(MessageSource::Worker, MessageFault::Stale),
+        }
+    }
+
+    /// What came of commands that were sent straight to a machine.
+    fn on_commanded(
+        &mut self,
+        partition: PartitionId,
+        machine: &MachineName,
+        launches: &[(TaskId, model::Attempt)],
+        reply: DirectReply,
+    ) {
         let now = self.now;
         let Some(share) = self.holdings.get_mut(&partition).and_then(|h| h.share_mut()) else {
             return;
         };
-        if let DirectReply::Unknown = reply {
-            share.was_unanswered(&machine, now);
-        }
-        if let DirectReply::Answered(report) = reply {
-            share.direct_answered(&machine, &launches);
-            if report.machine == machine.as_str() {
+        match reply {
+            DirectReply::Unknown => share.was_unanswered(machine, now),
+            DirectReply::Answered(report) => {
+                share.direct_answered(machine, launches);
                 share.observe(&report, Source::Direct, now);
             }
         }
--- a/crates/model/src/time.rs
+++ b/crates/model/src/time.rs
@@ -26,7 +26,7 @@
     /// The time this span may take on a clock that runs up to 0.05% off ours, with a
     /// quarter of a second for timers and measurement.
     pub fn with_drift(self) -> Span {
-        Span(self.0 + self.0 / 1000 + 250)
+        self + self / 1000 + Span(250)
     }
 
     pub fn saturating_sub(self, other: Span) -> Span {
@@ -37,14 +37,14 @@
 impl Add for Span {
     type Output = Span;
     fn add(self, other: Span) -> Span {
-        Span(self.0 + other.0)
+        Span(self.0.saturating_add(other.0))
     }
 }
 
 impl std::ops::Mul<u64> for Span {
     type Output = Span;
     fn mul(self, by: u64) -> Span {
-        Span(self.0 * by)
+        Span(self.0.saturating_mul(by))
     }
 }
 
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -105,6 +105,13 @@
     pub fn is_empty(&self) -> bool {
         self.done.is_empty() && self.placed.is_empty()
     }
+
+    /// Whether all that it says can be taken over.
+    pub fn is_sound(&self) -> bool {
+        let done = self.done.is_empty() || u64::from_str_radix(&self.done, 16).is_ok();
+        let placed = |task: &PlacedTask| task.0 < CHUNK && !task.2.is_empty();
+        done && self.placed.iter().all(placed)
+    }
 }
 
 impl Placement {
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -605,11 +605,12 @@
     }
 
     /// Addresses of some machines, those heard last first.
-    pub fn addresses(&self, most: usize) -> Vec<String> {
+    pub fn addresses(&self, most: usize) -> Vec<(MachineName, String)> {
         let mut heard: Vec<&Machine> =
             self.machines.values().filter(|m| m.address.is_some() && m.notice.is_none()).collect();
         heard.sort_by_key(|m| std::cmp::Reverse(m.heard_at));
-        heard.into_iter().take(most).filter_map(|m| m.address.clone()).collect()
+        let address = |m: &Machine| Some((m.name.clone(), m.address.clone()?));
+        heard.into_iter().take(most).filter_map(address).collect()
     }
 
     /// Whether progress waits to be written.
--- a/crates/testkit/src/world/machines.rs
+++ b/crates/testkit/src/world/machines.rs
@@ -53,7 +53,7 @@
                     worker.next_report = now + self.rng.random_range(0..500);
                 }
             }
-            ReportReply::Redirect(None) | ReportReply::Unavailable => {
+            ReportReply::Redirect(None) | ReportReply::Unavailable | ReportReply::Malformed => {
                 worker.in_flight = None;
                 worker.node = (node + 1) % NODES;
                 worker.next_report = now + 1_000;
--- a/crates/trackcrank/src/cli.rs
+++ b/crates/trackcrank/src/cli.rs
@@ -80,7 +80,7 @@
         .build()
         .map_err(|e| format!("cannot start the runtime: {e}"))?;
     let path = format!("/admin/v1/{path}");
-    match runtime.block_on(HttpClient::new().plain(method, node, &path, body)) {
+    match runtime.block_on(HttpClient::new(None).plain(method, node, &path, body)) {
         Some((200, body)) => {
             println!("{body}");
             Ok(())
--- a/crates/trackcrank/src/clients.rs
+++ b/crates/trackcrank/src/clients.rs
@@ -1,7 +1,9 @@
 //! HTTP clients of the state service, the cloud and the workers.
 
+use crate::metrics::RejectedMessages;
 use bytes::Bytes;
 use coordination::node::DirectReply;
+use coordination::rejections::{MessageFault, MessageSource};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -13,6 +15,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use wire::cloud::{CloudReply, CloudRequest, MachineNames};
+use wire::json::from_object;
 use wire::state::{LeaseAnswer, LeaseRequest, StateReply, StateRequest, TxnAnswer};
 use wire::workers::{DirectCommands, Report};
 
@@ -26,11 +29,12 @@
 #[derive(Clone)]
 pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
+    rejected: Option<RejectedMessages>,
 }
 
 impl HttpClient {
-    /// A client.
-    pub fn new() -> Self {
+    /// A client that counts the answers that it cannot use.
+    pub fn new(rejected: Option<RejectedMessages>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_millis(1_200)));
@@ -38,7 +42,15 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_secs(20))
             .build(connector);
-        HttpClient { client }
+        HttpClient { client, rejected }
+    }
+
+    /// Counts an answer that cannot be used.
+    fn reject(&self, source: MessageSource) {
+        tracing::warn!(source = source.as_str(), "an answer cannot be read");
+        if let Some(rejected) = &self.rejected {
+            rejected.add(source, MessageFault::Malformed);
+        }
     }
 
     /// One call; none if there was no complete answer in time.
@@ -70,7 +82,10 @@
         let (method, path, body) = state_call(request);
         let timeout = Duration::from_millis(timeout.0);
         match self.call(method, &to.to_string(), &path, body, timeout).await {
-            Some((status, body)) => state_reply(request, status, &body),
+            Some((status, body)) => state_reply(request, status, &body).unwrap_or_else(|| {
+                self.reject(MessageSource::State);
+                StateReply::Unknown
+            }),
             None => StateReply::Unknown,
         }
     }
@@ -111,7 +126,10 @@
             CloudRequest::Release(_) => Some(CloudReply::Released),
             CloudRequest::List { .. } => decode(&body).map(CloudReply::List),
         };
-        reply.unwrap_or(CloudReply::Unknown)
+        reply.unwrap_or_else(|| {
+            self.reject(MessageSource::Cloud);
+            CloudReply::Unknown
+        })
     }
 
     /// Commands straight to a worker.
@@ -123,7 +141,10 @@
             Some((status, body)) if status == StatusCode::OK || status == StatusCode::CONFLICT => {
                 match decode::<Report>(&body) {
                     Some(report) => DirectReply::Answered(Box::new(report)),
-                    None => DirectReply::Unknown,
+                    None => {
+                        self.reject(MessageSource::Worker);
+                        DirectReply::Unknown
+                    }
                 }
             }
             _ => DirectReply::Unknown,
@@ -148,7 +169,7 @@
 }
 
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
-    serde_json::from_slice(body).ok()
+    from_object(body).ok()
 }
 
 fn state_call(request: &StateRequest) -> (Method, String, Option<Vec<u8>>) {
@@ -174,27 +195,26 @@
     }
 }
 
-fn state_reply(request: &StateRequest, status: StatusCode, body: &[u8]) -> StateReply {
+/// Reads an answer of the state service; none if its body is not what belongs to the call.
+pub fn state_reply(request: &StateRequest, status: StatusCode, body: &[u8]) -> Option<StateReply> {
     let text = || String::from_utf8_lossy(body).into_owned();
     let lease_call = matches!(request, StateRequest::Renew { .. } | StateRequest::EndLease { .. });
     match status.as_u16() {
-        429 => return StateReply::Refused { throttled: true },
-        503 => return StateReply::Refused { throttled: false },
-        404 if lease_call => return StateReply::LeaseGone,
-        404 if matches!(request, StateRequest::Get { .. }) => return StateReply::Missing,
+        429 => return Some(StateReply::Refused { throttled: true }),
+        503 => return Some(StateReply::Refused { throttled: false }),
+        404 if lease_call => return Some(StateReply::LeaseGone),
+        404 if matches!(request, StateRequest::Get { .. }) => return Some(StateReply::Missing),
         409 => {
-            return match decode::<TxnAnswer>(body) {
-                Some(TxnAnswer { failed, revision }) => StateReply::Conflict { failed, revision },
-                None => StateReply::Unknown,
-            }
+            let TxnAnswer { failed, revision } = decode(body)?;
+            return Some(StateReply::Conflict { failed, revision });
         }
-        410 => return StateReply::Compacted,
-        400 if text().contains("no such lease") => return StateReply::LeaseGone,
-        400 => return StateReply::Invalid(text()),
+        410 => return Some(StateReply::Compacted),
+        400 if text().contains("no such lease") => return Some(StateReply::LeaseGone),
+        400 => return Some(StateReply::Invalid(text())),
         200..=299 => {}
-        _ => return StateReply::Unknown,
+        _ => return Some(StateReply::Unknown),
     }
-    let reply = match request {
+    match request {
         StateRequest::Get { .. } => decode(body).map(StateReply::Item),
         StateRequest::List { .. } => decode(body).map(StateReply::List),
         StateRequest::Txn(_) => decode::<TxnAnswer>(body)
@@ -204,6 +224,5 @@
         }
         StateRequest::Renew { .. } | StateRequest::EndLease { .. } => Some(StateReply::Ok),
         StateRequest::Watch { .. } => decode(body).map(StateReply::Changes),
-    };
-    reply.unwrap_or(StateReply::Unknown)
+    }
 }
--- a/crates/trackcrank/src/main.rs
+++ b/crates/trackcrank/src/main.rs
@@ -1,16 +1,7 @@
-//! trackcrank: one controller node, and the operators' command line.
-
-mod cli;
-mod clients;
-mod inbound;
-mod listen;
-mod mesh;
-mod metrics;
-mod runtime;
-mod server;
+//! The executable; all that it does is in the library.
 
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    cli::run()
+    trackcrank::cli::run()
 }
--- a/crates/trackcrank/src/mesh.rs
+++ b/crates/trackcrank/src/mesh.rs
@@ -1,6 +1,8 @@
 //! The mesh: length-delimited MessagePack frames between controller nodes.
 
+use crate::metrics::RejectedMessages;
 use bytes::Bytes;
+use coordination::rejections::{MessageFault, MessageSource};
 use coordination::Event;
 use futures_util::{SinkExt, StreamExt};
 use model::settings::Peer;
@@ -56,13 +58,14 @@
 pub async fn listen(
     address: SocketAddr,
     events: mpsc::Sender<Event>,
+    rejected: RejectedMessages,
 ) -> Result<(), std::io::Error> {
     let listener = crate::listen::bind(address).await?;
     tokio::spawn(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, from)) => {
-                    tokio::spawn(read(stream, from, events.clone()));
+                    tokio::spawn(read(stream, from, events.clone(), rejected.clone()));
                 }
                 Err(error) => {
                     tracing::error!(%error, "the mesh cannot accept a connection");
@@ -75,7 +78,12 @@
 }
 
 /// Reads frames; garbage closes the connection.
-async fn read(stream: TcpStream, from: SocketAddr, events: mpsc::Sender<Event>) {
+async fn read(
+    stream: TcpStream,
+    from: SocketAddr,
+    events: mpsc::Sender<Event>,
+    rejected: RejectedMessages,
+) {
     let mut frames = Framed::new(stream, codec());
     loop {
         // Peers speak several times a second; a connection that has been silent for long is dead.
@@ -88,6 +96,7 @@
             }
             Ok(Some(Err(error))) => {
                 tracing::warn!(%from, %error, "garbage on the mesh");
+                rejected.add(MessageSource::Peer, MessageFault::TooLarge);
                 return;
             }
             _ => return,
@@ -101,6 +110,7 @@
             }
             Err(error) => {
                 tracing::warn!(%from, %error, "a mesh frame is not read");
+                rejected.add(MessageSource::Peer, error.fault());
                 return;
             }
         }
@@ -109,7 +119,7 @@
 
 /// Why a frame is not read.
 #[derive(Debug, thiserror::Error)]
-enum Unread {
+pub enum Unread {
     /// A peer that runs another program: it is as good as silent, and both take over cold.
     #[error("it is of version {0}, ours is {MESH_VERSION}")]
     Version(u16),
@@ -117,8 +127,17 @@
     Garbage(#[from] rmp_serde::decode::Error),
 }
 
+impl Unread {
+    fn fault(&self) -> MessageFault {
+        match self {
+            Unread::Version(_) => MessageFault::Version,
+            Unread::Garbage(_) => MessageFault::Malformed,
+        }
+    }
+}
+
 /// Reads a frame. The version comes first, so it is told apart even where the rest has another shape.
-fn decode(bytes: &[u8]) -> Result<Frame, Unread> {
+pub fn decode(bytes: &[u8]) -> Result<Frame, Unread> {
     let (version, ..): (u16, IgnoredAny, IgnoredAny) = rmp_serde::from_slice(bytes)?;
     if version != MESH_VERSION {
         return Err(Unread::Version(version));
--- a/crates/trackcrank/src/metrics.rs
+++ b/crates/trackcrank/src/metrics.rs
@@ -1,6 +1,9 @@
 //! The metrics page, in Prometheus text.
 
-use prometheus::{Encoder, GaugeVec, Histogram, HistogramOpts, Opts, Registry, TextEncoder};
+use coordination::rejections::{MessageFault, MessageSource};
+use prometheus::{
+    Encoder, GaugeVec, Histogram, HistogramOpts, IntCounterVec, Opts, Registry, TextEncoder,
+};
 use serde_json::Value;
 
 /// All metrics of the process.
@@ -12,6 +15,29 @@
     totals: GaugeVec,
     now: GaugeVec,
     waits: Histogram,
+    rejected: RejectedMessages,
+}
+
+/// The counter of rejected messages, for whoever reads them. Clones count together.
+#[derive(Clone)]
+pub struct RejectedMessages(IntCounterVec);
+
+impl RejectedMessages {
+    fn new() -> Result<Self, prometheus::Error> {
+        let help = "Messages that were rejected and changed nothing, by sender and reason";
+        let opts = Opts::new("trackcrank_rejected_messages_total", help);
+        Ok(RejectedMessages(IntCounterVec::new(opts, &["source", "reason"])?))
+    }
+
+    /// Counts one message.
+    pub fn add(&self, source: MessageSource, fault: MessageFault) {
+        self.add_many(source, fault, 1);
+    }
+
+    /// Counts several messages of one kind.
+    pub fn add_many(&self, source: MessageSource, fault: MessageFault, count: u64) {
+        self.0.with_label_values(&[source.as_str(), fault.as_str()]).inc_by(count);
+    }
 }
 
 fn family(name: &str, help: &str, labels: &[&str]) -> Result<GaugeVec, prometheus::Error> {
@@ -46,6 +72,7 @@
             totals: family("trackcrank_events_total", "Events since the start", &["event"])?,
             now: family("trackcrank_count", "What there is now", &["of"])?,
             waits: Histogram::with_opts(waits)?,
+            rejected: RejectedMessages::new()?,
         };
         for gauge in
             [&metrics.pending, &metrics.incoming, &metrics.refusals, &metrics.totals, &metrics.now]
@@ -53,9 +80,15 @@
             metrics.registry.register(Box::new(gauge.clone()))?;
         }
         metrics.registry.register(Box::new(metrics.waits.clone()))?;
+        metrics.registry.register(Box::new(metrics.rejected.0.clone()))?;
         Ok(metrics)
     }
 
+    /// The counter of rejected messages.
+    pub fn rejected(&self) -> &RejectedMessages {
+        &self.rejected
+    }
+
     /// A task was placed after so many milliseconds.
     pub fn observe_wait(&self, ms: u64) {
         self.waits.observe(ms as f64 / 1000.0);
--- a/crates/trackcrank/src/runtime.rs
+++ b/crates/trackcrank/src/runtime.rs
@@ -29,10 +29,11 @@
     let (inbound, requests) = mpsc::channel::<Inbound>(1024);
     let (events, results) = mpsc::channel::<Event>(1024);
     let metrics = Arc::new(Metrics::new().map_err(|e| format!("metrics: {e}"))?);
-    let shared = Shared { inbound, healthy: Arc::new(AtomicBool::new(false)), metrics };
-    mesh::listen(settings.mesh, events.clone())
+    let client = HttpClient::new(Some(metrics.rejected().clone()));
+    mesh::listen(settings.mesh, events.clone(), metrics.rejected().clone())
         .await
         .map_err(|e| format!("mesh_addr {}: {e}", settings.mesh))?;
+    let shared = Shared { inbound, healthy: Arc::new(AtomicBool::new(false)), metrics };
     let listen = settings.listen;
     let server = tokio::spawn(server::run(listen, shared.clone()));
     let peers = settings
@@ -42,7 +43,7 @@
         .collect();
     let seed = rand::rng().random();
     let process = Process {
-        client: HttpClient::new(),
+        client,
         state: settings.state,
         cloud: settings.cloud,
         events,
@@ -98,6 +99,9 @@
             for wait in node.counters.waits.drain(..) {
                 shared.metrics.observe_wait(wait);
             }
+            for (source, fault, count) in node.counters.rejections.drain() {
+                shared.metrics.rejected().add_many(source, fault, count);
+            }
         }
     }
 
--- a/crates/trackcrank/src/server.rs
+++ b/crates/trackcrank/src/server.rs
@@ -1,16 +1,20 @@
 //! The HTTP server for users, workers and health checks.
 
 use crate::inbound::{Inbound, Shared};
+use coordination::rejections::{MessageFault, MessageSource};
 use coordination::{AdminReply, AdminRequest, ReportReply, UserReply, UserRequest};
 use model::JobId;
+use poem::error::ReadBodyError;
 use poem::http::StatusCode;
 use poem::listener::TcpAcceptor;
 use poem::web::{Data, Path};
-use poem::{get, handler, post, Body, EndpointExt, Response, Route, Server};
+use poem::{get, handler, post, Body, EndpointExt, IntoEndpoint, Response, Route, Server};
+use serde::de::DeserializeOwned;
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use tokio::sync::oneshot;
+use wire::json::from_object;
 use wire::users::{ErrorBody, JobRequest};
 use wire::workers::{Redirect, Report};
 
@@ -19,7 +23,13 @@
 
 /// Serves until the listener fails.
 pub async fn run(address: SocketAddr, shared: Shared) -> Result<(), std::io::Error> {
-    let routes = Route::new()
+    let acceptor = TcpAcceptor::from_tokio(crate::listen::bind(address).await?)?;
+    Server::new_with_acceptor(acceptor).run(routes(shared)).await
+}
+
+/// What is served under which path.
+pub fn routes(shared: Shared) -> impl IntoEndpoint {
+    Route::new()
         .at("/healthz", get(health))
         .at("/v1/jobs", post(submit))
         .at("/v1/jobs/:id", get(poll_job))
@@ -32,9 +42,27 @@
         .at("/admin/v1/machines", get(machines))
         .at("/admin/v1/queues", get(queues))
         .at("/admin/v1/jobs/:id", get(explain))
-        .data(shared);
-    let acceptor = TcpAcceptor::from_tokio(crate::listen::bind(address).await?)?;
-    Server::new_with_acceptor(acceptor).run(routes).await
+        .data(shared)
+}
+
+/// Reads a body that holds one object of this kind; what is not one is counted and answered with 400.
+async fn read_object<T: DeserializeOwned>(
+    body: Body,
+    source: MessageSource,
+    shared: &Shared,
+) -> Result<T, Response> {
+    let refuse = |fault, error: String| {
+        shared.metrics.rejected().add(source, fault);
+        problem(StatusCode::BAD_REQUEST, error)
+    };
+    let bytes = match body.into_bytes_limit(MAX_BODY).await {
+        Ok(bytes) => bytes,
+        Err(ReadBodyError::PayloadTooLarge) => {
+            return Err(refuse(MessageFault::TooLarge, "the body is too large".into()))
+        }
+        Err(error) => return Err(refuse(MessageFault::Malformed, error.to_string())),
+    };
+    from_object(&bytes).map_err(|error| refuse(MessageFault::Malformed, error.to_string()))
 }
 
 fn json<T: Serialize>(status: StatusCode, body: &T) -> Response {
@@ -74,22 +102,27 @@
         Ok(UserReply::Created(status)) => json(StatusCode::CREATED, &status),
         Ok(UserReply::Status(status)) => json(StatusCode::OK, &status),
         Ok(UserReply::NotFound) => problem(StatusCode::NOT_FOUND, "no such job"),
-        Ok(UserReply::Invalid(why)) => problem(StatusCode::BAD_REQUEST, why),
+        Ok(UserReply::Invalid(why)) => {
+            shared.metrics.rejected().add(MessageSource::User, MessageFault::Malformed);
+            problem(StatusCode::BAD_REQUEST, why)
+        }
         Ok(UserReply::Rejected(why)) => problem(StatusCode::UNPROCESSABLE_ENTITY, why.to_string()),
         Ok(UserReply::Busy { retry_after_s }) => busy(retry_after_s),
         Err(_) => busy(1),
     }
 }
 
+/// An id that no job can have.
+fn unknown_id(shared: &Shared) -> Response {
+    shared.metrics.rejected().add(MessageSource::User, MessageFault::Malformed);
+    problem(StatusCode::NOT_FOUND, "no such job")
+}
+
 #[handler]
 async fn submit(body: Body, shared: Data<&Shared>) -> Response {
-    let bytes = match body.into_bytes_limit(MAX_BODY).await {
-        Ok(bytes) => bytes,
-        Err(error) => return problem(StatusCode::BAD_REQUEST, error.to_string()),
-    };
-    match serde_json::from_slice::<JobRequest>(&bytes) {
+    match read_object::<JobRequest>(body, MessageSource::User, &shared).await {
         Ok(job) => ask(&shared, UserRequest::Submit(Box::new(job))).await,
-        Err(error) => problem(StatusCode::BAD_REQUEST, error.to_string()),
+        Err(refused) => refused,
     }
 }
 
@@ -97,7 +130,7 @@
 async fn poll_job(Path(id): Path<String>, shared: Data<&Shared>) -> Response {
     match JobId::parse(&id) {
         Some(id) => ask(&shared, UserRequest::Get(id)).await,
-        None => problem(StatusCode::NOT_FOUND, "no such job"),
+        None => unknown_id(&shared),
     }
 }
 
@@ -105,19 +138,15 @@
 async fn cancel(Path(id): Path<String>, shared: Data<&Shared>) -> Response {
     match JobId::parse(&id) {
         Some(id) => ask(&shared, UserRequest::Cancel(id)).await,
-        None => problem(StatusCode::NOT_FOUND, "no such job"),
+        None => unknown_id(&shared),
     }
 }
 
 #[handler]
 async fn report(body: Body, shared: Data<&Shared>) -> Response {
-    let bytes = match body.into_bytes_limit(MAX_BODY).await {
-        Ok(bytes) => bytes,
-        Err(error) => return problem(StatusCode::BAD_REQUEST, error.to_string()),
-    };
-    let report = match serde_json::from_slice::<Report>(&bytes) {
+    let report = match read_object::<Report>(body, MessageSource::Worker, &shared).await {
         Ok(report) => report,
-        Err(error) => return problem(StatusCode::BAD_REQUEST, error.to_string()),
+        Err(refused) => return refused,
     };
     let (sender, answer) = oneshot::channel();
     if shared.inbound.try_send(Inbound::Report(Box::new(report), sender)).is_err() {
@@ -129,6 +158,7 @@
             StatusCode::MISDIRECTED_REQUEST,
             &Redirect { report_to: node.map(|n| n.to_string()) },
         ),
+        Ok(ReportReply::Malformed) => problem(StatusCode::BAD_REQUEST, "the report is malformed"),
         Ok(ReportReply::Unavailable) | Err(_) => busy(1),
     }
 }
@@ -153,6 +183,9 @@
 async fn admin_response(shared: &Shared, request: AdminRequest) -> Response {
     let reply = administer(shared, request).await;
     let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    if status == StatusCode::BAD_REQUEST {
+        shared.metrics.rejected().add(MessageSource::Operator, MessageFault::Malformed);
+    }
     json(status, &reply.body)
 }
 
@@ -163,15 +196,11 @@
 
 #[handler]
 async fn change_settings(body: Body, shared: Data<&Shared>) -> Response {
-    let bytes = match body.into_bytes_limit(MAX_BODY).await {
-        Ok(bytes) => bytes,
-        Err(error) => return problem(StatusCode::BAD_REQUEST, error.to_string()),
-    };
-    match serde_json::from_slice::<ChangeSettings>(&bytes) {
+    match read_object(body, MessageSource::Operator, &shared).await {
         Ok(ChangeSettings { version, settings }) => {
             admin_response(&shared, AdminRequest::ChangeSettings { version, settings }).await
         }
-        Err(error) => problem(StatusCode::BAD_REQUEST, error.to_string()),
+        Err(refused) => refused,
     }
 }
 
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -27,6 +27,22 @@
     pub revision: u64,
 }
 
+impl ListPage {
+    /// Whether it may be the page that follows the key `after` in a read of this prefix: keys in order,
+    /// none from elsewhere, and something to go on from if there is more.
+    pub fn follows(&self, prefix: &str, after: &str) -> bool {
+        let mut last = after;
+        for item in &self.items {
+            let key = item.key.as_str();
+            if key <= last || !key.starts_with(prefix) {
+                return false;
+            }
+            last = key;
+        }
+        !(self.more && self.items.is_empty())
+    }
+}
+
 /// A condition of a transaction.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Condition {
