--- /dev/null
+++ b/crates/coordination/tests/foreign_records.rs
@@ -0,0 +1,206 @@
+//! Records of the state service that no node has written: they are counted, what was known stays, and
+//! nothing panics.
+
+use coordination::ledger::Ledger;
+use coordination::mirror::Mirror;
+use coordination::records::{CounterRecord, MachineRecord, MachinesPage, PackedMachine};
+use model::{JobId, MachineName, NodeName, PartitionId, Version};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::{json, Value};
+use wire::state::{Change, Changes, Item};
+
+fn config(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..ProptestConfig::default()
+    }
+}
+
+fn put(key: &str, value: Value, version: u64) -> Change {
+    let value = Some(value);
+    Change { put: Some(key.into()), delete: None, value, version, lease: None }
+}
+
+fn apply(mirror: &mut Mirror, key: &str, value: Value) {
+    let version = mirror.revision.0 + 1;
+    mirror.apply(&Changes { revision: version, events: vec![put(key, value, version)] });
+}
+
+#[test]
+fn record_that_cannot_be_read_leaves_what_was_known() {
+    let mut mirror = Mirror::default();
+    apply(&mut mirror, "s/t", json!({ "next": 41 }));
+    apply(&mut mirror, "s/k", json!({ "rigs": [] }));
+    apply(&mut mirror, "s/p/0", json!({ "holder": "n0", "boot": 1, "term": 40 }));
+    apply(&mut mirror, "s/x/n0", json!({ "jobs": [412] }));
+    apply(&mut mirror, "s/b/n0", json!({ "boot": 1 }));
+    assert_eq!(mirror.take_rejected(), 0);
+    let foreign = [
+        ("s/t", json!({ "next": -1 })),
+        ("s/t", json!({ "next": 4.5 })),
+        ("s/t", json!({ "next": u64::MAX })),
+        ("s/t", Value::Null),
+        ("s/k", json!({ "rigs": 7 })),
+        ("s/k", json!("none")),
+        ("s/p/0", json!({ "holder": "n1" })),
+        ("s/p/+0", json!({ "holder": "n1", "boot": 1, "term": 50 })),
+        ("s/p/4294967296", json!({ "holder": "n1", "boot": 1, "term": 50 })),
+        ("s/p/", json!({ "holder": "n1", "boot": 1, "term": 50 })),
+        ("s/x/n0", json!({ "jobs": ["j-000412"] })),
+        ("s/b/n0", json!([])),
+        ("s/m/4294967295", json!({ "machines": [] })),
+        ("s/j/n0/4294967295", json!({ "jobs": [] })),
+        ("s/j/n0", json!({ "jobs": [] })),
+        ("s/e/0", json!({})),
+        ("s/zz/0", json!({})),
+    ];
+    let count = foreign.len() as u64;
+    for (key, value) in foreign {
+        apply(&mut mirror, key, value);
+    }
+    assert_eq!(mirror.take_rejected(), count);
+    assert_eq!(mirror.next_token(), 41);
+    assert!(mirror.types.is_some());
+    let partitions: Vec<_> = mirror.partitions.keys().copied().collect();
+    assert_eq!(partitions, [PartitionId(0)]);
+    assert_eq!(mirror.partitions[&PartitionId(0)].record.holder, NodeName::from("n0"));
+    assert!(mirror.is_cancelled(JobId(412)));
+    assert_eq!(mirror.boots[&NodeName::from("n0")].record.boot, 1);
+    assert!(mirror.machine_pages.is_empty() && mirror.intake.is_empty());
+}
+
+#[test]
+fn tokens_only_rise_whatever_is_written() {
+    let mut mirror = Mirror::default();
+    apply(&mut mirror, "s/t", json!({ "next": 41 }));
+    apply(&mut mirror, "s/t", json!({ "next": 7 }));
+    assert_eq!((mirror.next_token(), mirror.counter_version()), (41, 2));
+    assert_eq!(mirror.take_rejected(), 1);
+    let counter = CounterRecord { next: 9, ..CounterRecord::default() };
+    let value = serde_json::to_value(counter).expect("a record");
+    mirror.replace(&[Item { key: "s/t".into(), value, version: 5, lease: None }], 6);
+    assert_eq!((mirror.next_token(), mirror.counter_version()), (41, 5));
+}
+
+#[test]
+fn machine_on_another_page_meanwhile_is_not_dropped_with_its_old_one() {
+    let mut mirror = Mirror::default();
+    let record = MachineRecord {
+        machine_type: "m4".into(),
+        zone: "a".into(),
+        spot: false,
+        partition: PartitionId(0),
+        token: 1,
+        leaving: false,
+    };
+    let packed = |name: &str| PackedMachine::new(&MachineName::from(name), &record);
+    let page = |names: &[&str]| {
+        let machines = names.iter().map(|name| packed(name)).collect();
+        serde_json::to_value(MachinesPage { machines }).expect("a page")
+    };
+    apply(&mut mirror, "s/m/0000", page(&["host-000001", "host-000002", ""]));
+    assert_eq!(mirror.take_rejected(), 1, "a machine without a name");
+    apply(&mut mirror, "s/m/0001", page(&["host-000001"]));
+    apply(&mut mirror, "s/m/0000", page(&["host-000002"]));
+    assert!(mirror.machines.contains_key(&MachineName::from("host-000001")));
+    apply(&mut mirror, "s/m/0001", page(&[]));
+    assert!(!mirror.machines.contains_key(&MachineName::from("host-000001")));
+}
+
+fn ledger_page(key: &str, value: Value) -> Item {
+    Item { key: key.into(), value, version: 3, lease: None }
+}
+
+/// What a page says that cannot be taken over is not known: the partition decides nothing on it.
+#[test]
+fn ledger_pages_that_are_not_sound_count_as_unreadable() {
+    let pages = [
+        json!({ "round": 1, "items": [[412, 0, { "d": "xyz" }]] }),
+        json!({ "round": 1, "items": [[412, 0, { "p": [[64, 1, "host-000001"]] }]] }),
+        json!({ "round": 1, "items": [[412, 0, { "p": [[4294967295u32, 1, "host-000001"]] }]] }),
+        json!({ "round": 1, "items": [[412, 0, { "p": [[0, 1, ""]] }]] }),
+        json!({ "round": 1, "items": [[412, 4294967295u32, {}]] }),
+        json!({ "round": u64::MAX, "items": [] }),
+        json!({ "round": 1, "items": [[412, 0]] }),
+        json!({ "round": -1, "items": [] }),
+        json!([]),
+    ];
+    for page in pages {
+        let items = [ledger_page("l/0/0002", page.clone())];
+        let ledger = Ledger::load(PartitionId(0), &items, 4096, 8);
+        assert_eq!(ledger.unreadable(), ["l/0/0002"], "{page}");
+    }
+    let sound = json!({ "round": 1, "items": [[412, 1562, { "d": "ffff", "p": [[63, 1, "h"]] }]] });
+    let ledger = Ledger::load(PartitionId(0), &[ledger_page("l/0/0002", sound)], 4096, 8);
+    assert!(ledger.unreadable().is_empty());
+    assert_eq!(ledger.jobs(), [JobId(412)]);
+}
+
+fn any_json() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<u64>().prop_map(Value::from),
+        any::<i32>().prop_map(Value::from),
+        Just(json!(4.5)),
+        "[a-z0-9-]{0,9}".prop_map(Value::from),
+        Just(json!("j-000412")),
+    ];
+    let field = prop::sample::select(vec![
+        "jobs", "d", "c", "fd", "fc", "holder", "boot", "term", "suspects", "machines", "node",
+        "lease", "demand", "next", "takers", "round", "right", "items", "p", "rigs",
+    ]);
+    leaf.prop_recursive(4, 30, 5, move |inner| {
+        prop_oneof![
+            vec(inner.clone(), 0..5).prop_map(Value::from),
+            vec((field.clone(), inner), 0..5).prop_map(|fields| {
+                Value::Object(fields.into_iter().map(|(k, v)| (k.to_owned(), v)).collect())
+            }),
+        ]
+    })
+}
+
+proptest! {
+    #![proptest_config(config(3))]
+
+    #[test]
+    fn random_records_are_rejected_or_read(
+        events in vec(("s/[jxepwdmbtkcz](/(n0/)?[0-9]{1,4})?", any_json(), any::<bool>()), 1..12),
+    ) {
+        let mut mirror = Mirror::default();
+        let mut items = Vec::new();
+        for (at, (key, value, deleted)) in events.into_iter().enumerate() {
+            let version = at as u64 + 1;
+            let change = if deleted {
+                Change { put: None, delete: Some(key), value: None, version, lease: None }
+            } else {
+                items.push(Item { key: key.clone(), value: value.clone(), version, lease: None });
+                put(&key, value, version)
+            };
+            mirror.apply(&Changes { revision: version, events: vec![change] });
+        }
+        let tokens = mirror.next_token();
+        let revision = mirror.revision.0;
+        mirror.replace(&items, revision);
+        prop_assert!(mirror.next_token() >= tokens || mirror.counter.is_none());
+    }
+
+    #[test]
+    fn random_ledger_pages_are_rejected_or_read(
+        pages in vec(("l/0/[0-9]{1,6}", any_json()), 1..6),
+    ) {
+        let items: Vec<Item> =
+            pages.into_iter().map(|(key, value)| ledger_page(&key, value)).collect();
+        let ledger = Ledger::load(PartitionId(0), &items, 4096, 8);
+        for job in ledger.jobs() {
+            ledger.chunks_of(job);
+        }
+        let (round, _) = ledger.prepare(Version(3), Vec::new());
+        let mut after = ledger;
+        after.commit(&round, 9);
+    }
+}
--- a/crates/testkit/src/solo.rs
+++ b/crates/testkit/src/solo.rs
@@ -5,7 +5,7 @@
 use crate::worker::Worker;
 use coordination::node::DirectReply;
 use coordination::records::{machines_key, MachineRecord, MachinesPage, PackedMachine};
-use coordination::{Effect, Event, Node, ReportReply, UserRequest};
+use coordination::{Effect, Event, Node, ReportReply, UserReply, UserRequest};
 use model::{CallId, MachineName, Moment, PartitionId, Settings};
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -24,6 +24,7 @@
 
 /// The node and what surrounds it.
 pub struct Solo {
+    settings: Settings,
     node: Node,
     state: StateService,
     now: u64,
@@ -35,9 +36,13 @@
     tickets: u64,
     answered: usize,
     machines: usize,
+    /// Another machine that stands at all addresses: it answers direct calls with this report.
+    impostor: Option<Report>,
+    report_replies: Vec<ReportReply>,
+    user_replies: Vec<UserReply>,
 }
 
-fn settings(machines: usize) -> Settings {
+fn settings(machines: usize, peers: &str) -> Settings {
     let teams: String = (0..12)
         .map(|t| {
             let cpus = machines / 4;
@@ -52,7 +57,7 @@
          [settings.workers]\nreport_s = 5.0\nlease_s = 600.0\ngang_wait_s = 45.0\n\
          gang_peer_s = 8.0\ncancel_s = 1300.0\n[settings.state]\nrps = 1000000.0\n\
          write_rps = 1000000.0\nvalue_kb = 8.0\ntxn_ops = 8\n[settings.cloud]\nrps = 10.0\n\
-         list_lag_s = 8.0\n"
+         list_lag_s = 8.0\n{peers}"
     );
     match Settings::parse(&text) {
         Ok(settings) => settings,
@@ -113,6 +118,16 @@
 impl Solo {
     /// A node that holds so many machines, all of them idle and known to it.
     pub fn new(machines: usize) -> Self {
+        Solo::with_settings(machines, settings(machines, ""))
+    }
+
+    /// The same beside a peer, n1, that says nothing of its own.
+    pub fn with_silent_peer(machines: usize) -> Self {
+        let peer = "[[peers]]\nmember = \"n1\"\nzone = \"b\"\nendpoint = \"10.0.0.2:81\"\n";
+        Solo::with_settings(machines, settings(machines, peer))
+    }
+
+    fn with_settings(machines: usize, settings: Settings) -> Self {
         let mut state = StateService::new(1e9);
         let workers: Vec<Worker> = (0..machines).map(worker).collect();
         for (page, workers) in workers.chunks(PAGE).enumerate() {
@@ -132,7 +147,8 @@
             state.execute(1, &StateRequest::Txn(Txn::default().write(write)));
         }
         let mut solo = Solo {
-            node: Node::new(settings(machines), 1 << 20),
+            node: Node::new(settings.clone(), 1 << 20),
+            settings,
             state,
             now: 10,
             workers,
@@ -143,6 +159,9 @@
             tickets: 0,
             answered: 0,
             machines,
+            impostor: None,
+            report_replies: Vec::new(),
+            user_replies: Vec::new(),
         };
         solo.hear_all();
         solo
@@ -259,11 +278,7 @@
     /// Another incarnation of the node starts on the same state: what all its events cost until
     /// it has answered the first report with its partition read.
     pub fn take_over(&mut self) -> Duration {
-        self.node = Node::new(settings(self.machines), (2 + self.now) << 20);
-        self.watch = None;
-        self.events.clear();
-        self.now += 10_000;
-        self.state.expire(self.now);
+        self.restart();
         let mut all = Duration::ZERO;
         let before = self.answered;
         for round in 0..400 {
@@ -279,6 +294,15 @@
         all
     }
 
+    /// Another incarnation of the node starts on the same state, after the lease of this one.
+    pub fn restart(&mut self) {
+        self.node = Node::new(self.settings.clone(), (2 + self.now) << 20);
+        self.watch = None;
+        self.events.clear();
+        self.now += 10_000;
+        self.state.expire(self.now);
+    }
+
     /// Feeds an event and all that follows from it; returns what the node itself took.
     fn feed(&mut self, event: Event) -> Duration {
         let mut spent = Duration::ZERO;
@@ -308,6 +332,11 @@
                 self.events.push_back(Event::Cloud { call, reply });
             }
             Effect::Worker { call, address, body, .. } => {
+                if let Some(report) = self.impostor.clone() {
+                    let reply = DirectReply::Answered(Box::new(report));
+                    self.events.push_back(Event::Worker { call, reply });
+                    return;
+                }
                 let machine = address.trim_end_matches(":9000");
                 let nth = machine.trim_start_matches("host-").parse::<usize>().unwrap_or(0);
                 let worker = &mut self.workers[nth];
@@ -317,8 +346,11 @@
                 let reply = DirectReply::Answered(report);
                 self.events.push_back(Event::Worker { call, reply });
             }
-            Effect::Report { reply: ReportReply::Answer(_), .. } => self.answered += 1,
-            Effect::User { .. } | Effect::Report { .. } => {}
+            Effect::Report { reply, .. } => {
+                self.answered += usize::from(matches!(reply, ReportReply::Answer(_)));
+                self.report_replies.push(reply);
+            }
+            Effect::User { reply, .. } => self.user_replies.push(reply),
             Effect::Mesh { .. } | Effect::Admin { .. } => {}
         }
     }
@@ -346,6 +378,55 @@
         }
     }
 
+    /// Feeds an event from outside at the present time.
+    pub fn inject(&mut self, event: Event) {
+        self.feed(event);
+    }
+
+    /// A user's request.
+    pub fn request(&mut self, request: UserRequest) {
+        self.tickets += 1;
+        self.feed(Event::User { ticket: self.tickets, request });
+    }
+
+    /// Hands a report to the node as it is.
+    pub fn send_report(&mut self, report: Report) {
+        self.tickets += 1;
+        self.feed(Event::Report { ticket: self.tickets, report: Box::new(report) });
+    }
+
+    /// Puts a value into the state service, as some other program might.
+    pub fn write(&mut self, key: &str, value: serde_json::Value) {
+        let txn = Txn::default().write(Write::put(key, value));
+        self.state.execute(self.now, &StateRequest::Txn(txn));
+    }
+
+    /// From now on another machine stands at all addresses: it executes no direct call and answers with
+    /// this report. None: each machine answers for itself.
+    pub fn answer_direct_calls_with(&mut self, report: Option<Report>) {
+        self.impostor = report;
+    }
+
+    /// The node.
+    pub fn node(&mut self) -> &mut Node {
+        &mut self.node
+    }
+
+    /// The machines' workers.
+    pub fn workers(&mut self) -> &mut [Worker] {
+        &mut self.workers
+    }
+
+    /// Answers to reports since this was asked last.
+    pub fn take_report_replies(&mut self) -> Vec<ReportReply> {
+        std::mem::take(&mut self.report_replies)
+    }
+
+    /// Answers to users since this was asked last.
+    pub fn take_user_replies(&mut self) -> Vec<UserReply> {
+        std::mem::take(&mut self.user_replies)
+    }
+
     /// Tasks on all machines.
     pub fn running(&self) -> usize {
         self.workers.iter().map(|w| w.tasks.len()).sum()
--- a/crates/trackcrank/src/mesh.rs
+++ b/crates/trackcrank/src/mesh.rs
@@ -119,7 +119,7 @@
 
 /// Why a frame is not read.
 #[derive(Debug, thiserror::Error)]
-pub enum Unread {
+enum Unread {
     /// A peer that runs another program: it is as good as silent, and both take over cold.
     #[error("it is of version {0}, ours is {MESH_VERSION}")]
     Version(u16),
@@ -137,7 +137,7 @@
 }
 
 /// Reads a frame. The version comes first, so it is told apart even where the rest has another shape.
-pub fn decode(bytes: &[u8]) -> Result<Frame, Unread> {
+fn decode(bytes: &[u8]) -> Result<Frame, Unread> {
     let (version, ..): (u16, IgnoredAny, IgnoredAny) = rmp_serde::from_slice(bytes)?;
     if version != MESH_VERSION {
         return Err(Unread::Version(version));
--- /dev/null
+++ b/crates/wire/tests/decoders.rs
@@ -0,0 +1,298 @@
+//! No bytes from outside make a decoder panic, and what is decoded is what was meant: it encodes to the
+//! same value again. Random bytes, random JSON and valid messages with changes at random, with fixed seeds.
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestCaseError};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use serde_json::{json, Map, Value};
+use wire::cloud::{MachineList, MachineNames, MachineTypes};
+use wire::json::{from_object, BodyError};
+use wire::mesh::{DemandShape, Frame, HintPart, MachineHint, MeshMessage, MESH_VERSION};
+use wire::state::{Changes, Item, LeaseAnswer, ListPage, Txn, TxnAnswer};
+use wire::users::{JobRequest, JobStatus, Priority};
+use wire::workers::{DirectCommands, Redirect, Report, ReportAnswer};
+
+fn config(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..ProptestConfig::default()
+    }
+}
+
+/// A valid message of each kind, as the protocols show them.
+fn valid_messages() -> Vec<Value> {
+    vec![
+        json!({"id":"j-000412","lane":"train","crew":"vision","shape":"group","urgency":"high",
+            "pieces":16,"vcpus":8.0,"gpus":1.0,"ram_gb":64.0,"bundle":"img-07","pull_gb":6.2,
+            "rigs":["g8"],"yard":null,"together":true,"spread":false,"loaners":true,
+            "expect_s":240.0,"notch_s":30.0,"stash_s":4.0,"due_s":900.0}),
+        json!({"host":"host-000231","address":"10.1.0.232:9000","rig":"g8","yard":"a",
+            "loaners":true,"shift":1,"tick":88,"baton":41,"warning_s":null,
+            "pieces":[{"piece":"j-000412/3","try":2,"status":"running"},
+                {"piece":"j-000398/0","try":1,"status":"exited","cause":"done"}]}),
+        json!({"baton":41,"shift":1,"orders":[{"verb":"launch","piece":"j-000412/3","try":2},
+            {"verb":"halt","piece":"j-000412/3","try":2,"mercy_s":4.0}]}),
+        json!({"epoch":433,"log":[{"put":"c/9","v":{"a":1},"stamp":433},
+            {"delete":"c/d","stamp":432}]}),
+        json!({"pairs":[{"path":"s/t","v":{"next":7},"stamp":9,"hold":3}],"has_next":true,
+            "epoch":431}),
+        json!({"if":[{"path":"a/b","stamp":0}],
+            "writes":[{"put":"a/b","v":{},"hold":7},{"delete":"c/d"}]}),
+        json!({"epoch":12,"failed":["a/b"]}),
+        json!({"hold":7}),
+        json!({"hosts":[{"id":"host-000231","address":"10.1.0.232:9000","rig":"g8","yard":"a",
+            "loaners":true,"status":"running","held_s":61.5}],"has_next":false}),
+        json!({"rigs":[{"label":"g8","vcpus":64.0,"gpus":8.0,"ram_gb":512.0,"local_gb":900.0,
+            "fetch_gb_per_s":1.0,"hourly":9.0,"market_price":3.0,"ready_s":40.0,"yards":["a"]}]}),
+        json!({"id":"j-000412","status":"running","done":3,"running":13}),
+    ]
+}
+
+/// Values that a field may be given by mistake.
+fn odd_value() -> impl Strategy<Value = Value> {
+    prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<u64>().prop_map(Value::from),
+        // Eighths, so that they are read back exactly.
+        any::<i32>().prop_map(|eighths| Value::from(f64::from(eighths) / 8.0)),
+        Just(json!(1e300)),
+        Just(json!(4.5)),
+        Just(json!(-1)),
+        Just(json!("")),
+        "\\PC{0,300}".prop_map(Value::from),
+        Just(json!([])),
+        Just(json!({})),
+    ]
+}
+
+fn any_json() -> impl Strategy<Value = Value> {
+    odd_value().prop_recursive(4, 40, 6, |inner| {
+        prop_oneof![
+            vec(inner.clone(), 0..6).prop_map(Value::from),
+            vec(("[a-z_]{1,9}", inner), 0..6)
+                .prop_map(|fields| Value::Object(fields.into_iter().collect::<Map<_, _>>())),
+        ]
+    })
+}
+
+/// Puts `odd` in the place of the `at`th value within, counted in the order of the text; false if there
+/// are fewer.
+fn replace_nth(value: &mut Value, at: &mut usize, odd: &Value) -> bool {
+    if *at == 0 {
+        *value = odd.clone();
+        return true;
+    }
+    *at -= 1;
+    match value {
+        Value::Array(items) => items.iter_mut().any(|item| replace_nth(item, at, odd)),
+        Value::Object(fields) => fields.values_mut().any(|item| replace_nth(item, at, odd)),
+        _ => false,
+    }
+}
+
+/// Whether two values are the same but for the last digit of decimal numbers, which serde_json does not
+/// keep for those of more than 15 digits.
+fn same(one: &Value, other: &Value) -> bool {
+    match (one, other) {
+        (Value::Number(a), Value::Number(b)) if a.is_f64() && b.is_f64() => {
+            let (a, b) = (a.as_f64().unwrap_or(0.0), b.as_f64().unwrap_or(0.0));
+            (a - b).abs() <= a.abs() * 1e-14
+        }
+        (Value::Array(a), Value::Array(b)) => {
+            a.len() == b.len() && a.iter().zip(b).all(|(a, b)| same(a, b))
+        }
+        (Value::Object(a), Value::Object(b)) => {
+            a.len() == b.len() && a.iter().all(|(k, a)| b.get(k).is_some_and(|b| same(a, b)))
+        }
+        _ => one == other,
+    }
+}
+
+/// Reads a body as one kind of message; what is read must be read the same from what it encodes to.
+fn check<T: DeserializeOwned + Serialize>(body: &[u8]) -> Result<(), TestCaseError> {
+    if let Ok(message) = from_object::<T>(body) {
+        let bytes = serde_json::to_vec(&message).expect("it encodes");
+        let again: T = from_object(&bytes).expect("it decodes");
+        let value = |message: &T| serde_json::to_value(message).expect("it encodes");
+        let (one, other) = (value(&message), value(&again));
+        prop_assert!(same(&one, &other), "{one} is read as {other}");
+    }
+    Ok(())
+}
+
+/// Reads a body as every kind of message.
+fn check_all(body: &[u8]) -> Result<(), TestCaseError> {
+    check::<JobRequest>(body)?;
+    check::<JobStatus>(body)?;
+    check::<Report>(body)?;
+    check::<ReportAnswer>(body)?;
+    check::<Redirect>(body)?;
+    check::<DirectCommands>(body)?;
+    check::<Item>(body)?;
+    check::<ListPage>(body)?;
+    check::<Txn>(body)?;
+    check::<TxnAnswer>(body)?;
+    check::<LeaseAnswer>(body)?;
+    check::<Changes>(body)?;
+    check::<MachineTypes>(body)?;
+    check::<MachineList>(body)?;
+    check::<MachineNames>(body)
+}
+
+fn frames() -> Vec<Frame> {
+    let shape = DemandShape {
+        milli_cpus: 8_000,
+        milli_gpus: 0,
+        memory_mb: 64_000,
+        types: Some(vec!["g8".into()]),
+        zone: None,
+        spot: true,
+        tasks: 3,
+        urgent: 0,
+        estimate_ms: 240_000,
+        priority: Priority::Normal,
+        gang: 0,
+    };
+    let hint = MachineHint {
+        machine: "host-000231".into(),
+        address: "10.1.0.232:9000".into(),
+        session: 1,
+        reporting: true,
+        faulty: false,
+        idle_at: Some(7),
+        images: vec![("img-07".into(), 6.2)],
+    };
+    let hints = HintPart { hints: vec![wire::mesh::Hint::Machine(hint)], ..HintPart::default() };
+    let heard = vec![("n2".to_owned(), 7)];
+    let messages = [
+        MeshMessage::Alive { boot: 1, revision: 2, state_contact: true, ready: true, heard },
+        MeshMessage::Cede { from: 0, to: 1, count: 3, shape },
+        MeshMessage::Taken { partition: 1, term: 9, holder: "n1".into() },
+        MeshMessage::Cancelled { jobs: vec![412, 413] },
+        MeshMessage::Progress { jobs: vec![(412, 3, 4)] },
+        MeshMessage::Hints(hints),
+    ];
+    let frame = |message| Frame { version: MESH_VERSION, from: "n1".into(), message };
+    messages.into_iter().map(frame).collect()
+}
+
+proptest! {
+    #![proptest_config(config(1))]
+
+    #[test]
+    fn random_bytes_are_rejected_or_read(body in vec(any::<u8>(), 0..300)) {
+        check_all(&body)?;
+        let _ = rmp_serde::from_slice::<Frame>(&body);
+    }
+
+    #[test]
+    fn random_json_is_rejected_or_read(value in any_json()) {
+        check_all(value.to_string().as_bytes())?;
+    }
+
+    #[test]
+    fn messages_with_an_odd_value_are_rejected_or_read(
+        which in 0..11usize,
+        at in 0..40usize,
+        odd in odd_value(),
+    ) {
+        let mut message = valid_messages().swap_remove(which);
+        let mut left = at;
+        replace_nth(&mut message, &mut left, &odd);
+        check_all(message.to_string().as_bytes())?;
+    }
+
+    #[test]
+    fn messages_cut_short_or_with_a_changed_byte_are_rejected_or_read(
+        which in 0..11usize,
+        at in any::<prop::sample::Index>(),
+        byte in any::<u8>(),
+    ) {
+        let mut body = valid_messages().swap_remove(which).to_string().into_bytes();
+        let at = at.index(body.len());
+        check_all(&body[..at])?;
+        body[at] = byte;
+        check_all(&body)?;
+    }
+
+    #[test]
+    fn mesh_frames_with_changes_are_rejected_or_read(
+        which in 0..6usize,
+        changes in vec((any::<prop::sample::Index>(), any::<u8>()), 1..4),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let frame = frames().swap_remove(which);
+        let mut bytes = rmp_serde::to_vec(&frame).expect("a frame");
+        let _ = rmp_serde::from_slice::<Frame>(&bytes[..cut.index(bytes.len())]);
+        for (at, byte) in changes {
+            let at = at.index(bytes.len());
+            bytes[at] = byte;
+        }
+        if let Ok(frame) = rmp_serde::from_slice::<Frame>(&bytes) {
+            let again = rmp_serde::to_vec(&frame).expect("it encodes");
+            prop_assert!(rmp_serde::from_slice::<Frame>(&again).is_ok());
+        }
+    }
+}
+
+#[test]
+fn valid_messages_are_read() {
+    let texts: Vec<String> = valid_messages().iter().map(Value::to_string).collect();
+    let body = |at: usize| texts[at].as_bytes();
+    assert!(from_object::<JobRequest>(body(0)).is_ok());
+    assert!(from_object::<Report>(body(1)).is_ok());
+    assert!(from_object::<DirectCommands>(body(2)).is_ok());
+    assert!(from_object::<Changes>(body(3)).is_ok());
+    assert!(from_object::<ListPage>(body(4)).is_ok());
+    assert!(from_object::<Txn>(body(5)).is_ok());
+    assert!(from_object::<TxnAnswer>(body(6)).is_ok());
+    assert!(from_object::<LeaseAnswer>(body(7)).is_ok());
+    assert!(from_object::<MachineList>(body(8)).is_ok());
+    assert!(from_object::<MachineTypes>(body(9)).is_ok());
+    assert!(from_object::<JobStatus>(body(10)).is_ok());
+}
+
+/// Serde reads a struct from an array of its fields as well; a body must be an object.
+#[test]
+fn bodies_that_are_no_objects_are_rejected() {
+    let status = JobStatus {
+        id: "j-000412".into(),
+        state: wire::users::JobState::Queued,
+        done: None,
+        running: None,
+    };
+    let array = br#" ["j-000412", "pending", 1, 2]"#;
+    assert!(serde_json::from_slice::<JobStatus>(array).is_ok(), "serde reads it");
+    assert!(matches!(from_object::<JobStatus>(array), Err(BodyError::NotAnObject)));
+    for body in ["", "  ", "null", "7", "\"a\"", "[]", "[{}]", "{", "{}", "{} {}", "\u{feff}{}"] {
+        assert!(from_object::<JobStatus>(body.as_bytes()).is_err(), "{body}");
+    }
+    let body = br#" {"id":"j-000412","status":"pending","unknown":{"x":[1]}}"#;
+    assert_eq!(from_object::<JobStatus>(body).expect("unknown fields are ignored"), status);
+}
+
+#[test]
+fn pages_of_a_list_must_follow_each_other() {
+    let page = |keys: &[&str], more| ListPage {
+        items: keys
+            .iter()
+            .map(|key| Item { key: (*key).into(), value: Value::Null, version: 1, lease: None })
+            .collect(),
+        more,
+        revision: 7,
+    };
+    assert!(page(&["s/a", "s/b"], true).follows("s/", ""));
+    assert!(page(&["s/c"], false).follows("s/", "s/b"));
+    assert!(page(&[], false).follows("s/", "s/b"));
+    assert!(!page(&[], true).follows("s/", "s/b"), "nothing to go on from");
+    assert!(!page(&["s/b", "s/a"], false).follows("s/", ""), "out of order");
+    assert!(!page(&["s/a", "s/a"], false).follows("s/", ""), "twice");
+    assert!(!page(&["s/b"], true).follows("s/", "s/b"), "the page before again");
+    assert!(!page(&["t/b"], false).follows("s/", "s/b"), "of another prefix");
+}
