--- /dev/null
+++ b/crates/testkit/tests/rejected_messages.rs
@@ -0,0 +1,587 @@
+//! Malformed, stale and misrouted messages to a node change nothing and are counted, and no message makes
+//! it panic. Messages are drawn at random with fixed seeds.
+
+use coordination::node::DirectReply;
+use coordination::rejections::{MessageFault, MessageSource};
+use coordination::{AdminRequest, Event, ReportReply, UserReply, UserRequest};
+use model::{CallId, JobId, NodeName};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use testkit::solo::job;
+use testkit::Solo;
+use wire::cloud::{CloudReply, MachineList, MachineTypes};
+use wire::mesh::{
+    DemandShape, Hint, HintKey, HintPart, JobHint, MachineHint, MachineLoad, MeshMessage,
+    PartitionLoad,
+};
+use wire::state::{Changes, Item, ListPage, StateReply};
+use wire::users::{JobKind, Priority};
+use wire::workers::{ExitCause, Report, TaskReport, TaskState};
+
+const MACHINES: usize = 3;
+
+fn config(cases: u32, seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        max_shrink_iters: 200,
+        ..ProptestConfig::default()
+    }
+}
+
+fn rejected(solo: &mut Solo, source: MessageSource, fault: MessageFault) -> u64 {
+    solo.node().counters.rejections.get(source, fault)
+}
+
+/// What the node knows of the first jobs, as operators are told.
+fn view(solo: &mut Solo) -> Vec<String> {
+    (1..=20).map(|id| solo.node().explain(&format!("j-{id:06}"))).collect()
+}
+
+/// Lets time pass, with reports of all machines.
+fn run(solo: &mut Solo, rounds: usize) {
+    for _ in 0..rounds {
+        solo.tick(100);
+        for nth in 0..MACHINES {
+            solo.report(nth);
+        }
+    }
+}
+
+/// Puts work on the machines.
+fn employ(solo: &mut Solo) {
+    // Odd teams belong to the partition of the silent peer, which has no machines.
+    for _ in 0..4 {
+        solo.submit(JobKind::Array, 3);
+        solo.submit(JobKind::Service, 2);
+    }
+    run(solo, 12);
+    assert!(solo.running() > 0, "there is work");
+}
+
+/// Addresses are used again: what another machine answers says nothing of a launch that was sent to the
+/// one before. Taken for settled, the cancelled task would count as gone while its launch may still come.
+#[test]
+fn answer_of_another_machine_settles_no_direct_launch() {
+    let mut solo = Solo::new(MACHINES);
+    let mut other = solo.workers()[0].report();
+    other.machine = "host-999999".into();
+    solo.answer_direct_calls_with(Some(other));
+    solo.submit(JobKind::Array, 1);
+    run(&mut solo, 10);
+    assert_eq!(solo.running(), 0, "the launch has reached nobody");
+    assert!(rejected(&mut solo, MessageSource::Worker, MessageFault::Misrouted) > 0);
+    solo.request(UserRequest::Cancel(JobId(1)));
+    run(&mut solo, 30);
+    assert_ne!(solo.node().explain("j-000001"), "not open", "its launch may still come");
+    // A report under a higher token voids the launch.
+    solo.answer_direct_calls_with(None);
+    for worker in solo.workers() {
+        worker.token += 1_000_000;
+    }
+    run(&mut solo, 5);
+    let tokens = solo.take_report_replies().into_iter().filter_map(|reply| match reply {
+        ReportReply::Answer(answer) => Some(answer.token),
+        _ => None,
+    });
+    assert!(tokens.max().is_some_and(|token| token > 0), "workers are answered");
+}
+
+#[test]
+fn stale_report_is_answered_and_changes_nothing() {
+    let mut solo = Solo::new(MACHINES);
+    let old = solo.workers()[0].report();
+    employ(&mut solo);
+    let before = view(&mut solo);
+    let counted = rejected(&mut solo, MessageSource::Worker, MessageFault::Stale);
+    solo.send_report(old);
+    assert!(matches!(solo.take_report_replies().last(), Some(ReportReply::Answer(_))));
+    assert_eq!(view(&mut solo), before);
+    assert_eq!(rejected(&mut solo, MessageSource::Worker, MessageFault::Stale), counted + 1);
+}
+
+#[test]
+fn mesh_messages_of_no_peer_change_nothing() {
+    let mut solo = Solo::with_silent_peer(MACHINES);
+    employ(&mut solo);
+    let before = view(&mut solo);
+    let messages = [
+        MeshMessage::Taken { partition: 0, term: 1 << 30, holder: "n1".into() },
+        MeshMessage::Cancelled { jobs: vec![1] },
+        MeshMessage::Release { machine: "host-000000".into(), to: None },
+        MeshMessage::WantHome { partition: 0, lease: 1, boot: 1 },
+    ];
+    for sender in ["n0", "stranger", "", "n1 "] {
+        for message in &messages {
+            let (from, message) = (NodeName::from(sender), message.clone());
+            solo.inject(Event::Mesh { from, message });
+        }
+    }
+    assert_eq!(view(&mut solo), before);
+    assert_eq!(rejected(&mut solo, MessageSource::Peer, MessageFault::UnknownSender), 16);
+    // A peer cannot take a partition over for another, nor have a machine moved to none.
+    let message = MeshMessage::Taken { partition: 0, term: 1 << 30, holder: "n7".into() };
+    solo.inject(Event::Mesh { from: NodeName::from("n1"), message });
+    assert_eq!(rejected(&mut solo, MessageSource::Peer, MessageFault::Misrouted), 1);
+    let message = MeshMessage::Release { machine: "host-000000".into(), to: Some(7) };
+    solo.inject(Event::Mesh { from: NodeName::from("n1"), message });
+    assert_eq!(rejected(&mut solo, MessageSource::Peer, MessageFault::Malformed), 1);
+    solo.take_report_replies();
+    run(&mut solo, 1);
+    let replies = solo.take_report_replies();
+    assert!(replies.iter().all(|reply| matches!(reply, ReportReply::Answer(_))), "{replies:?}");
+    for _ in 0..8 {
+        solo.submit(JobKind::Array, 3);
+    }
+    run(&mut solo, 20);
+    let unused = solo.workers().iter().filter(|worker| worker.tasks.is_empty()).count();
+    assert_eq!(unused, 0, "all machines are given work");
+}
+
+#[test]
+fn submissions_that_can_never_run_are_refused_with_their_reason() {
+    let mut solo = Solo::new(MACHINES);
+    let refused = |solo: &mut Solo, change: &dyn Fn(&mut wire::users::JobRequest)| {
+        let mut request = job(77, JobKind::Array, 1);
+        change(&mut request);
+        solo.take_user_replies();
+        solo.request(UserRequest::Submit(Box::new(request)));
+        for _ in 0..10 {
+            solo.tick(100);
+        }
+        solo.take_user_replies().pop()
+    };
+    let by = |reply: Option<UserReply>| match reply {
+        Some(UserReply::Rejected(reason)) => reason.to_string(),
+        other => format!("{other:?}"),
+    };
+    let unknown_team = refused(&mut solo, &|job| job.team = "nobody".into());
+    assert_eq!(by(unknown_team), "unknown team");
+    // No machine of the site has GPUs.
+    for gpus in [0.001, 0.5, 1.0, 1e9] {
+        let beyond = refused(&mut solo, &|job| job.gpus = gpus);
+        assert_eq!(by(beyond), "a task fits no allowed machine type", "{gpus} GPUs");
+    }
+    for gpus in [-1.0, -1e-9, f64::NAN, f64::INFINITY, 1e10] {
+        let invalid = refused(&mut solo, &|job| job.gpus = gpus);
+        assert!(matches!(invalid, Some(UserReply::Invalid(_))), "{gpus} GPUs: {invalid:?}");
+    }
+    let beyond_limit = refused(&mut solo, &|job| {
+        job.kind = JobKind::Gang;
+        job.tasks = 1_000;
+    });
+    assert_eq!(by(beyond_limit), "the job needs more than the team's limit");
+    let accepted = refused(&mut solo, &|_| {});
+    assert!(matches!(accepted, Some(UserReply::Created(_))), "{accepted:?}");
+}
+
+/// Numbers at the ends of what a field holds, and some within.
+fn number() -> impl Strategy<Value = u64> {
+    prop_oneof![0..6u64, Just(1 << 40), Just(u64::MAX - 1), Just(u64::MAX)]
+}
+
+fn small_number() -> impl Strategy<Value = u32> {
+    prop_oneof![0..4u32, Just(u32::MAX - 1), Just(u32::MAX)]
+}
+
+fn amount() -> impl Strategy<Value = f64> {
+    prop_oneof![
+        Just(0.0),
+        Just(1.0),
+        Just(-1.0),
+        Just(1e300),
+        Just(f64::NAN),
+        Just(f64::INFINITY),
+        Just(f64::NEG_INFINITY)
+    ]
+}
+
+fn machine_name() -> impl Strategy<Value = String> {
+    prop_oneof![
+        (0..MACHINES).prop_map(|nth| format!("host-{nth:06}")),
+        Just("host-999999".to_owned()),
+        Just(String::new()),
+        Just("x".repeat(300)),
+    ]
+}
+
+fn task_name() -> impl Strategy<Value = String> {
+    prop_oneof![
+        (1..9u64, 0..4u32).prop_map(|(id, index)| format!("j-{id:06}/{index}")),
+        Just("j-000001/4294967295".to_owned()),
+        Just("j-18446744073709551615/0".to_owned()),
+        Just("j-1/0".to_owned()),
+        Just("j-000001".to_owned()),
+        Just(String::new()),
+    ]
+}
+
+prop_compose! {
+    fn shape()(
+        amounts in (number(), number(), number()),
+        counts in (number(), number(), number(), number()),
+        spot in any::<bool>(),
+        zone in prop::option::of("[a-c]"),
+        types in prop::option::of(vec("m4|", 0..3)),
+        low in any::<bool>(),
+    ) -> DemandShape {
+        DemandShape {
+            milli_cpus: amounts.0, milli_gpus: amounts.1, memory_mb: amounts.2,
+            types, zone, spot, tasks: counts.0, urgent: counts.1, estimate_ms: counts.2,
+            priority: if low { Priority::Low } else { Priority::High }, gang: counts.3,
+        }
+    }
+}
+
+prop_compose! {
+    fn load()(
+        partition in small_number(),
+        term in number(),
+        demand in vec(shape(), 0..4),
+        machines in vec((machine_name(), small_number(), number(), any::<[bool; 4]>()), 0..4),
+    ) -> PartitionLoad {
+        let machine = |(machine, tasks, ms, flags): (String, u32, u64, [bool; 4])| MachineLoad {
+            machine, tasks, idle_ms: ms, up: flags[0], faulty: flags[1], silent_ms: ms,
+            cedable: flags[2], best_effort: flags[3], ceding: flags[0].then_some(tasks),
+        };
+        PartitionLoad {
+            partition, term, demand, machines: machines.into_iter().map(machine).collect(),
+        }
+    }
+}
+
+fn hint() -> impl Strategy<Value = Hint> {
+    let machine = (machine_name(), number(), prop::option::of(number()), amount()).prop_map(
+        |(machine, session, idle_at, gb)| {
+            Hint::Machine(MachineHint {
+                address: format!("{machine}:9000"),
+                machine,
+                session,
+                reporting: true,
+                faulty: false,
+                idle_at,
+                images: vec![("img-1".into(), gb)],
+            })
+        },
+    );
+    let job = (number(), vec((small_number(), small_number()), 0..3), small_number(), number())
+        .prop_map(|(job, failures, successes, fails_within_ms)| {
+            let failed_on = vec!["host-000000".to_owned(); 3];
+            Hint::Job(JobHint { job, failures, failed_on, successes, fails_within_ms })
+        });
+    let gone = number().prop_map(|id| Hint::Gone(HintKey::Job(id)));
+    prop_oneof![machine, job, gone]
+}
+
+fn hints() -> impl Strategy<Value = HintPart> {
+    (small_number(), vec(number(), 7), vec(hint(), 0..4)).prop_map(|(partition, n, hints)| {
+        HintPart {
+            partition,
+            boot: n[0],
+            term: n[1],
+            after: n[2],
+            upto: n[3],
+            newest: n[4],
+            floor: n[5],
+            at_ms: n[6],
+            hints,
+        }
+    })
+}
+
+fn mesh_message() -> impl Strategy<Value = MeshMessage> {
+    let heard = || vec(("n[0-2]", number()), 0..3);
+    prop_oneof![
+        (number(), number(), any::<bool>(), any::<bool>(), heard()).prop_map(
+            |(boot, revision, state_contact, ready, heard)| MeshMessage::Alive {
+                boot,
+                revision,
+                state_contact,
+                ready,
+                heard
+            }
+        ),
+        load().prop_map(MeshMessage::Load),
+        (machine_name(), prop::option::of(small_number()))
+            .prop_map(|(machine, to)| MeshMessage::Release { machine, to }),
+        (small_number(), small_number(), small_number(), shape())
+            .prop_map(|(from, to, count, shape)| MeshMessage::Cede { from, to, count, shape }),
+        (small_number(), number(), "n[0-2]")
+            .prop_map(|(partition, term, holder)| MeshMessage::Taken { partition, term, holder }),
+        small_number().prop_map(|partition| MeshMessage::GaveUp { partition }),
+        (small_number(), number(), number())
+            .prop_map(|(partition, lease, boot)| MeshMessage::WantHome { partition, lease, boot }),
+        vec(number(), 0..4).prop_map(|jobs| MeshMessage::Cancelled { jobs }),
+        vec((number(), number(), number()), 0..4).prop_map(|jobs| MeshMessage::Progress { jobs }),
+        (small_number(), number(), number(), number()).prop_map(|(partition, boot, term, have)| {
+            MeshMessage::Follow { partition, boot, term, have }
+        }),
+        hints().prop_map(MeshMessage::Hints),
+    ]
+}
+
+fn task_report() -> impl Strategy<Value = TaskReport> {
+    let state = prop::sample::select(vec![
+        TaskState::Fetching,
+        TaskState::Waiting,
+        TaskState::Running,
+        TaskState::Saving,
+        TaskState::Exited,
+    ]);
+    let why = prop::option::of(prop::sample::select(vec![
+        ExitCause::Done,
+        ExitCause::Stopped,
+        ExitCause::NoRoom,
+        ExitCause::Busy,
+        ExitCause::Error,
+    ]));
+    (task_name(), number(), state, why).prop_map(|(task, attempt, state, why)| TaskReport {
+        task,
+        attempt,
+        state,
+        why,
+        saved: None,
+    })
+}
+
+fn report() -> impl Strategy<Value = Report> {
+    let place = ("m4|", "[ab]?", any::<bool>());
+    let numbers = (number(), number(), number());
+    let tasks = vec(task_report(), 0..5);
+    (machine_name(), place, numbers, prop::option::of(amount()), tasks).prop_map(
+        |(machine, (machine_type, zone, spot), (session, seq, token), notice_s, tasks)| Report {
+            address: format!("{machine}:9000"),
+            machine,
+            machine_type,
+            zone,
+            spot,
+            session,
+            seq,
+            token,
+            notice_s,
+            tasks,
+        },
+    )
+}
+
+/// A record that no node has written.
+fn foreign_record() -> impl Strategy<Value = (String, Value)> {
+    let key = prop::sample::select(vec![
+        "s/t",
+        "s/k",
+        "s/c",
+        "s/m/0000",
+        "s/m/0001",
+        "s/m/4294967295",
+        "s/p/0",
+        "s/p/1",
+        "s/p/9",
+        "s/j/n0/0000",
+        "s/j/n0/4294967295",
+        "s/j/n1/0003",
+        "s/x/n1",
+        "s/e/0/0000",
+        "s/e/7/x",
+        "s/b/n1",
+        "s/w/0",
+        "s/d/1",
+        "s/unknown/1",
+        "s/",
+        "l/0/0000",
+        "l/0/0009",
+    ]);
+    let value = prop_oneof![
+        Just(Value::Null),
+        Just(json!({})),
+        Just(json!("text")),
+        number().prop_map(|next| json!({ "next": next })),
+        number().prop_map(|n| json!({ "jobs": [n, n, 1, 2] })),
+        number().prop_map(|n| json!({ "d": [n, 1], "c": [1, n], "fd": [n] })),
+        number().prop_map(|n| json!({ "holder": "n1", "boot": n, "term": n })),
+        number().prop_map(|n| json!({ "node": "n1", "boot": n, "lease": n })),
+        number().prop_map(|n| json!({ "round": n, "items": [[1, 0, {}], [n, 4294967295u32, {}]] })),
+        (0..9u32, number()).prop_map(|(partition, token)| json!({ "machines": [
+            ["host-000000", "m4", "a", false, partition, token, false],
+            ["", "m4", "a", false, 0, 0, false],
+            ["host-777777", "none", "", true, 0, token, true],
+        ] })),
+        number().prop_map(|order| {
+            let packed = coordination::records::PackedJob::new(order, job(9, JobKind::Gang, 3));
+            json!({ "jobs": [packed, [], [1, 7], ["j-000001"], [order, "j-000003"]] })
+        }),
+        Just(json!({ "rigs": [{ "label": "m4", "vcpus": -1.0, "ram_gb": 1e300 }] })),
+        Just(json!({ "max_backoff_s": -3.0 })),
+    ];
+    (key.prop_map(str::to_owned), value)
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Tick(u64),
+    Reports,
+    Mesh(&'static str, MeshMessage),
+    Forged(Report),
+    Foreign(String, Value),
+    LateState(StateReply),
+    LateCloud(CloudReply),
+    LateWorker(Report),
+    Ask(u64),
+    Cancel(u64),
+    Submit(u64, f64),
+    Admin(Value),
+    TakeOver,
+}
+
+fn state_reply() -> impl Strategy<Value = StateReply> {
+    let item =
+        || Item { key: "s/p/0".into(), value: json!({}), version: u64::MAX, lease: Some(u64::MAX) };
+    prop_oneof![
+        Just(StateReply::Unknown),
+        Just(StateReply::Compacted),
+        Just(StateReply::Missing),
+        number().prop_map(|revision| StateReply::Committed { revision }),
+        number().prop_map(StateReply::Lease),
+        number().prop_map(move |revision| {
+            StateReply::List(ListPage { items: vec![item(), item()], more: true, revision })
+        }),
+        number().prop_map(|revision| StateReply::Changes(Changes { revision, events: Vec::new() })),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let sender = prop::sample::select(vec!["n1", "n1", "n1", "n0", "stranger"]);
+    let cloud = prop_oneof![
+        Just(CloudReply::Types(MachineTypes::default())),
+        Just(CloudReply::List(MachineList { machines: Vec::new(), more: true })),
+        Just(CloudReply::Rented(vec![String::new()])),
+    ];
+    prop_oneof![
+        4 => prop::sample::select(vec![1u64, 100, 700, 3_000]).prop_map(Step::Tick),
+        2 => Just(Step::Reports),
+        6 => (sender, mesh_message()).prop_map(|(from, message)| Step::Mesh(from, message)),
+        2 => report().prop_map(Step::Forged),
+        2 => foreign_record().prop_map(|(key, value)| Step::Foreign(key, value)),
+        1 => state_reply().prop_map(Step::LateState),
+        1 => cloud.prop_map(Step::LateCloud),
+        1 => report().prop_map(Step::LateWorker),
+        1 => number().prop_map(Step::Ask),
+        1 => (1..9u64).prop_map(Step::Cancel),
+        2 => (1..12u64, amount()).prop_map(|(id, amount)| Step::Submit(id, amount)),
+        1 => foreign_record().prop_map(|(_, value)| Step::Admin(value)),
+        1 => Just(Step::TakeOver),
+    ]
+}
+
+fn play(solo: &mut Solo, step: Step) {
+    let call = CallId(u64::MAX);
+    match step {
+        Step::Tick(ms) => {
+            solo.tick(ms);
+        }
+        Step::Reports => run(solo, 1),
+        Step::Mesh(from, message) => {
+            solo.inject(Event::Mesh { from: NodeName::from(from), message });
+        }
+        Step::Forged(report) => solo.send_report(report),
+        Step::Foreign(key, value) => solo.write(&key, value),
+        Step::LateState(reply) => solo.inject(Event::State { call, reply }),
+        Step::LateCloud(reply) => solo.inject(Event::Cloud { call, reply }),
+        Step::LateWorker(report) => {
+            let reply = DirectReply::Answered(Box::new(report));
+            solo.inject(Event::Worker { call, reply });
+        }
+        Step::Ask(id) => solo.request(UserRequest::Get(JobId(id))),
+        Step::Cancel(id) => solo.request(UserRequest::Cancel(JobId(id))),
+        Step::Submit(id, amount) => {
+            let mut request = job(id, JobKind::Array, 3);
+            (request.cpus, request.estimate_s) = (amount, amount);
+            solo.request(UserRequest::Submit(Box::new(request)));
+        }
+        Step::Admin(settings) => {
+            let request = AdminRequest::ChangeSettings { version: 0, settings };
+            solo.inject(Event::Admin { ticket: 0, request });
+        }
+        Step::TakeOver => solo.restart(),
+    }
+}
+
+/// Tasks that are on two machines at a time.
+fn on_two_machines(solo: &mut Solo) -> Vec<String> {
+    let mut places: BTreeMap<String, usize> = BTreeMap::new();
+    for worker in solo.workers() {
+        let held = worker.tasks.iter().filter(|(_, held)| held.present());
+        for ((task, _), _) in held {
+            *places.entry(task.clone()).or_default() += 1;
+        }
+    }
+    places.into_iter().filter(|(_, count)| *count > 1).map(|(task, _)| task).collect()
+}
+
+/// Steps that say nothing false of a machine or of what is recorded: no rule may break by them.
+fn proves_nothing(step: &Step) -> bool {
+    !matches!(step, Step::Forged(_) | Step::Foreign(..) | Step::TakeOver)
+}
+
+proptest! {
+    #![proptest_config(config(48, 7))]
+
+    #[test]
+    fn no_message_makes_a_node_panic(steps in vec(step(), 1..40)) {
+        let mut solo = Solo::with_silent_peer(MACHINES);
+        employ(&mut solo);
+        for step in steps {
+            play(&mut solo, step);
+        }
+        run(&mut solo, 3);
+    }
+
+    #[test]
+    fn odd_messages_start_no_task_twice(steps in vec(step().prop_filter("said", proves_nothing), 1..40)) {
+        let mut solo = Solo::with_silent_peer(MACHINES);
+        employ(&mut solo);
+        for step in steps {
+            play(&mut solo, step);
+            prop_assert_eq!(on_two_machines(&mut solo), Vec::<String>::new());
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(config(24, 8))]
+
+    #[test]
+    fn malformed_reports_change_nothing(faults in vec((0..MACHINES, 0..6usize), 1..20)) {
+        let mut solo = Solo::new(MACHINES);
+        employ(&mut solo);
+        let before = view(&mut solo);
+        solo.take_report_replies();
+        solo.node().counters.rejections.drain().for_each(drop);
+        for (nth, fault) in &faults {
+            let mut report = solo.workers()[*nth].report();
+            match fault {
+                0 => report.machine_type = String::new(),
+                1 => report.machine = "x".repeat(300),
+                2 => report.address = "host:9000/commands?".into(),
+                3 => report.zone = "z".repeat(256),
+                4 => report.address = String::new(),
+                _ => {
+                    report.tasks.truncate(1);
+                    report.tasks.iter_mut().for_each(|entry| entry.task.push('x'));
+                }
+            }
+            solo.send_report(report);
+        }
+        let replies = solo.take_report_replies();
+        prop_assert!(replies.iter().all(|reply| *reply == ReportReply::Malformed), "{replies:?}");
+        let counted = rejected(&mut solo, MessageSource::Worker, MessageFault::Malformed);
+        prop_assert_eq!(counted, faults.len() as u64);
+        prop_assert_eq!(view(&mut solo), before);
+        run(&mut solo, 1);
+        let replies = solo.take_report_replies();
+        prop_assert!(replies.iter().all(|reply| matches!(reply, ReportReply::Answer(_))));
+    }
+}
