model: the settings file apart from the settings, short functions

Cause: `Settings::parse` was one function of 95 lines in a file with the types, the file's format, the checks and the tests.

Change: settings/mod.rs has the checked settings, settings/file.rs the format and one function for each part of the checks, in the same order; limits and defaults have names.

--- /dev/null
+++ b/crates/model/src/settings/file.rs
@@ -0,0 +1,253 @@
+//! The settings file: its format, and the checks on its fields.
+//!
+//! Unknown fields are ignored. The first field that fails a check is reported.
+
+use super::{Peer, Settings, SettingsError, StateLimits, Team, WorkerTimes};
+use crate::{NodeName, Resources, Span, TeamName, ZoneName};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Sockets that a node may open if the file sets no quota.
+const DEFAULT_SOCKETS: usize = 1000;
+/// A transaction needs a condition and a write.
+const MIN_TXN_OPS: usize = 2;
+const MIN_VALUE_KB: f64 = 1.0;
+const BYTES_PER_KB: f64 = 1024.0;
+/// The kind of objective that says when jobs should be finished.
+const FINISHED_OBJECTIVE: &str = "finished";
+
+#[derive(Deserialize)]
+struct FileTeam {
+    name: String,
+    cpus: f64,
+    cpus_max: f64,
+    #[serde(default)]
+    gpus: f64,
+    #[serde(default)]
+    gpus_max: f64,
+}
+
+#[derive(Deserialize)]
+struct FilePeer {
+    member: String,
+    zone: String,
+    endpoint: String,
+}
+
+#[derive(Deserialize)]
+struct FileEndpoints {
+    cloud: String,
+    state: String,
+}
+
+#[derive(Deserialize)]
+struct FileWorkers {
+    report_s: f64,
+    lease_s: f64,
+    gang_wait_s: f64,
+    gang_peer_s: f64,
+    cancel_s: f64,
+}
+
+#[derive(Deserialize)]
+struct FileState {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: usize,
+}
+
+#[derive(Deserialize)]
+struct FileCloud {
+    rps: f64,
+    list_lag_s: f64,
+}
+
+#[derive(Deserialize)]
+struct FileQuota {
+    sockets: usize,
+}
+
+/// An objective for a class of jobs. Unknown kinds and fields are ignored.
+#[derive(Deserialize)]
+struct FileObjective {
+    kind: Option<String>,
+    class: Option<String>,
+    within_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct FileParams {
+    teams: Vec<FileTeam>,
+    #[serde(default)]
+    objectives: Vec<FileObjective>,
+    workers: FileWorkers,
+    state: FileState,
+    cloud: FileCloud,
+    quota: Option<FileQuota>,
+}
+
+#[derive(Deserialize)]
+struct File {
+    member: String,
+    zone: String,
+    serve_on: String,
+    mesh_addr: String,
+    #[serde(default)]
+    peers: Vec<FilePeer>,
+    endpoints: FileEndpoints,
+    settings: FileParams,
+}
+
+fn invalid<T>(field: impl Into<String>, problem: impl Into<String>) -> Result<T, SettingsError> {
+    Err(SettingsError::Field { field: field.into(), problem: problem.into() })
+}
+
+fn address(field: &str, text: &str) -> Result<SocketAddr, SettingsError> {
+    match text.parse() {
+        Ok(address) => Ok(address),
+        Err(_) => invalid(field, format!("`{text}` is no address of the form 10.0.0.1:8080")),
+    }
+}
+
+fn positive(field: &str, value: f64) -> Result<f64, SettingsError> {
+    if value.is_finite() && value > 0.0 {
+        Ok(value)
+    } else {
+        invalid(field, format!("{value} must be above 0"))
+    }
+}
+
+fn not_empty(field: &str, value: &str) -> Result<(), SettingsError> {
+    if value.is_empty() {
+        return invalid(field, "must not be empty");
+    }
+    Ok(())
+}
+
+fn peers(list: &[FilePeer]) -> Result<Vec<Peer>, SettingsError> {
+    let mut peers = Vec::new();
+    for (index, peer) in list.iter().enumerate() {
+        peers.push(Peer {
+            name: NodeName::from(peer.member.as_str()),
+            zone: ZoneName::from(peer.zone.as_str()),
+            mesh: address(&format!("peers[{index}].endpoint"), &peer.endpoint)?,
+        });
+    }
+    Ok(peers)
+}
+
+fn teams(list: &[FileTeam]) -> Result<Vec<Team>, SettingsError> {
+    let mut teams: Vec<Team> = Vec::new();
+    for (index, entry) in list.iter().enumerate() {
+        let prefix = format!("settings.teams[{index}]");
+        let team = team(&prefix, entry)?;
+        if teams.iter().any(|other| other.name == team.name) {
+            return invalid(format!("{prefix}.name"), format!("`{}` is named twice", team.name));
+        }
+        teams.push(team);
+    }
+    Ok(teams)
+}
+
+fn team(prefix: &str, team: &FileTeam) -> Result<Team, SettingsError> {
+    let amounts = [
+        ("cpus", team.cpus),
+        ("cpus_max", team.cpus_max),
+        ("gpus", team.gpus),
+        ("gpus_max", team.gpus_max),
+    ];
+    for (field, value) in amounts {
+        if !value.is_finite() || value < 0.0 {
+            return invalid(format!("{prefix}.{field}"), "must be a number from 0");
+        }
+    }
+    Ok(Team {
+        name: TeamName::from(team.name.as_str()),
+        guarantee: Resources::offered(team.cpus, team.gpus, 0.0),
+        limit: Resources::limit(team.cpus_max, team.gpus_max),
+    })
+}
+
+fn worker_times(workers: &FileWorkers) -> Result<WorkerTimes, SettingsError> {
+    let span = |field: &str, value: f64| {
+        positive(&format!("settings.workers.{field}"), value).map(Span::from_secs)
+    };
+    Ok(WorkerTimes {
+        report: span("report_s", workers.report_s)?,
+        lease: span("lease_s", workers.lease_s)?,
+        gang_wait: span("gang_wait_s", workers.gang_wait_s)?,
+        gang_peer: span("gang_peer_s", workers.gang_peer_s)?,
+        cancel: span("cancel_s", workers.cancel_s)?,
+    })
+}
+
+/// Checks the sizes that the state service accepts; returns the limit of a value in bytes.
+fn value_bytes(state: &FileState) -> Result<usize, SettingsError> {
+    if state.txn_ops < MIN_TXN_OPS {
+        return invalid("settings.state.txn_ops", format!("must be at least {MIN_TXN_OPS}"));
+    }
+    let value_kb = positive("settings.state.value_kb", state.value_kb)?;
+    if value_kb < MIN_VALUE_KB {
+        return invalid("settings.state.value_kb", format!("must be at least {MIN_VALUE_KB}"));
+    }
+    Ok((value_kb * BYTES_PER_KB) as usize)
+}
+
+/// Time within which jobs of each class should be finished.
+fn goals(objectives: &[FileObjective]) -> Result<BTreeMap<String, Span>, SettingsError> {
+    let mut goals: BTreeMap<String, Span> = BTreeMap::new();
+    for (index, objective) in objectives.iter().enumerate() {
+        let FileObjective { kind: Some(kind), class: Some(class), within_s: Some(within) } =
+            objective
+        else {
+            continue;
+        };
+        if kind != FINISHED_OBJECTIVE {
+            continue;
+        }
+        let field = format!("settings.objectives[{index}].within_s");
+        let within = Span::from_secs(positive(&field, *within)?);
+        let goal = goals.entry(class.clone()).or_insert(within);
+        *goal = within.min(*goal);
+    }
+    Ok(goals)
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let file: File = toml::from_str(text)
+            .map_err(|e| SettingsError::Syntax(e.to_string().trim().replace('\n', " ")))?;
+        not_empty("member", &file.member)?;
+        not_empty("zone", &file.zone)?;
+        let params = &file.settings;
+        let peers = peers(&file.peers)?;
+        let teams = teams(&params.teams)?;
+        let workers = worker_times(&params.workers)?;
+        let value_bytes = value_bytes(&params.state)?;
+        let goals = goals(&params.objectives)?;
+        Ok(Settings {
+            name: NodeName::from(file.member.as_str()),
+            zone: ZoneName::from(file.zone.as_str()),
+            listen: address("serve_on", &file.serve_on)?,
+            mesh: address("mesh_addr", &file.mesh_addr)?,
+            peers,
+            cloud: address("endpoints.cloud", &file.endpoints.cloud)?,
+            state: address("endpoints.state", &file.endpoints.state)?,
+            teams,
+            workers,
+            state_limits: StateLimits {
+                requests_per_s: positive("settings.state.rps", params.state.rps)?,
+                writes_per_s: positive("settings.state.write_rps", params.state.write_rps)?,
+                value_bytes,
+                txn_ops: params.state.txn_ops,
+            },
+            cloud_rps: positive("settings.cloud.rps", params.cloud.rps)?,
+            cloud_list_lag: Span::from_secs(params.cloud.list_lag_s),
+            sockets: params.quota.as_ref().map_or(DEFAULT_SOCKETS, |quota| quota.sockets),
+            goals,
+        })
+    }
+}
