--- /dev/null
+++ b/crates/coordination/src/node/cancellations.rs
@@ -0,0 +1,92 @@
+//! Cancellations by users: those that wait are recorded together.
+
+use super::{Node, PendingRequest, Purpose, RequestKind};
+use crate::budget::Importance;
+use crate::pipe::{Outcome, Pipe};
+use crate::records::{cancels_key, CancelsRecord};
+use model::Span;
+use wire::mesh::MeshMessage;
+use wire::state::{StateReply, StateRequest, Txn, Write};
+
+/// How often a cancellation whose write met a conflict is tried again.
+const MAX_CONFLICTS: u32 = 5;
+
+/// Cancellations on their way into the state service.
+#[derive(Debug, Default)]
+pub(crate) struct Cancellations {
+    pending: Vec<PendingRequest>,
+    writes: Pipe<Vec<PendingRequest>>,
+}
+
+impl Node {
+    /// Takes a cancellation of an open job in.
+    pub(super) fn cancel(&mut self, request: PendingRequest) {
+        self.cancellations.pending.push(request);
+    }
+
+    pub(super) fn step_cancellations(&mut self) {
+        let ready = self.cancellations.writes.ready(self.now, self.mirror.revision);
+        let waiting = !self.cancellations.pending.is_empty();
+        if waiting && ready && self.synced && self.may_write(Importance::Accept, 1.0) {
+            self.write_cancellations();
+        }
+    }
+
+    fn write_cancellations(&mut self) {
+        let key = cancels_key(self.me());
+        let old = self.mirror.cancels.get(self.me());
+        let version = old.map_or(0, |c| c.version.0);
+        // Those of finished jobs have served.
+        let open = old.into_iter().flat_map(|c| &c.record);
+        let mut jobs: Vec<u64> =
+            open.filter(|id| self.mirror.jobs.contains_key(id)).map(|id| id.0).collect();
+        let room = self.page_entries();
+        let mut batch = Vec::new();
+        for request in std::mem::take(&mut self.cancellations.pending) {
+            if jobs.len() >= room {
+                self.busy(request.ticket, 1);
+                continue;
+            }
+            if !jobs.contains(&request.id.0) {
+                jobs.push(request.id.0);
+            }
+            batch.push(request);
+        }
+        let value = serde_json::to_value(CancelsRecord { jobs }).unwrap_or_default();
+        let txn = Txn::default().when(&key, version).write(Write::put(&key, value));
+        self.cancellations.writes.send(batch, txn.clone(), self.now, Span(0));
+        self.state(Importance::Accept, StateRequest::Txn(txn), Purpose::Cancel);
+    }
+
+    pub(super) fn on_cancel_written(&mut self, reply: StateReply) {
+        match self.cancellations.writes.answered(reply, self.now) {
+            // The job may have finished before: a read that begins now tells which came first.
+            Outcome::Written(requests) => {
+                // The leader of its partition may be without the state service.
+                let jobs = requests.iter().map(|request| request.id.0).collect();
+                self.broadcast(MeshMessage::Cancelled { jobs });
+                self.reads.enqueue_all(requests);
+            }
+            Outcome::Conflict(requests, _)
+            | Outcome::Refused { what: requests, throttled: true } => {
+                for mut request in requests {
+                    match &mut request.kind {
+                        RequestKind::Cancel { conflicts } if *conflicts < MAX_CONFLICTS => {
+                            *conflicts += 1;
+                            self.reads.enqueue(request);
+                        }
+                        _ => self.busy(request.ticket, 1),
+                    }
+                }
+            }
+            Outcome::Refused { what, .. } => self.refuse_all(what),
+            Outcome::Again(txn) => {
+                let requests = self.cancellations.writes.under_way().map(std::mem::take);
+                self.refuse_all(requests.unwrap_or_default());
+                let request = StateRequest::Txn(txn);
+                self.again(Span(200), Importance::Accept, request, Purpose::Cancel);
+            }
+            Outcome::Nothing => {}
+        }
+    }
+}
--- a/crates/coordination/src/node/mod.rs
+++ b/crates/coordination/src/node/mod.rs
@@ -1,13 +1,14 @@
 //! The node: its state, its events and its effects.
 
 pub mod admin;
+mod admission;
+mod cancellations;
 mod ends;
 mod holder;
-mod intake;
 mod leader;
+mod linearizable_reads;
 mod machines;
 mod partitions;
-mod questions;
 mod rebuild;
 mod report_checks;
 mod standby;
@@ -21,10 +22,12 @@
 use crate::mirror::Mirror;
 use crate::rejections::RejectionCounts;
 use admin::{AdminReply, AdminRequest};
+use admission::Admission;
+use cancellations::Cancellations;
 use fleet::FleetPolicy;
 use holder::Holding;
-use intake::Intake;
 use leader::Leader;
+use linearizable_reads::LinearizableReads;
 use machines::MachineChanges;
 use model::{
     CallId, JobId, JobState, LeaseId, MachineName, Moment, NodeName, PartitionId, RejectReason,
@@ -120,21 +123,23 @@
 
 /// A user's request that waits for a read of the state service.
 #[derive(Debug, Clone)]
-pub(crate) struct Poll {
+pub(crate) struct PendingRequest {
     ticket: Ticket,
-    kind: PollKind,
+    kind: RequestKind,
     id: JobId,
     since: Moment,
 }
 
+/// What a user's request asks for.
 #[derive(Debug, Clone)]
-pub(crate) enum PollKind {
+pub(crate) enum RequestKind {
     Get,
     Cancel {
-        tries: u32,
+        /// How often its write has met a conflict.
+        conflicts: u32,
     },
     /// A submission of a job that may be known already; if it is not, it is rejected.
-    Known {
+    Resubmit {
         reject: Option<RejectReason>,
     },
     /// A submission that this node has accepted durably.
@@ -146,7 +151,8 @@
 pub(crate) enum Purpose {
     List,
     Watch,
-    Fresh(Vec<Poll>),
+    /// A read of changes that answers these requests.
+    ReadChanges(Vec<PendingRequest>),
     NewLease,
     Renew(LeaseId),
     Boot,
@@ -190,15 +196,15 @@
         term: u64,
         id: RoundId,
     },
-    /// Accepted jobs.
-    Intake,
-    /// Cancellations.
-    Cancels,
+    /// A write of accepted jobs.
+    Accept,
+    /// A write of cancellations.
+    Cancel,
     FinalRead {
-        poll: Poll,
+        request: PendingRequest,
     },
     /// Whether these jobs have no final state.
-    NoFinals(Vec<Poll>),
+    CompareFinals(Vec<PendingRequest>),
     Ends {
         partition: PartitionId,
         term: u64,
@@ -317,8 +323,9 @@
     demand_at: HashMap<PartitionId, (Moment, bool)>,
     progress: HashMap<JobId, (u64, u64)>,
     finals: HashMap<JobId, JobState>,
-    questions: questions::Questions,
-    intake: Intake,
+    reads: LinearizableReads,
+    admission: Admission,
+    cancellations: Cancellations,
     machine_changes: MachineChanges,
     leader: Leader,
     standby: standby::Standby,
@@ -392,8 +399,9 @@
             demand_at: HashMap::new(),
             progress: HashMap::new(),
             finals: HashMap::new(),
-            questions: questions::Questions::default(),
-            intake: Intake::default(),
+            reads: LinearizableReads::default(),
+            admission: Admission::default(),
+            cancellations: Cancellations::default(),
             machine_changes: MachineChanges::default(),
             leader: Leader::new(settings.cloud_rps),
             standby: standby::Standby::default(),
@@ -453,8 +461,9 @@
         self.step_mesh();
         self.step_standby();
         self.step_machines();
-        self.step_intake();
-        self.step_questions();
+        self.step_admission();
+        self.step_cancellations();
+        self.step_reads();
         self.pump();
     }
 
@@ -466,7 +475,7 @@
                 next = next.min(at);
             }
         }
-        if let Some(at) = self.next_question() {
+        if let Some(at) = self.next_read() {
             next = next.min(at);
         }
         if let Some(at) = self.retries.iter().map(|r| r.0).min() {
--- a/crates/coordination/src/node/sync.rs
+++ b/crates/coordination/src/node/sync.rs
@@ -90,20 +90,20 @@
                 _ if !throttled => {}
                 Purpose::List
                 | Purpose::Watch
-                | Purpose::Fresh(_)
+                | Purpose::ReadChanges(_)
                 | Purpose::NewLease
                 | Purpose::Renew(_)
                 | Purpose::LedgerList { .. }
                 | Purpose::LedgerProof { .. }
                 | Purpose::FinalRead { .. }
-                | Purpose::NoFinals(_) => self.requests.drain(self.now),
+                | Purpose::CompareFinals(_) => self.requests.drain(self.now),
                 _ => self.writes.drain(self.now),
             }
         }
         match purpose {
             Purpose::List => self.on_list(reply),
             Purpose::Watch => self.on_watch(reply, sent),
-            Purpose::Fresh(polls) => self.on_fresh(polls, reply, sent),
+            Purpose::ReadChanges(requests) => self.on_changes_read(requests, reply, sent),
             Purpose::NewLease => {
                 self.lease_pending = false;
                 self.renew_at = self.now + Span(200);
@@ -127,10 +127,10 @@
             Purpose::LedgerProof { partition, term, id } => {
                 self.on_proof(partition, term, id, reply);
             }
-            Purpose::Intake => self.on_intake(reply),
-            Purpose::Cancels => self.on_cancels(reply),
-            Purpose::NoFinals(polls) => self.on_no_finals(polls, reply),
-            Purpose::FinalRead { poll } => self.on_final_read(poll, reply),
+            Purpose::Accept => self.on_accept_written(reply),
+            Purpose::Cancel => self.on_cancel_written(reply),
+            Purpose::CompareFinals(requests) => self.on_finals_compared(requests, reply),
+            Purpose::FinalRead { request } => self.on_final_read(request, reply),
             Purpose::Ends { partition, term } => self.on_ends(partition, term, reply),
             Purpose::Machines => self.on_machines(reply),
             Purpose::TypesWrite => self.leader.types_pending = false,
--- a/crates/coordination/src/node/users.rs
+++ b/crates/coordination/src/node/users.rs
@@ -1,7 +1,7 @@
 //! Answers to users. Done and cancelled are said only once they are durable; anything else
 //! only after a read of the state service that began after the question.
 
-use super::{Node, Poll, PollKind, Ticket, UserReply, UserRequest};
+use super::{Node, PendingRequest, RequestKind, Ticket, UserReply, UserRequest};
 use model::{JobId, JobSpec, JobState, Span};
 use wire::users::{JobRequest, JobStatus};
 
@@ -13,8 +13,10 @@
     pub(super) fn on_user(&mut self, ticket: Ticket, request: UserRequest) {
         match request {
             UserRequest::Submit(job) => self.on_submit(ticket, *job),
-            UserRequest::Get(id) => self.ask(ticket, id, PollKind::Get),
-            UserRequest::Cancel(id) => self.ask(ticket, id, PollKind::Cancel { tries: 0 }),
+            UserRequest::Get(id) => self.read_for(ticket, id, RequestKind::Get),
+            UserRequest::Cancel(id) => {
+                self.read_for(ticket, id, RequestKind::Cancel { conflicts: 0 })
+            }
         }
     }
 
@@ -22,7 +24,7 @@
         self.reply_user(ticket, UserReply::Busy { retry_after_s });
     }
 
-    fn ask(&mut self, ticket: Ticket, id: JobId, kind: PollKind) {
+    fn read_for(&mut self, ticket: Ticket, id: JobId, kind: RequestKind) {
         if let Some(state) = self.finals.get(&id) {
             let answer = status(id, *state);
             self.reply_user(ticket, UserReply::Status(answer));
@@ -32,7 +34,7 @@
             self.busy(ticket, 1);
             return;
         }
-        self.questions.ask(Poll { ticket, kind, id, since: self.now });
+        self.reads.enqueue(PendingRequest { ticket, kind, id, since: self.now });
     }
 
     fn on_submit(&mut self, ticket: Ticket, job: JobRequest) {
@@ -49,7 +51,7 @@
             return;
         }
         if self.finals.contains_key(&id) || self.mirror.jobs.contains_key(&id) {
-            self.ask(ticket, id, PollKind::Known { reject: None });
+            self.read_for(ticket, id, RequestKind::Resubmit { reject: None });
             return;
         }
         let Some(types) = &self.mirror.types else {
@@ -58,14 +60,14 @@
         };
         if let Err(reason) = spec.check(&self.settings, &types.record.types) {
             // A job that was accepted once must never be rejected later.
-            self.ask(ticket, id, PollKind::Known { reject: Some(reason) });
+            self.read_for(ticket, id, RequestKind::Resubmit { reject: Some(reason) });
             return;
         }
         if !self.in_contact(Span(6_000)) {
             self.busy(ticket, 1);
             return;
         }
-        self.accept(ticket, id, job);
+        self.admit(ticket, id, job);
     }
 
     /// Where a job stands and why it waits, for operators.
