fleet: standard names for its public items, and an offer with named fields

Cause: "shift", "cede", "cedable", "patience" and "trust" are words of our own, `since`, `up` and `known` do not say what is meant, and an offer was a bare tuple.

Change: `TransferIdle` and `TransferWhenEmpty`; `transferable`, `transfer_to`, `reporting`, `idle_for`, `observable_for`, `silent_for`, `view_is_fresh`; the policy's `transfer_idle`, `max_idle_transfers`, `minimum_billing`, `report_timeout`, `boot_capacity_factor` and `boot_timeout_factor`; `Offer` is a struct. Names on the wire and in `admin settings` stay.

--- a/crates/coordination/src/node/admin.rs
+++ b/crates/coordination/src/node/admin.rs
@@ -89,12 +89,12 @@
             short_set_back: t.policy.short_set_back,
             horizon_s: t.fleet.horizon.as_secs(),
             keep_idle_s: t.fleet.keep_idle.as_secs(),
-            paid_s: t.fleet.paid.as_secs(),
-            shift_idle_s: t.fleet.shift_idle.as_secs(),
-            shift_count: t.fleet.shift_count,
-            silent_s: t.fleet.silent.as_secs(),
-            boot_trust: t.fleet.boot_trust,
-            boot_patience: t.fleet.boot_patience,
+            paid_s: t.fleet.minimum_billing.as_secs(),
+            shift_idle_s: t.fleet.transfer_idle.as_secs(),
+            shift_count: t.fleet.max_idle_transfers,
+            silent_s: t.fleet.report_timeout.as_secs(),
+            boot_trust: t.fleet.boot_capacity_factor,
+            boot_patience: t.fleet.boot_timeout_factor,
         }
     }
 }
@@ -145,12 +145,12 @@
             fleet: FleetPolicy {
                 horizon: Span::from_secs(self.horizon_s),
                 keep_idle: Span::from_secs(self.keep_idle_s),
-                paid: Span::from_secs(self.paid_s),
-                shift_idle: Span::from_secs(self.shift_idle_s),
-                shift_count: self.shift_count,
-                silent: Span::from_secs(self.silent_s),
-                boot_trust: self.boot_trust,
-                boot_patience: self.boot_patience,
+                minimum_billing: Span::from_secs(self.paid_s),
+                transfer_idle: Span::from_secs(self.shift_idle_s),
+                max_idle_transfers: self.shift_count,
+                report_timeout: Span::from_secs(self.silent_s),
+                boot_capacity_factor: self.boot_trust,
+                boot_timeout_factor: self.boot_patience,
             },
         })
     }
--- a/crates/coordination/src/node/leader.rs
+++ b/crates/coordination/src/node/leader.rs
@@ -308,8 +308,11 @@
     }
 
     fn on_rented(&mut self, request: RentRequest, partition: PartitionId, reply: CloudReply) {
-        let offer: Offer =
-            (request.machine_type.clone(), ZoneName::from(request.zone.as_str()), request.spot);
+        let offer = Offer {
+            machine_type: request.machine_type.clone(),
+            zone: ZoneName::from(request.zone.as_str()),
+            spot: request.spot,
+        };
         match reply {
             CloudReply::Rented(names) => {
                 if (names.len() as u32) < request.count {
@@ -380,7 +383,7 @@
                 *seen = (r.partition, now);
             }
             let (there, held) = (seen.1, self.leader.held.get(&r.partition).map(|held| held.1));
-            let since = now.since(held.map_or(there, |held| held.max(there)));
+            let observable_for = now.since(held.map_or(there, |held| held.max(there)));
             let load = self.leader.loads.get(&r.partition).and_then(|(load, at)| {
                 let fresh = now.since(*at) <= Span(2_500);
                 // A holder tells of its machines in the order of their names.
@@ -395,19 +398,19 @@
                 zone: ZoneName::from(r.zone.as_str()),
                 spot: r.spot,
                 partition: r.partition,
-                up: load.is_some_and(|(m, _)| m.up),
+                reporting: load.is_some_and(|(m, _)| m.up),
                 tasks: load.map_or(0, |(m, _)| m.tasks),
-                idle: load.map_or(Span::ZERO, |(m, _)| Span(m.idle_ms)),
+                idle_for: load.map_or(Span::ZERO, |(m, _)| Span(m.idle_ms)),
                 faulty: load.is_some_and(|(m, _)| m.faulty),
                 leaving: r.leaving,
                 age: age.max(now.since(there)),
-                since,
-                silent: load.map_or(Span::ZERO, |(m, _)| Span(m.silent_ms)),
+                observable_for,
+                silent_for: load.map_or(Span::ZERO, |(m, _)| Span(m.silent_ms)),
                 failed: listed.is_some_and(|m| m.state == MachineState::Failed),
-                known: load.is_some_and(|(_, fresh)| fresh),
-                cedable: load.is_some_and(|(m, _)| m.cedable),
+                view_is_fresh: load.is_some_and(|(_, fresh)| fresh),
+                transferable: load.is_some_and(|(m, _)| m.cedable),
                 best_effort: load.is_some_and(|(m, _)| m.best_effort),
-                ceding: load.and_then(|(m, _)| m.ceding).map(PartitionId),
+                transfer_to: load.and_then(|(m, _)| m.ceding).map(PartitionId),
             });
         }
         let mut pending: Vec<(String, MachineRecord)> = self
@@ -433,19 +436,19 @@
                 zone: ZoneName::from(record.zone.as_str()),
                 spot: record.spot,
                 partition: record.partition,
-                up: false,
+                reporting: false,
                 tasks: 0,
-                idle: Span::ZERO,
+                idle_for: Span::ZERO,
                 faulty: false,
                 leaving: false,
                 age: Span::ZERO,
-                since: Span::ZERO,
-                silent: Span::ZERO,
+                observable_for: Span::ZERO,
+                silent_for: Span::ZERO,
                 failed: false,
-                known: false,
-                cedable: false,
+                view_is_fresh: false,
+                transferable: false,
                 best_effort: false,
-                ceding: None,
+                transfer_to: None,
             });
         }
         machines
@@ -496,9 +499,9 @@
                     };
                     self.rent(request, partition);
                 }
-                FleetAction::Shift { machine, to } => self.ask_release(&machine, Some(to.0)),
+                FleetAction::TransferIdle { machine, to } => self.ask_release(&machine, Some(to.0)),
                 FleetAction::Return { machine } => self.ask_release(&machine, None),
-                FleetAction::Cede { from, to, shape, count } => {
+                FleetAction::TransferWhenEmpty { from, to, shape, count } => {
                     self.ask_cede(MeshMessage::Cede { from: from.0, to: to.0, count, shape });
                 }
             }
--- a/crates/fleet/src/machine.rs
+++ b/crates/fleet/src/machine.rs
@@ -12,34 +12,38 @@
     pub spot: bool,
     pub partition: PartitionId,
     /// Its worker reports to the partition leader.
-    pub up: bool,
+    pub reporting: bool,
     pub tasks: u32,
-    pub idle: Span,
+    pub idle_for: Span,
     pub faulty: bool,
     pub leaving: bool,
     pub age: Span,
     /// How long its partition leader could have received a report: since the machine joined the
     /// partition, or since the leader took the partition over. Before that, a missing report is
     /// no evidence against the machine.
-    pub since: Span,
+    pub observable_for: Span,
     /// Time since its last report, if it has ever reported.
-    pub silent: Span,
+    pub silent_for: Span,
     /// The cloud reports that it stopped of its own accord.
     pub failed: bool,
     /// Whether the partition leader's view of it is fresh.
-    pub known: bool,
+    pub view_is_fresh: bool,
     /// It runs neither work that its partition's teams are guaranteed nor replicas.
-    pub cedable: bool,
+    pub transferable: bool,
     /// It runs best-effort work only, which can be preempted within seconds.
     pub best_effort: bool,
     /// The partition to which it is transferred as soon as it is empty.
-    pub ceding: Option<PartitionId>,
+    pub transfer_to: Option<PartitionId>,
 }
 
 impl FleetMachine {
     /// Whether it may be transferred or preempted: it reports, and nothing else is planned for it.
     pub(crate) fn is_available(&self) -> bool {
-        self.known && self.up && !self.leaving && !self.faulty && self.ceding.is_none()
+        self.view_is_fresh
+            && self.reporting
+            && !self.leaving
+            && !self.faulty
+            && self.transfer_to.is_none()
     }
 }
 
@@ -57,13 +61,18 @@
     /// Rent machines from the cloud.
     Rent { machine_type: String, zone: ZoneName, spot: bool, count: u32, partition: PartitionId },
     /// Transfer an idle machine to another partition.
-    Shift { machine: MachineName, to: PartitionId },
+    TransferIdle { machine: MachineName, to: PartitionId },
     /// Have a partition leader transfer machines that suit the shape as they become empty:
     /// `count` in all, including those it is transferring already.
-    Cede { from: PartitionId, to: PartitionId, shape: DemandShape, count: u32 },
+    TransferWhenEmpty { from: PartitionId, to: PartitionId, shape: DemandShape, count: u32 },
     /// Return a machine to the cloud.
     Return { machine: MachineName },
 }
 
-/// Machines that can be rented: their type, their zone and whether they are spot machines.
-pub type Offer = (String, ZoneName, bool);
+/// A kind of machine that can be rented.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Offer {
+    pub machine_type: String,
+    pub zone: ZoneName,
+    pub spot: bool,
+}
--- a/crates/fleet/src/offers.rs
+++ b/crates/fleet/src/offers.rs
@@ -23,7 +23,11 @@
 
 impl RentableMachine<'_> {
     fn offer(&self) -> Offer {
-        (self.machine_type.name.clone(), self.zone.clone(), self.spot)
+        Offer {
+            machine_type: self.machine_type.name.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+        }
     }
 
     fn price(&self) -> f64 {
--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -88,7 +88,7 @@
     ) -> Self {
         let available = || machines.iter().filter(|machine| machine.is_available());
         let mut idle: Vec<&FleetMachine> = available().filter(|m| m.tasks == 0).collect();
-        idle.sort_by_key(|machine| Reverse(machine.idle));
+        idle.sort_by_key(|machine| Reverse(machine.idle_for));
         let mut planner = Planner {
             policy,
             machine_types,
@@ -191,7 +191,7 @@
         for machine in self.machines.iter().filter(|m| !m.leaving && !m.faulty) {
             let Some(machine_type) = self.machine_type(&machine.machine_type) else { continue };
             let boots = machine.partition == partition && self.is_booting(machine, machine_type);
-            if boots || machine.ceding == Some(partition) {
+            if boots || machine.transfer_to == Some(partition) {
                 incoming.push(IncomingMachine::emptied(machine, machine_type));
             }
         }
@@ -201,13 +201,15 @@
     /// Whether the machine is expected to report soon. One that is late may never report, so work
     /// must not wait for it; what tasks on a machine that does not report use is not known.
     fn is_booting(&self, machine: &FleetMachine, machine_type: &MachineType) -> bool {
-        let expected = Span::from_secs(machine_type.boot_s * self.policy.boot_trust) + REPORT_DELAY;
-        !machine.up && machine.tasks == 0 && machine.since <= expected
+        let expected =
+            Span::from_secs(machine_type.boot_s * self.policy.boot_capacity_factor) + REPORT_DELAY;
+        !machine.reporting && machine.tasks == 0 && machine.observable_for <= expected
     }
 
     fn into_actions(self) -> Vec<FleetAction> {
         let mut actions = self.actions;
-        for ((need, (machine_type, zone, spot)), count) in self.rentals {
+        for ((need, offer), count) in self.rentals {
+            let Offer { machine_type, zone, spot } = offer;
             let partition = self.needs[need].partition;
             let count = count.min(MAX_MACHINES_PER_REQUEST);
             actions.push(FleetAction::Rent { machine_type, zone, spot, count, partition });
--- a/crates/fleet/src/policy.rs
+++ b/crates/fleet/src/policy.rs
@@ -10,17 +10,17 @@
     /// How long an ordinary machine may be idle before it is returned.
     pub keep_idle: Span,
     /// Minimum time billed for a machine: younger machines are kept.
-    pub paid: Span,
+    pub minimum_billing: Span,
     /// Idle time after which a machine may be transferred to a partition that needs it.
-    pub shift_idle: Span,
+    pub transfer_idle: Span,
     /// Maximum number of idle machines transferred by one plan.
-    pub shift_count: usize,
+    pub max_idle_transfers: usize,
     /// An empty machine that has not reported for this long is returned.
-    pub silent: Span,
+    pub report_timeout: Span,
     /// A booting machine counts as capacity for its boot time multiplied by this factor.
-    pub boot_trust: f64,
+    pub boot_capacity_factor: f64,
     /// A machine that has not reported after its boot time multiplied by this factor is given up.
-    pub boot_patience: u64,
+    pub boot_timeout_factor: u64,
 }
 
 impl Default for FleetPolicy {
@@ -28,12 +28,12 @@
         FleetPolicy {
             horizon: Span(45_000),
             keep_idle: Span(20_000),
-            paid: Span(55_000),
-            shift_idle: Span(1_000),
-            shift_count: 16,
-            silent: Span(15_000),
-            boot_trust: 1.6,
-            boot_patience: 3,
+            minimum_billing: Span(55_000),
+            transfer_idle: Span(1_000),
+            max_idle_transfers: 16,
+            report_timeout: Span(15_000),
+            boot_capacity_factor: 1.6,
+            boot_timeout_factor: 3,
         }
     }
 }
--- a/crates/fleet/src/rebalance.rs
+++ b/crates/fleet/src/rebalance.rs
@@ -97,7 +97,7 @@
         let mut counts: BTreeMap<PartitionId, i64> =
             self.needs.iter().map(|need| (need.partition, 0)).collect();
         let mut transferable: BTreeMap<PartitionId, u32> = BTreeMap::new();
-        for machine in self.machines.iter().filter(|m| m.is_available() && m.cedable) {
+        for machine in self.machines.iter().filter(|m| m.is_available() && m.transferable) {
             if work.suits(&machine.machine_type, machine.zone.as_str(), machine.spot) {
                 *counts.entry(machine.partition).or_default() += 1;
                 let may_give = machine.partition != to;
--- a/crates/fleet/src/returns.rs
+++ b/crates/fleet/src/returns.rs
@@ -15,7 +15,7 @@
     /// Returns machines that are of no further use.
     pub(crate) fn return_machines(&mut self) {
         let idle: HashSet<&MachineName> = self.idle.iter().map(|machine| &machine.name).collect();
-        for machine in self.machines.iter().filter(|m| m.known && !m.leaving) {
+        for machine in self.machines.iter().filter(|m| m.view_is_fresh && !m.leaving) {
             let surplus = idle.contains(&machine.name) && self.is_surplus(machine);
             if surplus || self.never_reported(machine) || self.is_lost(machine) {
                 self.actions.push(FleetAction::Return { machine: machine.name.clone() });
@@ -25,7 +25,7 @@
 
     /// Whether an idle machine has been idle for too long, and its minimum time is over.
     fn is_surplus(&self, machine: &FleetMachine) -> bool {
-        machine.idle >= self.policy.keep_idle && machine.age >= self.policy.paid
+        machine.idle_for >= self.policy.keep_idle && machine.age >= self.policy.minimum_billing
     }
 
     /// Whether it should have booted and reported long ago.
@@ -33,13 +33,14 @@
         let boot_time = self
             .machine_type(&machine.machine_type)
             .map_or(DEFAULT_BOOT_TIME, |machine_type| Span::from_secs(machine_type.boot_s));
-        let limit = boot_time * self.policy.boot_patience + FIRST_REPORT_ALLOWANCE;
-        !machine.up && machine.since > limit
+        let limit = boot_time * self.policy.boot_timeout_factor + FIRST_REPORT_ALLOWANCE;
+        !machine.reporting && machine.observable_for > limit
     }
 
     /// Whether it runs nothing and is faulty, failed or no longer reports.
     fn is_lost(&self, machine: &FleetMachine) -> bool {
-        let stopped = machine.faulty || machine.failed || machine.silent >= self.policy.silent;
+        let stopped =
+            machine.faulty || machine.failed || machine.silent_for >= self.policy.report_timeout;
         machine.tasks == 0 && stopped
     }
 }
--- a/crates/fleet/src/transfers.rs
+++ b/crates/fleet/src/transfers.rs
@@ -38,12 +38,12 @@
 
     /// Index of an idle machine for the work that its own partition does not need.
     fn find_idle_machine(&self, work: &PendingWork<'_>, spot_only: bool) -> Option<usize> {
-        if work.no_idle_machine || self.idle_transfers >= self.policy.shift_count {
+        if work.no_idle_machine || self.idle_transfers >= self.policy.max_idle_transfers {
             return None;
         }
         self.idle.iter().position(|machine| {
             self.is_candidate(machine, work)
-                && machine.idle >= self.policy.shift_idle
+                && machine.idle_for >= self.policy.transfer_idle
                 && (machine.spot || !spot_only)
                 && !self.is_needed_by_own_partition(machine)
         })
@@ -70,7 +70,7 @@
         let machine = self.idle.remove(index);
         let machine_type = self.machine_type(&machine.machine_type)?;
         self.idle_transfers += 1;
-        self.actions.push(FleetAction::Shift { machine: machine.name.clone(), to });
+        self.actions.push(FleetAction::TransferIdle { machine: machine.name.clone(), to });
         Some(IncomingMachine::emptied(machine, machine_type))
     }
 
@@ -94,11 +94,11 @@
         shape: DemandShape,
         more: u32,
     ) {
-        let under_way = |m: &&FleetMachine| m.partition == from && m.ceding == Some(to);
+        let under_way = |m: &&FleetMachine| m.partition == from && m.transfer_to == Some(to);
         let already_requested = || self.machines.iter().filter(under_way).count() as u32;
         let total = self.requested_transfers.entry((from, to)).or_insert_with(already_requested);
         *total += more;
         let count = *total;
-        self.actions.push(FleetAction::Cede { from, to, shape, count });
+        self.actions.push(FleetAction::TransferWhenEmpty { from, to, shape, count });
     }
 }
--- a/crates/fleet/tests/planning.rs
+++ b/crates/fleet/tests/planning.rs
@@ -1,6 +1,6 @@
 //! Plans for small fleets: rentals, transfers between partitions and returns.
 
-use fleet::{plan, FleetAction, FleetMachine, FleetPolicy, PartitionNeed};
+use fleet::{plan, FleetAction, FleetMachine, FleetPolicy, Offer, PartitionNeed};
 use model::{MachineName, PartitionId, Span, ZoneName};
 use std::collections::HashMap;
 use wire::cloud::MachineType;
@@ -22,26 +22,26 @@
     }
 }
 
-fn machine(n: u32, partition: u32, cedable: bool) -> FleetMachine {
+fn machine(n: u32, partition: u32, transferable: bool) -> FleetMachine {
     FleetMachine {
         name: MachineName::from(format!("host-{n}").as_str()),
         machine_type: "m4".into(),
         zone: ZoneName::from("a"),
         spot: false,
         partition: PartitionId(partition),
-        up: true,
+        reporting: true,
         tasks: 1,
-        idle: Span::ZERO,
+        idle_for: Span::ZERO,
         faulty: false,
         leaving: false,
         age: Span(100_000),
-        since: Span(100_000),
-        silent: Span::ZERO,
+        observable_for: Span(100_000),
+        silent_for: Span::ZERO,
         failed: false,
-        known: true,
-        cedable,
+        view_is_fresh: true,
+        transferable,
         best_effort: false,
-        ceding: None,
+        transfer_to: None,
     }
 }
 
@@ -63,9 +63,13 @@
     PartitionNeed { partition: PartitionId(partition), home_zone: ZoneName::from("a"), demand }
 }
 
+fn offer(machine_type: &str, zone: &str, spot: bool) -> Offer {
+    Offer { machine_type: machine_type.into(), zone: ZoneName::from(zone), spot }
+}
+
 fn ceded(actions: &[FleetAction]) -> Vec<(u32, u32, u32)> {
     let cede = |a: &FleetAction| match a {
-        FleetAction::Cede { from, to, count, .. } => Some((from.0, to.0, *count)),
+        FleetAction::TransferWhenEmpty { from, to, count, .. } => Some((from.0, to.0, *count)),
         _ => None,
     };
     actions.iter().filter_map(cede).collect()
@@ -74,9 +78,9 @@
 /// Seen on a grown site: the partition planned for first rented all there was, and another's
 /// replicas waited for minutes while it ran arrays beyond its guarantee.
 #[test]
-fn when_no_machine_can_be_had_others_cede() {
+fn partitions_transfer_machines_when_none_can_be_rented() {
     let machines: Vec<FleetMachine> = (0..20).map(|n| machine(n, 0, n >= 4)).collect();
-    let refused = HashMap::from([(("m4".to_owned(), ZoneName::from("a"), false), 0)]);
+    let refused = HashMap::from([(offer("m4", "a", false), 0)]);
     let plan = |needs: &[PartitionNeed]| {
         plan(&FleetPolicy::default(), &[kind()], &machines, needs, &refused)
     };
@@ -88,7 +92,7 @@
 /// Guests' work of low priority would fill hundreds of ordinary machines otherwise, and hold
 /// the cheap ones while other partitions rent ordinary ones.
 #[test]
-fn best_effort_work_gets_cheap_machines_only_and_lends_them() {
+fn best_effort_work_gets_only_spot_machines_and_gives_them_up() {
     let mut low = need(0, 40, 0);
     low.demand[0].priority = Priority::Low;
     low.demand[0].spot = true;
@@ -97,7 +101,7 @@
     let machines: Vec<FleetMachine> = (0..3)
         .map(|n| FleetMachine { spot: true, best_effort: true, ..machine(n, 0, true) })
         .collect();
-    let refused = HashMap::from([(("m4".to_owned(), ZoneName::from("a"), true), 0)]);
+    let refused = HashMap::from([(offer("m4", "a", true), 0)]);
     let policy = FleetPolicy { horizon: Span(1_000), ..FleetPolicy::default() };
     let actions = plan(&policy, &[kind()], &machines, &[low.clone(), normal], &refused);
     assert_eq!(ceded(&actions).last(), Some(&(0, 1, 2)), "{actions:?}");
@@ -110,9 +114,14 @@
 /// Found in the log of a grown site: machines were given back to the cloud on arriving in
 /// another partition, since they were old and its holder had not heard them yet.
 #[test]
-fn a_machine_that_changes_hands_is_not_taken_for_one_that_never_came() {
-    let moved = FleetMachine { up: false, tasks: 0, since: Span(500), ..machine(1, 0, false) };
-    let lost = FleetMachine { since: Span(100_000), ..moved.clone() };
+fn transferred_machine_is_not_returned_before_it_can_report() {
+    let moved = FleetMachine {
+        reporting: false,
+        tasks: 0,
+        observable_for: Span(500),
+        ..machine(1, 0, false)
+    };
+    let lost = FleetMachine { observable_for: Span(100_000), ..moved.clone() };
     let policy = FleetPolicy::default();
     let plan = |m: FleetMachine| plan(&policy, &[kind()], &[m], &[], &HashMap::new());
     assert_eq!(plan(moved), []);
@@ -155,9 +164,9 @@
 
 /// Seen on a site with three types: machines for gangs were asked for in one zone only, for minutes.
 #[test]
-fn a_gang_goes_to_another_zone_as_a_whole_where_its_own_has_no_more() {
+fn gang_moves_to_another_zone_as_a_whole_when_its_own_is_sold_out() {
     let types = three_types();
-    let refused = HashMap::from([(("m20".to_owned(), ZoneName::from("a"), false), 0)]);
+    let refused = HashMap::from([(offer("m20", "a", false), 0)]);
     let policy = FleetPolicy::default();
     let mut need = gang(4);
     need.demand[0].tasks = 1;
@@ -168,9 +177,9 @@
     let boots = |n| FleetMachine {
         machine_type: "m20".into(),
         zone: ZoneName::from("b"),
-        up: false,
+        reporting: false,
         tasks: 0,
-        since: Span(1_000),
+        observable_for: Span(1_000),
         ..machine(n, 1, false)
     };
     let coming: Vec<FleetMachine> = (0..4).map(boots).collect();
@@ -179,11 +188,11 @@
 
 /// Machines with GPUs were rented for gangs that need none, at a hundred times the price.
 #[test]
-fn nothing_is_rented_with_gpus_for_work_without_and_what_only_gangs_need_is_left_to_them() {
+fn gpu_machines_are_not_rented_for_cpu_work_and_gang_types_are_left_to_gangs() {
     let types = three_types();
     let policy = FleetPolicy { horizon: Span(1_000), ..FleetPolicy::default() };
     let gone = |name: &str| {
-        let of = |zone: &str| ((name.to_owned(), ZoneName::from(zone), false), 0);
+        let of = |zone: &str| (offer(name, zone, false), 0);
         [of("a"), of("b")]
     };
     let refused = HashMap::from_iter(gone("m20"));
@@ -197,7 +206,7 @@
 }
 
 #[test]
-fn what_is_urgent_is_rented_first_and_the_rest_in_turn() {
+fn urgent_work_is_rented_first_and_the_rest_in_turn() {
     let refused = HashMap::new();
     let needs = [need(0, 30, 0), need(1, 30, 3)];
     let policy = FleetPolicy { horizon: Span(1_000), ..FleetPolicy::default() };
