Test: a launch answered by another machine is settled by a higher token only

Measured: passes; fails when the answer of another machine is taken for that of the one asked (job counted as over while its launch may come). clippy -D warnings clean for the touched crates.

--- a/crates/testkit/tests/rejected_messages.rs
+++ b/crates/testkit/tests/rejected_messages.rs
@@ -78,17 +78,20 @@
     solo.request(UserRequest::Cancel(JobId(1)));
     run(&mut solo, 30);
     assert_ne!(solo.node().explain("j-000001"), "not open", "its launch may still come");
-    // A report under a higher token voids the launch.
+    // A report under a higher token shows that the launch would not be executed any more.
     solo.answer_direct_calls_with(None);
-    for worker in solo.workers() {
-        worker.token += 1_000_000;
+    for _ in 0..20 {
+        let tokens = solo.take_report_replies().into_iter().filter_map(|reply| match reply {
+            ReportReply::Answer(answer) => Some(answer.token),
+            _ => None,
+        });
+        let newest = tokens.max().expect("workers are answered");
+        for worker in solo.workers() {
+            worker.token = worker.token.max(newest);
+        }
+        run(&mut solo, 5);
     }
-    run(&mut solo, 5);
-    let tokens = solo.take_report_replies().into_iter().filter_map(|reply| match reply {
-        ReportReply::Answer(answer) => Some(answer.token),
-        _ => None,
-    });
-    assert!(tokens.max().is_some_and(|token| token > 0), "workers are answered");
+    assert_eq!(solo.node().explain("j-000001"), "not open");
 }
 
 #[test]
