Guaranteed arrays that go before waiting replicas get room at once

Change: the plan counts guaranteed array work that goes before waiting replicas of its partition, on the same types and zone, as work that needs room at once. The order of the queue is untouched.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -149,7 +149,8 @@
     need: usize,
     shape: &'a DemandShape,
     per: Resources,
-    /// It takes room for as long as it lasts (services), or all at one time (gangs).
+    /// It takes room for as long as it lasts (services), or all at one time (gangs, and what goes before
+    /// waiting services).
     whole: bool,
     /// Time of a task.
     time: u64,
@@ -339,7 +340,9 @@
                     need,
                     shape,
                     per: needs_of(shape),
-                    whole: shape.estimate_ms == 0 || shape.gang > 0,
+                    whole: shape.estimate_ms == 0
+                        || shape.gang > 0
+                        || (tier == Tier::Urgent && self.goes_before_replicas(shape, wishes)),
                     time: shape.estimate_ms.max(1_000),
                     types: self.types_for(shape),
                     zone: shape.zone.clone(),
@@ -353,6 +356,21 @@
         wants
     }
 
+    /// Whether guaranteed array work would take the places that are rented for waiting replicas of its
+    /// partition, since it goes before them in the order. Worked off within the horizon, it would keep
+    /// them waiting for as long.
+    fn goes_before_replicas(&self, shape: &DemandShape, wishes: &PartitionNeed) -> bool {
+        let types = self.types_for(shape);
+        wishes.demand.iter().any(|replicas| {
+            let zones = (&shape.zone, &replicas.zone);
+            replicas.estimate_ms == 0
+                && replicas.urgent > 0
+                && replicas.priority <= shape.priority
+                && (zones.0.is_none() || zones.1.is_none() || zones.0 == zones.1)
+                && self.types_for(replicas).iter().any(|name| types.contains(name))
+        })
+    }
+
     /// Types of machines that are counted on for a shape: of those that hold a task, such without GPUs
     /// if it needs none. Machines with GPUs cost a hundred times as much; what needs none runs there
     /// in what is left over, but is no reason to rent or keep one.
@@ -850,6 +868,34 @@
         assert_eq!(rents(&alone), [(0, "m20".into(), "a".into(), 1)]);
     }
 
+    /// Seen while a site filled up: machines were rented for low replicas one after the other, and arrays
+    /// inside the guarantee, planned for over the horizon, took each of them for 40 s.
+    #[test]
+    fn what_goes_before_waiting_replicas_gets_room_at_once() {
+        let mut services = need(0, 1, 1);
+        services.demand[0].estimate_ms = 0;
+        services.demand[0].priority = Priority::Low;
+        let mut both = need(0, 8, 8);
+        both.demand[0].milli_cpus = 1_000;
+        both.demand[0].estimate_ms = 1_000;
+        let arrays = both.clone();
+        both.demand.extend(services.demand);
+        let rented = |need: &PartitionNeed| {
+            let needs = [need.clone()];
+            let actions = plan(&FleetPolicy::default(), &[kind()], &[], &needs, &HashMap::new());
+            rents(&actions).iter().map(|rent| rent.3).sum::<u32>()
+        };
+        assert_eq!(rented(&arrays), 1, "worked off within the horizon");
+        assert_eq!(rented(&both), 3, "two for the arrays, one for the replica");
+        both.demand[0].priority = Priority::Low;
+        both.demand[1].priority = Priority::High;
+        assert_eq!(rented(&both), 2, "the replica goes first");
+        both.demand[1].priority = Priority::Low;
+        both.demand[1].zone = Some("b".into());
+        both.demand[0].zone = Some("a".into());
+        assert_eq!(rented(&both), 1, "the replica waits elsewhere");
+    }
+
     #[test]
     fn what_is_urgent_is_rented_first_and_the_rest_in_turn() {
         let refused = HashMap::new();
