--- a/crates/fleet/src/pending.rs
+++ b/crates/fleet/src/pending.rs
@@ -1,5 +1,6 @@
 //! Waiting work, grouped by shape, for which machines are planned.
 
+use crate::machine::PartitionNeed;
 use crate::planner::Planner;
 use model::Resources;
 use wire::mesh::DemandShape;
@@ -40,7 +41,8 @@
     pub(crate) shape: &'a DemandShape,
     /// Resources of one task.
     pub(crate) task_size: Resources,
-    /// All its tasks run at the same time (services and gangs), rather than one after another.
+    /// All its tasks run at the same time (services, gangs, and work that precedes waiting
+    /// services), rather than one after another.
     pub(crate) concurrent: bool,
     /// Estimated run time of a task.
     pub(crate) task_ms: u64,
@@ -102,7 +104,9 @@
                     need: index,
                     shape,
                     task_size: task_size(shape),
-                    concurrent: shape.estimate_ms == 0 || shape.gang > 0,
+                    concurrent: shape.estimate_ms == 0
+                        || shape.gang > 0
+                        || (tier == Tier::Urgent && self.precedes_replicas(shape, need)),
                     task_ms: shape.estimate_ms.max(MIN_TASK_MS),
                     machine_types: self.machine_types_for(shape),
                     zone: shape.zone.clone(),
@@ -115,4 +119,22 @@
         }
         pending
     }
+
+    /// Whether guaranteed array work would take the machines that are rented for waiting replicas
+    /// of its partition, since it precedes them in the queue. If it were finished one task after
+    /// another within the horizon, the replicas would wait for as long.
+    fn precedes_replicas(&self, shape: &DemandShape, need: &PartitionNeed) -> bool {
+        let types = self.machine_types_for(shape);
+        need.demand.iter().any(|replicas| {
+            let same_zone = match (&shape.zone, &replicas.zone) {
+                (Some(zone), Some(other)) => zone == other,
+                _ => true,
+            };
+            replicas.estimate_ms == 0
+                && replicas.urgent > 0
+                && replicas.priority <= shape.priority
+                && same_zone
+                && self.machine_types_for(replicas).iter().any(|name| types.contains(name))
+        })
+    }
 }
--- a/crates/fleet/tests/planning.rs
+++ b/crates/fleet/tests/planning.rs
@@ -220,3 +220,31 @@
         .collect();
     assert_eq!(rented, [(0, 30), (1, 30)]);
 }
+
+/// Seen while a site filled up: machines were rented for low replicas one after the other, and arrays
+/// inside the guarantee, planned for over the horizon, took each of them for 40 s.
+#[test]
+fn what_goes_before_waiting_replicas_gets_room_at_once() {
+    let mut services = need(0, 1, 1);
+    services.demand[0].estimate_ms = 0;
+    services.demand[0].priority = Priority::Low;
+    let mut both = need(0, 8, 8);
+    both.demand[0].milli_cpus = 1_000;
+    both.demand[0].estimate_ms = 1_000;
+    let arrays = both.clone();
+    both.demand.extend(services.demand);
+    let rented = |need: &PartitionNeed| {
+        let needs = [need.clone()];
+        let actions = plan(&FleetPolicy::default(), &[kind()], &[], &needs, &HashMap::new());
+        rents(&actions).iter().map(|rent| rent.3).sum::<u32>()
+    };
+    assert_eq!(rented(&arrays), 1, "worked off within the horizon");
+    assert_eq!(rented(&both), 3, "two for the arrays, one for the replica");
+    both.demand[0].priority = Priority::Low;
+    both.demand[1].priority = Priority::High;
+    assert_eq!(rented(&both), 2, "the replica goes first");
+    both.demand[1].priority = Priority::Low;
+    both.demand[1].zone = Some("b".into());
+    both.demand[0].zone = Some("a".into());
+    assert_eq!(rented(&both), 1, "the replica waits elsewhere");
+}
