--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -39,7 +39,7 @@
         self.queue_probes(now);
         self.roomless.retain(|_, at| now.since(*at) <= NEXT_IN_LINE);
         self.expire_promises(now);
-        self.expire_holds(now);
+        self.renew_holds(now);
         self.note_waiting_gangs();
         self.keep_limits();
         // Tasks of one job are alike: where one has found no place just now, the next will not.
@@ -206,6 +206,11 @@
     if machine.has_image(&job.spec.image) {
         return Span::ZERO;
     }
+    image_fetch_time(job, machine)
+}
+
+/// How long the machine takes to fetch the job's image if it lacks it.
+pub(crate) fn image_fetch_time(job: &Job, machine: &Machine) -> Span {
     Span((job.spec.image_gb / machine.fetch_gb_per_s.max(0.01) * 1000.0) as u64)
 }
 
--- a/crates/scheduler/src/gangs.rs
+++ b/crates/scheduler/src/gangs.rs
@@ -7,16 +7,19 @@
 //! is kept for one before it in the order, and keeps nothing that one before it may take.
 
 use crate::beside::room_beside;
-use crate::cycle::{fetch_time, score, Unplaced};
-use crate::job::Job;
+use crate::cycle::{fetch_time, image_fetch_time, score, Unplaced};
+use crate::job::{Job, Placement};
 use crate::machine::Machine;
-use crate::share::{rank_of, EntryKey, GangHold, Share};
+use crate::share::{rank_of, EntryKey, GangHold, Rank, Share};
 use model::{JobId, JobKind, MachineName, Moment, Resources, Span, TaskId, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
+use wire::mesh::DemandShape;
 use wire::workers::TaskState;
 
-/// How long machines are kept for a gang before they are chosen anew.
+/// How long machines are kept for a gang that its team's limit keeps back.
 const GANG_HOLD: Span = Span(60_000);
+/// Time after which the machines kept for gangs are chosen anew: tasks end sooner or later than expected.
+const HOLD_REVIEW: Span = Span(2_000);
 /// How long a job leaves machines to gangs for which it has others to run on.
 const LEFT_FOR: Span = Span(120_000);
 /// A machine on which tasks have to be stopped counts as free after so long: one that empties by itself
@@ -24,6 +27,8 @@
 const STOPPING: Span = Span(20_000);
 /// What is left of a task that has outrun its estimate, at the least.
 const OVERDUE: Span = Span(5_000);
+/// A task that has outrun its estimate takes this part of the time that it has run, once more.
+const OVERRUN_PART: u64 = 4;
 /// Rentals take longer than this: a gang whose machines are free before is no demand.
 const SOON: Span = Span(15_000);
 
@@ -41,7 +46,7 @@
         let places = self.fit_gang(job, now).ok_or(Unplaced::Room)?;
         let attempt = self.new_attempt();
         if let Some(job) = self.jobs.get_mut(&id) {
-            job.gang_started = false;
+            job.gang_began = None;
         }
         self.release_hold(id);
         for (index, machine) in places.into_iter().enumerate() {
@@ -121,17 +126,16 @@
         if !job.placed.is_empty() {
             let waits = |p: &&crate::job::Placement| p.seen == Some(TaskState::Waiting);
             let gathered = job.placed.values().filter(waits).count();
-            let state = if job.gang_started { "it has begun" } else { "it gathers" };
+            let state = if job.gang_began.is_some() { "it has begun" } else { "it gathers" };
             return format!("{state}: {gathered} of {} tasks wait for the others", job.spec.tasks);
         }
         if let Some(hold) = self.gang_holds.get(&job.spec.id) {
             let first = hold.machines.keys().next().and_then(|name| self.machines.get(name));
             let zone = first.map(|m| m.zone.to_string()).unwrap_or_default();
             return format!(
-                "{} machines are kept for it (the first in {zone}), free in {} s, chosen anew in {} s",
+                "{} machines are kept for it (the first in {zone}), free in {} s",
                 hold.machines.len(),
                 hold.ready_at.since(now).0 / 1_000,
-                hold.until.since(now).0 / 1_000,
             );
         }
         let hold = self.machines.values().filter(|m| self.admits(job, m, now));
@@ -157,6 +161,17 @@
         })
     }
 
+    /// A task of a gang is seen running, so that the gang has begun.
+    pub(crate) fn gang_runs(&mut self, id: JobId, now: Moment) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.spec.kind != JobKind::Gang || job.gang_began.is_some() {
+            return;
+        }
+        let waited_ms = now.since(job.seen_at).0;
+        tracing::debug!(job = %id, class = job.spec.class, tasks = job.spec.tasks, waited_ms, "a gang begins");
+        job.gang_began = Some(now);
+    }
+
     /// A task of a gang has its image: those that waited for that are launched.
     pub(crate) fn gang_fetched(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
@@ -214,6 +229,22 @@
         gangs.iter().any(of_use)
     }
 
+    /// Whether gangs wait for a machine that is asked for by another partition, for what can run on others.
+    pub(crate) fn left_to_own_gangs(
+        &self,
+        shape: &DemandShape,
+        machine: &Machine,
+        now: Moment,
+    ) -> bool {
+        let only_type = shape.types.as_ref().is_some_and(|types| types.len() == 1);
+        if shape.gang > 0 || only_type {
+            return false;
+        }
+        let gangs: Vec<&Job> =
+            self.waiting_gangs.iter().filter_map(|id| self.jobs.get(id)).collect();
+        self.left_to(&gangs, machine, now)
+    }
+
     /// Gives up what is kept for a gang.
     pub(crate) fn release_hold(&mut self, id: JobId) {
         let Some(hold) = self.gang_holds.remove(&id) else { return };
@@ -226,21 +257,52 @@
         }
     }
 
-    /// Ends what has been kept for long enough, for gangs that do not wait any more, or on machines
-    /// that the gang could not use now.
-    pub(crate) fn expire_holds(&mut self, now: Moment) {
+    /// Chooses anew what is kept for the gangs that still wait, in their order, once it has been kept for
+    /// long enough or on a machine that its gang could not use now. All at one time, since what was given
+    /// up before it is chosen again goes to whatever is tried in between.
+    pub(crate) fn renew_holds(&mut self, now: Moment) {
         let stands = |hold: &GangHold| {
-            let waits = self.queue.contains(EntryKey::Gang(hold.job));
             let usable = |name: &MachineName| {
                 let Some(machine) = self.machines.get(name) else { return false };
                 let admits = self.jobs.get(&hold.job).is_some_and(|j| self.admits(j, machine, now));
                 machine.held_for == Some(hold.job) && admits
             };
-            now < hold.until && waits && hold.machines.keys().all(usable)
+            now < hold.chosen_at + HOLD_REVIEW
+                && self.waits(hold.job)
+                && hold.machines.keys().all(usable)
         };
-        let over: Vec<JobId> =
-            self.gang_holds.values().filter(|hold| !stands(hold)).map(|hold| hold.job).collect();
-        over.into_iter().for_each(|id| self.release_hold(id));
+        if self.gang_holds.values().all(stands) {
+            return;
+        }
+        let mut gangs: Vec<(Rank, JobId, Moment)> = self
+            .gang_holds
+            .values()
+            .filter_map(|hold| Some((rank_of(self.jobs.get(&hold.job)?), hold.job, hold.until)))
+            .collect();
+        gangs.sort_unstable();
+        let held: Vec<JobId> = self.gang_holds.keys().copied().collect();
+        held.into_iter().for_each(|id| self.release_hold(id));
+        for (_, id, until) in gangs {
+            if !self.waits(id) {
+                continue;
+            }
+            if now < until {
+                self.keep_for_gang(id, until, now);
+            } else if self.gang_has_limit(id) {
+                self.keep_for_gang(id, now + GANG_HOLD, now);
+            }
+        }
+    }
+
+    /// Whether its team's limit leaves room for a whole gang.
+    fn gang_has_limit(&self, id: JobId) -> bool {
+        let room = |job: &Job| self.limit_room(EntryKey::Gang(id), job, u64::from(job.spec.tasks));
+        self.jobs.get(&id).is_some_and(room)
+    }
+
+    /// Whether a gang waits for room.
+    fn waits(&self, id: JobId) -> bool {
+        self.queue.contains(EntryKey::Gang(id))
     }
 
     /// A gang that has failed twice gets machines enough kept for it.
@@ -249,39 +311,44 @@
         if failures < 2 || why != Unplaced::Room {
             return;
         }
-        if !self.gang_holds.contains_key(&id) {
-            let Some(hold) = self.jobs.get(&id).and_then(|job| self.choose_hold(job, now)) else {
-                return;
-            };
-            // Gangs behind this one that had some of it choose anew.
-            let taken: BTreeSet<JobId> =
-                hold.machines.keys().filter_map(|name| self.machines.get(name)?.held_for).collect();
-            taken.into_iter().for_each(|other| self.release_hold(other));
-            for name in hold.machines.keys() {
-                if let Some(machine) = self.machines.get_mut(name) {
-                    machine.held_for = Some(id);
-                }
-            }
-            tracing::debug!(job = %id, machines = hold.machines.len(), in_ms = hold.ready_at.since(now).0, "machines kept for a gang");
-            self.gang_holds.insert(id, hold);
+        if !self.gang_holds.contains_key(&id) && !self.keep_for_gang(id, now + GANG_HOLD, now) {
+            return;
         }
         if stops {
             self.clear_for_gang(id, now);
         }
     }
 
+    /// Keeps machines for a gang, if there are enough for it. Gangs behind it that had some of them choose
+    /// anew.
+    fn keep_for_gang(&mut self, id: JobId, until: Moment, now: Moment) -> bool {
+        let chosen = self.jobs.get(&id).and_then(|job| self.choose_hold(job, until, now));
+        let Some(hold) = chosen else { return false };
+        let taken: BTreeSet<JobId> =
+            hold.machines.keys().filter_map(|name| self.machines.get(name)?.held_for).collect();
+        taken.into_iter().for_each(|other| self.release_hold(other));
+        for name in hold.machines.keys() {
+            if let Some(machine) = self.machines.get_mut(name) {
+                machine.held_for = Some(id);
+            }
+        }
+        tracing::debug!(job = %id, machines = hold.machines.len(), in_ms = hold.ready_at.since(now).0, "machines kept for a gang");
+        self.gang_holds.insert(id, hold);
+        true
+    }
+
     /// The machines on which a gang could start soonest, of those that are kept for none before it.
-    fn choose_hold(&self, job: &Job, now: Moment) -> Option<GangHold> {
+    fn choose_hold(&self, job: &Job, until: Moment, now: Moment) -> Option<GangHold> {
         let rank = rank_of(job);
         let goes_before = |gang: JobId| self.jobs.get(&gang).is_some_and(|g| rank_of(g) < rank);
         let mut zones: BTreeMap<&ZoneName, Vec<(Moment, &Machine, u64)>> = BTreeMap::new();
         let mut all = Vec::new();
         for machine in self.machines.values().filter(|m| self.admits(job, m, now)) {
             let count = room_beside(job, machine, machine.capacity);
-            let ready = self.free_at(job, machine, now).filter(|_| count > 0);
-            let Some(ready) = ready.filter(|_| !machine.held_for.is_some_and(goes_before)) else {
+            if count == 0 || machine.held_for.is_some_and(goes_before) {
                 continue;
-            };
+            }
+            let Some(ready) = self.free_at(job, machine, now) else { continue };
             if job.spec.one_zone {
                 zones.entry(&machine.zone).or_default().push((ready, machine, count));
             } else {
@@ -291,7 +358,7 @@
         let lists = zones.into_values().chain([all]);
         let (ready_at, machines) =
             lists.filter_map(|list| soonest(job, list)).min_by_key(|(ready, _)| *ready)?;
-        Some(GangHold { job: job.spec.id, machines, ready_at, until: now + GANG_HOLD })
+        Some(GangHold { job: job.spec.id, machines, ready_at, chosen_at: now, until })
     }
 
     /// When a task of a gang has room on a machine at the latest, as far as estimates tell, if what it may
@@ -310,11 +377,11 @@
                 let ends = if placement.stop.is_some() {
                     now + other.spec.save
                 } else if self.may_stop(job, other, placement) {
-                    self.ends_at(other, placement.placed_at, now).min(now + STOPPING)
+                    self.ends_at(other, placement, now).min(now + STOPPING)
                 } else if other.spec.kind == JobKind::Service {
                     return None;
                 } else {
-                    self.ends_at(other, placement.placed_at, now)
+                    self.ends_at(other, placement, now)
                 };
                 Some((ends, other.spec.needs))
             })
@@ -326,10 +393,25 @@
         })
     }
 
-    /// When a task ends, as far as its estimate tells.
-    fn ends_at(&self, job: &Job, placed_at: Moment, now: Moment) -> Moment {
-        let fetch = Span((job.spec.image_gb * 1_000.0) as u64);
-        (placed_at + fetch + job.spec.estimate).max(now + OVERDUE)
+    /// When a task ends, as far as its estimate tells. Estimates are often wrong by half: what has run for
+    /// long is not taken to end at once.
+    fn ends_at(&self, job: &Job, placement: &Placement, now: Moment) -> Moment {
+        let began = job.gang_began.unwrap_or_else(|| self.begins_at(job, placement));
+        let overrun = Span(now.since(began).0 / OVERRUN_PART).max(OVERDUE);
+        (began + job.spec.estimate).max(now + overrun)
+    }
+
+    /// When a placed task has its image; a gang begins once all of its tasks have theirs.
+    fn begins_at(&self, job: &Job, placement: &Placement) -> Moment {
+        let fetched = |placement: &Placement| {
+            let machine = self.machines.get(&placement.machine);
+            let fetch = machine.map_or(Span::ZERO, |machine| image_fetch_time(job, machine));
+            placement.placed_at + fetch
+        };
+        if job.spec.kind != JobKind::Gang {
+            return fetched(placement);
+        }
+        job.placed.values().map(fetched).max().unwrap_or(placement.placed_at)
     }
 
     /// Stops what would not be gone from a gang's machines by the time that the last of them is free.
@@ -346,7 +428,7 @@
             for task in &machine.tasks {
                 let Some(other) = self.jobs.get(&task.job) else { continue };
                 let Some(placement) = other.placed.get(&task.index) else { continue };
-                let ends = self.ends_at(other, placement.placed_at, now);
+                let ends = self.ends_at(other, placement, now);
                 if placement.stop.is_some() || ends <= hold.ready_at + SOON {
                     room += other.spec.needs;
                 } else if self.may_stop(job, other, placement) {
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -82,8 +82,8 @@
     pub entitled: bool,
     /// On machines with GPUs it runs beside work that uses them, and takes nothing from it.
     pub only_beside: bool,
-    /// The gang's tasks have been seen running.
-    pub gang_started: bool,
+    /// When the gang's tasks were first seen running, in this attempt and by this holder.
+    pub gang_began: Option<Moment>,
 }
 
 /// A placed task as the ledger keeps it.
@@ -157,7 +157,7 @@
             guaranteed: false,
             entitled: false,
             only_beside: false,
-            gang_started: false,
+            gang_began: None,
         }
     }
 
--- a/crates/scheduler/src/observe.rs
+++ b/crates/scheduler/src/observe.rs
@@ -122,9 +122,9 @@
         match entry.state {
             TaskState::Exited => self.exited(task, entry.why.unwrap_or(ExitCause::Error), now),
             TaskState::Running => {
-                job.gang_started |= job.spec.kind == JobKind::Gang;
                 let since = placement.placed_at;
                 job.seen_running(since, now);
+                self.gang_runs(task.job, now);
             }
             TaskState::Waiting => self.gang_fetched(task.job),
             _ => {}
@@ -160,7 +160,10 @@
         let task_machine = placement.machine.clone();
         let was_seen = placement.seen.take().is_some();
         let was_launched = placement.launched.take().is_some();
-        if placement.stop.is_some() || was_seen || (gang && was_launched && job.gang_started) {
+        if placement.stop.is_some()
+            || was_seen
+            || (gang && was_launched && job.gang_began.is_some())
+        {
             // It was there and is not any more (a new session), or it never got there and is
             // no longer wanted.
             self.drop_placement(task, now, true);
--- a/crates/scheduler/src/share.rs
+++ b/crates/scheduler/src/share.rs
@@ -112,6 +112,8 @@
     pub machines: BTreeMap<MachineName, u64>,
     /// When the last of them should have room.
     pub ready_at: Moment,
+    pub chosen_at: Moment,
+    /// Until when they are kept though the team's limit keeps the gang back.
     pub until: Moment,
 }
 
@@ -516,7 +518,7 @@
     fn gang_lost_member(&mut self, id: JobId, now: Moment) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if job.placed.is_empty() {
-            job.gang_started = false;
+            job.gang_began = None;
             let failures = job.failures.values().copied().max().unwrap_or(0);
             if job.cancelled || job.all_done() || self.probing.contains_key(&id) {
                 return;
@@ -536,7 +538,7 @@
     /// save if the gang has started.
     pub fn stop_gang(&mut self, id: JobId, now: Moment) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let progress = job.gang_started && !job.cancelled && !job.all_done();
+        let progress = job.gang_began.is_some() && !job.cancelled && !job.all_done();
         let grace =
             if job.spec.checkpoint > Span::ZERO && progress { job.spec.save.0 + 1_000 } else { 0 };
         let members: Vec<u32> =
