--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -377,7 +377,6 @@
                 && shape.suits(&m.machine_type, m.zone.as_str(), m.spot)
                 && m.capacity.holds(&needs) > 0
                 && self.cedable(m, &spare)
-                && !self.left_to_own_gangs(shape, m, now)
         };
         let ends = |m: &Machine| {
             let left = m.tasks.iter().filter_map(|task| {
--- a/crates/scheduler/src/gangs.rs
+++ b/crates/scheduler/src/gangs.rs
@@ -13,7 +13,6 @@
 use crate::share::{rank_of, EntryKey, GangHold, Rank, Share};
 use model::{JobId, JobKind, MachineName, Moment, Resources, Span, TaskId, ZoneName};
 use std::collections::{BTreeMap, BTreeSet};
-use wire::mesh::DemandShape;
 use wire::workers::TaskState;
 
 /// How long machines are kept for a gang that its team's limit keeps back.
@@ -229,22 +228,6 @@
         gangs.iter().any(of_use)
     }
 
-    /// Whether gangs wait for a machine that is asked for by another partition, for what can run on others.
-    pub(crate) fn left_to_own_gangs(
-        &self,
-        shape: &DemandShape,
-        machine: &Machine,
-        now: Moment,
-    ) -> bool {
-        let only_type = shape.types.as_ref().is_some_and(|types| types.len() == 1);
-        if shape.gang > 0 || only_type {
-            return false;
-        }
-        let gangs: Vec<&Job> =
-            self.waiting_gangs.iter().filter_map(|id| self.jobs.get(id)).collect();
-        self.left_to(&gangs, machine, now)
-    }
-
     /// Gives up what is kept for a gang.
     pub(crate) fn release_hold(&mut self, id: JobId) {
         let Some(hold) = self.gang_holds.remove(&id) else { return };
