Of the machines that are free in time for a gang the last are kept; empty ones stay for gangs

Cause: a gang kept what was idle already until the last machine was free, 4 to 6 machines of a zone for up to 85 s. Change: of those that are free by then the last are kept; empty machines that waiting gangs can use are neither returned nor ceded.

--- a/crates/scheduler/src/demand.rs
+++ b/crates/scheduler/src/demand.rs
@@ -346,9 +346,9 @@
 
     /// Whether nothing on the machine would be missed by a guarantee, or by users who want their
     /// replicas where they are.
-    fn cedable(&self, machine: &Machine, spare_gpus: &BTreeSet<&MachineName>) -> bool {
+    fn cedable(&self, machine: &Machine, spare_gpus: &BTreeSet<&MachineName>, now: Moment) -> bool {
         machine.pinned == 0
-            && machine.held_for.is_none()
+            && !self.kept_for_gangs(machine, now)
             && (spare_gpus.contains(&machine.name) || self.runs_no_guarantee(machine))
     }
 
@@ -376,7 +376,7 @@
             m.usable(now, self.silence())
                 && shape.suits(&m.machine_type, m.zone.as_str(), m.spot)
                 && m.capacity.holds(&needs) > 0
-                && self.cedable(m, &spare)
+                && self.cedable(m, &spare, now)
         };
         let ends = |m: &Machine| {
             let left = m.tasks.iter().filter_map(|task| {
@@ -431,9 +431,10 @@
                 machine: m.name.to_string(),
                 tasks: m.tasks.len() as u32,
                 // What is kept for a gang is not idle.
-                idle_ms: match m.held_for {
-                    None if m.tasks.is_empty() => now.since(m.idle_since).0,
-                    _ => 0,
+                idle_ms: if m.tasks.is_empty() && !self.kept_for_gangs(m, now) {
+                    now.since(m.idle_since).0
+                } else {
+                    0
                 },
                 up: m.is_up(),
                 faulty: m.faulty,
@@ -444,7 +445,7 @@
                     }
                     None => 0,
                 },
-                cedable: self.cedable(m, &spare),
+                cedable: self.cedable(m, &spare, now),
                 best_effort: self.only_best_effort(m, now),
                 ceding: m.ceding.map(|c| c.to.0),
             })
--- a/crates/scheduler/src/gangs.rs
+++ b/crates/scheduler/src/gangs.rs
@@ -228,6 +228,16 @@
         gangs.iter().any(of_use)
     }
 
+    /// Whether a machine is kept for a gang, or is empty and of use to one that waits.
+    pub(crate) fn kept_for_gangs(&self, machine: &Machine, now: Moment) -> bool {
+        let of_use = || {
+            let gangs: Vec<&Job> =
+                self.waiting_gangs.iter().filter_map(|id| self.jobs.get(id)).collect();
+            self.left_to(&gangs, machine, now)
+        };
+        machine.held_for.is_some() || (machine.tasks.is_empty() && of_use())
+    }
+
     /// Gives up what is kept for a gang.
     pub(crate) fn release_hold(&mut self, id: JobId) {
         let Some(hold) = self.gang_holds.remove(&id) else { return };
@@ -441,23 +451,36 @@
     }
 }
 
-/// The machines of a list on which a gang could start soonest, and when that is.
+/// The machines of a list on which a gang could start soonest, and when that is. Of those that are free by
+/// then the ones that are free last: what is free now would stand idle until then.
 fn soonest(
     job: &Job,
     mut list: Vec<(Moment, &Machine, u64)>,
 ) -> Option<(Moment, BTreeMap<MachineName, u64>)> {
     list.sort_by(|a, b| (a.0, score(job, a.1), &a.1.name).cmp(&(b.0, score(job, b.1), &b.1.name)));
+    let (ready_at, _) = first_enough(job, &list)?;
+    list.retain(|(ready, ..)| *ready <= ready_at);
+    list.sort_by_key(|(ready, ..)| std::cmp::Reverse(*ready));
+    let (_, machines) = first_enough(job, &list)?;
+    Some((ready_at, machines))
+}
+
+/// The first machines of a list that are enough for a gang, and when the last of them is free.
+fn first_enough(
+    job: &Job,
+    list: &[(Moment, &Machine, u64)],
+) -> Option<(Moment, BTreeMap<MachineName, u64>)> {
     let mut zones: BTreeMap<&ZoneName, u64> = BTreeMap::new();
     let mut left = u64::from(job.spec.tasks);
     let (mut kept, mut last) = (BTreeMap::new(), Moment::default());
     for (ready, machine, count) in list {
         let here = zones.entry(&machine.zone).or_default();
         let cap = u64::from(job.spec.zone_limit()).saturating_sub(*here);
-        let count = count.min(left).min(cap);
+        let count = (*count).min(left).min(cap);
         if count > 0 {
             *here += count;
             left -= count;
-            last = last.max(ready);
+            last = last.max(*ready);
             kept.insert(machine.name.clone(), count);
         }
         if left == 0 {
--- a/crates/scheduler/tests/gangs.rs
+++ b/crates/scheduler/tests/gangs.rs
@@ -314,3 +314,92 @@
     cycle(&mut share, 3_000, 4_000);
     assert_eq!(placed(&share, gang), 3);
 }
+
+/// Cycles as the node runs them: what backs off waits for its time.
+fn cycle_at_pace(share: &mut Share, from: u64, until: u64) {
+    for at in (from..until).step_by(100) {
+        share.run_cycles(Moment(at), 1_000);
+    }
+}
+
+/// After how many seconds the machines that are kept for a gang should be free.
+fn seconds_until_free(share: &Share, gang: JobId, now: Moment) -> u64 {
+    let why = share.explain(gang, now).expect("it is there");
+    let (_, rest) = why.split_once("free in ").unwrap_or_else(|| panic!("nothing is kept: {why}"));
+    rest.split(' ').next().and_then(|seconds| seconds.parse().ok()).expect("a number")
+}
+
+/// Machines were given up after a minute and chosen anew at the gang's next try. What came in between took
+/// those that were free already.
+#[test]
+fn what_is_kept_for_a_gang_is_chosen_anew_without_a_gap() {
+    let mut share = share(1_000.0);
+    (1..=3).for_each(|n| add(&mut share, n, "large", "a"));
+    let lasting = JobRequest { estimate_s: 200.0, ..job(1, JobKind::Gang, 1, 18.0, 0.0) };
+    let lasting = submit(&mut share, &lasting, Moment(0));
+    cycle_at_pace(&mut share, 0, 500);
+    assert_eq!(placed(&share, lasting), 1);
+    let gang = submit(&mut share, &job(2, JobKind::Gang, 3, 18.0, 0.0), Moment(500));
+    cycle(&mut share, 500, 4_000);
+    for (id, at) in (3..).zip((4_000..80_000).step_by(500)) {
+        all_report(&mut share, id, Moment(at));
+        let later = JobRequest { estimate_s: 300.0, ..job(id, JobKind::Gang, 1, 18.0, 0.0) };
+        let later = submit(&mut share, &later, Moment(at));
+        cycle_at_pace(&mut share, at, at + 500);
+        assert_eq!(placed(&share, later), 0, "after {at} ms");
+        share.cancel_job(later, Moment(at + 499));
+    }
+    share.cancel_job(lasting, Moment(80_000));
+    hear_empty(&mut share, 1_000, Moment(80_000));
+    cycle_at_pace(&mut share, 80_000, 82_000);
+    assert_eq!(placed(&share, gang), 3);
+}
+
+/// All machines report that nothing runs on them.
+fn hear_empty(share: &mut Share, seq: u64, now: Moment) {
+    for n in 1..=share.machines.len() as u32 {
+        hear(share, n, seq, Vec::new(), now);
+    }
+}
+
+/// Fetches were taken to be five times as fast as they are, and what had outrun its estimate to end at once:
+/// gangs waited for the machines that were free last.
+#[test]
+fn tasks_are_expected_to_fetch_first_and_to_outrun_their_estimates() {
+    let mut share = share(1_000.0);
+    add(&mut share, 1, "large", "a");
+    let before = JobRequest { image_gb: 8.0, ..job(1, JobKind::Gang, 1, 18.0, 0.0) };
+    submit(&mut share, &before, Moment(0));
+    cycle(&mut share, 0, 500);
+    let gang = submit(&mut share, &job(2, JobKind::Gang, 1, 18.0, 0.0), Moment(500));
+    cycle(&mut share, 500, 3_000);
+    let expected = seconds_until_free(&share, gang, Moment(3_000));
+    assert!((95..=98).contains(&expected), "40 s of fetch and 60 of its estimate: {expected}");
+    all_report(&mut share, 2, Moment(40_000));
+    cycle(&mut share, 40_000, 43_000);
+    assert_eq!(seconds_until_free(&share, gang, Moment(43_000)), 57, "it began after 40 s");
+    all_report(&mut share, 3, Moment(90_000));
+    all_report(&mut share, 4, Moment(140_000));
+    cycle(&mut share, 140_000, 143_000);
+    let expected = seconds_until_free(&share, gang, Moment(143_000));
+    assert!((24..=26).contains(&expected), "a quarter of 102 s once more: {expected}");
+}
+
+/// What was free already stood idle until the last of a gang's machines was free, though others ended then.
+#[test]
+fn of_the_machines_that_are_free_in_time_the_last_are_kept() {
+    let mut share = share(1_000.0);
+    (1..=3).for_each(|n| add(&mut share, n, "large", "a"));
+    let running = submit(&mut share, &job(1, JobKind::Gang, 2, 18.0, 0.0), Moment(0));
+    cycle(&mut share, 0, 500);
+    let gang = submit(&mut share, &job(2, JobKind::Gang, 2, 18.0, 0.0), Moment(500));
+    cycle(&mut share, 500, 3_000);
+    assert_eq!((placed(&share, running), placed(&share, gang)), (2, 0));
+    let lasting = JobRequest { estimate_s: 300.0, ..job(3, JobKind::Gang, 1, 18.0, 0.0) };
+    let lasting = submit(&mut share, &lasting, Moment(3_000));
+    cycle(&mut share, 3_000, 4_000);
+    assert_eq!(placed(&share, lasting), 1, "the two machines that are free together are kept");
+    share.cancel_job(running, Moment(4_000));
+    cycle(&mut share, 4_000, 5_000);
+    assert_eq!(placed(&share, gang), 2);
+}
