--- a/crates/coordination/src/node/holder.rs
+++ b/crates/coordination/src/node/holder.rs
@@ -734,7 +734,9 @@
         for load in loads {
             match &leader {
                 Some(name) if name == self.me() => self.on_load(load),
-                Some(name) if !self.peer_lives(name) => self.write_demand(load),
+                Some(name) if !self.peer_lives(name) || !self.is_heard_by(name) => {
+                    self.write_demand(load);
+                }
                 Some(name) => {
                     let name = name.clone();
                     self.mesh(&name, MeshMessage::Load(load));
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -66,6 +66,16 @@
         self.peers.get(name).is_some_and(|p| self.now.since(p.heard_at) <= PEER_SILENCE)
     }
 
+    /// Whether a peer, by its own last word, has heard us lately. Each direction is a connection of its own, and
+    /// one may be cut without the other.
+    pub(super) fn is_heard_by(&self, peer: &NodeName) -> bool {
+        let heard = |view: &PeerView| {
+            let us = view.heard.iter().find(|(name, _)| name == self.me());
+            us.is_some_and(|(_, ago)| *ago <= PEER_SILENCE)
+        };
+        self.peers.get(peer).is_some_and(heard)
+    }
+
     pub(super) fn step_partitions(&mut self) {
         if !self.synced || !self.booted || self.lease.is_none() || !self.in_contact(Span(3_000)) {
             return;
--- a/crates/testkit/tests/machine_meetings.rs
+++ b/crates/testkit/tests/machine_meetings.rs
@@ -305,6 +305,22 @@
     assert!(met.lost_on_one_way > 2_000, "{met:?}");
 }
 
+/// Holders that hear the leader and are not heard by it: it knew nothing of what they lacked, and rented no
+/// machine for them.
+#[test]
+fn machines_are_rented_for_holders_that_the_leader_does_not_hear() {
+    let faults = [1, 2].map(|from| (0, Fault::OneWay { from, to: 0, ms: 60_000 }));
+    let plan = Plan::of_long_tasks(5, MS, faults.into());
+    let mut world = World::new(plan);
+    world.run_to(40_000);
+    assert_eq!(world.holder(0), Some("n0"), "the leader");
+    for partition in 0..3 {
+        assert!(world.machines_of(partition) > 0, "partition {partition}");
+    }
+    world.run();
+    assert_eq!(world.rules.broken, []);
+}
+
 /// What controllers told each other comes again late, also from and to earlier lives, while they end, come
 /// back and are cut off.
 fn mesh_copies(seed: u64) -> Vec<(u64, Fault)> {
