--- a/crates/testkit/src/world/odd_requests.rs
+++ b/crates/testkit/src/world/odd_requests.rs
@@ -82,7 +82,7 @@
         let nth = self.rng.random_range(0..body.len());
         let Some(field) = body.keys().nth(nth).cloned() else { return };
         let removed = body.remove(&field);
-        if self.plan.sabotage == Some(Sabotage::OddRequestsTaken) {
+        if self.plan.sabotage == Some(Sabotage::MissingFieldsFilled) {
             body.extend(removed.map(|value| (field, value)));
         }
         self.odd_jobs.insert(id.clone(), Refusal::Malformed);
--- a/crates/testkit/src/world/plan.rs
+++ b/crates/testkit/src/world/plan.rs
@@ -88,6 +88,27 @@
     OneTaskJobs { ms: u64 },
     /// Garbage stands on a ledger page of a partition for a time.
     SpoilPage { partition: u32, ms: u64 },
+    /// So many machines reach no controller: their connections fail. Direct commands and questions reach
+    /// them.
+    Mute { count: usize, ms: u64 },
+    /// So many per cent of the transactions are carried out at once, and only their answers are lost.
+    LostAnswers { percent: u64, ms: u64 },
+    /// Of so many per cent of the reports a copy is kept, which reaches every controller just as the next
+    /// holder of a partition begins.
+    KeptCopies { percent: u64, ms: u64 },
+    /// So many per cent of the reports are held back until the next holder of a partition has acted, and
+    /// arrive there.
+    HeldReports { percent: u64, ms: u64 },
+    /// So many per cent of the direct commands get no answer and are carried out once, 2 to 16 s later, if
+    /// token and session still match.
+    LateCommands { percent: u64, ms: u64 },
+    /// What one node tells another is lost; what the other tells it arrives.
+    OneWay { from: usize, to: usize, ms: u64 },
+    /// Of so many per cent of what nodes tell each other a copy arrives again, a second to three leases
+    /// later, whoever lives there by then.
+    MeshCopies { percent: u64, ms: u64 },
+    /// Links among nodes and to machines are so many times slower.
+    SlowLinks { times: u64, ms: u64 },
 }
 
 /// A safety step that is deliberately broken, to show that the checker would tell.
@@ -126,10 +147,20 @@
     FreshReadsOld,
     /// Ends are written whatever has been cancelled since they were decided.
     EndsIgnoreCancellations,
-    /// Jobs that fit no machine seem to fit, and missing fields are filled in.
-    OddRequestsTaken,
-    /// The lease of a machine that hangs does not run out.
-    HangingMachinesKeepLeases,
+    /// Jobs that fit no machine seem to fit.
+    UnfitJobsFit,
+    /// Missing fields of submissions are filled in.
+    MissingFieldsFilled,
+    /// Machines that have hung ignore commands that stop tasks.
+    HungMachinesIgnoreStops,
+    /// Late direct commands are carried out whatever token and session they bear.
+    LateCommandsTrusted,
+    /// Workers take direct commands and questions for answers to reports: these keep their leases up.
+    DirectKeepsLease,
+    /// Late copies of signs of life claim to know all changes.
+    MeshCopiesTrusted,
+    /// Transactions whose answers would be lost are called committed and are not carried out.
+    LostNotCarriedOut,
 }
 
 /// What a run consists of.
@@ -145,6 +176,15 @@
     pub size: u64,
 }
 
+impl Plan {
+    /// A small site with long tasks, arrays and gangs with and without checkpoints, and services.
+    pub fn of_long_tasks(seed: u64, ms: u64, mut faults: Vec<(u64, Fault)>) -> Self {
+        faults.insert(0, (0, Fault::Long { times: 30, ms }));
+        faults.insert(1, (2_000, Fault::Burst { jobs: 24 }));
+        Plan { seed, ms, faults, sabotage: None, submit_ms: 40_000, size: 1 + seed % 2 }
+    }
+}
+
 impl Fault {
     /// How long it lasts, in ms.
     pub fn lasts(&self) -> u64 {
@@ -178,6 +218,14 @@
             | Fault::OddRequests { ms }
             | Fault::OneTaskJobs { ms }
             | Fault::SpoilPage { ms, .. } => *ms,
+            Fault::Mute { ms, .. }
+            | Fault::LostAnswers { ms, .. }
+            | Fault::KeptCopies { ms, .. }
+            | Fault::HeldReports { ms, .. }
+            | Fault::LateCommands { ms, .. }
+            | Fault::OneWay { ms, .. }
+            | Fault::MeshCopies { ms, .. }
+            | Fault::SlowLinks { ms, .. } => *ms,
             Fault::CrashAt { .. } => 6_000,
             Fault::Kill { .. }
             | Fault::Sick { .. }
--- a/crates/testkit/src/world/sabotage.rs
+++ b/crates/testkit/src/world/sabotage.rs
@@ -5,7 +5,7 @@
 impl World {
     /// The cloud claims that its machines hold any task.
     pub(super) fn pretend_large_machines(&mut self) {
-        if self.plan.sabotage == Some(Sabotage::OddRequestsTaken) {
+        if self.plan.sabotage == Some(Sabotage::UnfitJobsFit) {
             for kind in &mut self.cloud.types {
                 (kind.cpus, kind.gpus, kind.memory_gb) = (1_000.0, 8.0, 10_000.0);
             }
