--- a/crates/testkit/tests/meetings.rs
+++ b/crates/testkit/tests/meetings.rs
@@ -465,6 +465,11 @@
         ("quick boots", Fault::Boots { how: Boots::Quick, ms }),
         ("slow links", Fault::SlowLinks { times: 60, ms }),
         ("state slow for long", Fault::SlowState { times: 15 + ms % 26, ms: ms + 50_000 }),
+        ("close looks", Fault::CloseLooks { ms }),
+        ("cancelled at the end", Fault::CancelAtEnd { percent: 60, ms }),
+        ("cancelled and hanging", Fault::CancelNow { count: 8, hang_ms: ms.min(9_500) }),
+        ("odd requests", Fault::OddRequests { ms }),
+        ("one-task jobs", Fault::OneTaskJobs { ms }),
     ]
 }
 
@@ -479,11 +484,14 @@
     let (first, a) = kinds(node, ms).swap_remove(one as usize);
     let (then, b) = kinds(second, ms).swap_remove(other as usize);
     let after = rng.random_range(100..6_000);
+    // In every other pair users look closely from the start to the end.
+    let looks = 110_000 * (nth % 2);
     let faults = vec![
         (45_000, a),
         (45_000 + after, b),
         (45_000 + after + 300, Fault::CancelAll { through: (node + 2) % 3 }),
         (85_000, Fault::Burst { jobs: 6 }),
+        (2_000, Fault::CloseLooks { ms: looks }),
     ];
     let plan = plan(nth, 170_000, faults);
     let mut world = World::new(Plan { size: plan.size.max(size), ..plan });
