--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -62,6 +62,8 @@
     /// Tasks that were completed here; their results are kept.
     results: BTreeSet<String>,
     pub fails_everything: bool,
+    /// Commands that stop tasks are ignored, against the rules.
+    pub ignores_stops: bool,
     gang_wait: u64,
     /// Tasks that it has killed since its lease had run out.
     pub lapsed_tasks: u64,
@@ -92,6 +94,7 @@
             ended_busy: false,
             results: BTreeSet::new(),
             fails_everything: false,
+            ignores_stops: false,
             gang_wait: 45_000,
             lapsed_tasks: 0,
             gangs: BTreeMap::new(),
@@ -130,11 +133,6 @@
         (report.session, report.seq) < (self.session, self.seq)
     }
 
-    /// Has the lease run from now on, without a report.
-    pub fn keep_lease(&mut self, now: u64) {
-        self.lease_from = now;
-    }
-
     /// Ends the session if the lease has run out.
     pub fn check_lease(&mut self, now: u64, lease: u64) {
         if now > self.lease_from + lease {
@@ -255,6 +253,7 @@
                     },
                 );
             }
+            Command::Stop { .. } if self.ignores_stops => {}
             Command::Stop { task, attempt, grace_s } => {
                 let job = jobs.get(task.split('/').next().unwrap_or_default());
                 let save_s = job.filter(|j| j.checkpoint_s > 0.0).map(|j| j.save_s);
--- a/crates/testkit/src/world/faults.rs
+++ b/crates/testkit/src/world/faults.rs
@@ -187,6 +187,7 @@
         let until = self.now + ms;
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.hangs_until = until;
+            worker.ignores_stops = self.plan.sabotage == Some(Sabotage::HungMachinesIgnoreStops);
         }
         self.cut(Cut::Machine(name), ms);
     }
--- a/crates/testkit/src/world/machines.rs
+++ b/crates/testkit/src/world/machines.rs
@@ -91,11 +91,6 @@
                 continue;
             }
             // A machine that hangs does not outlive its lease either.
-            if worker.hangs_until > now
-                && self.plan.sabotage == Some(Sabotage::HangingMachinesKeepLeases)
-            {
-                worker.keep_lease(now);
-            }
             worker.check_lease(now, self.terms.lease);
             if worker.hangs_until > now {
                 continue;
--- a/crates/testkit/src/world/plan.rs
+++ b/crates/testkit/src/world/plan.rs
@@ -157,10 +157,12 @@
     FreshReadsOld,
     /// Ends are written whatever has been cancelled since they were decided.
     EndsIgnoreCancellations,
-    /// Jobs that fit no machine seem to fit, and missing fields are filled in.
-    OddRequestsTaken,
-    /// The lease of a machine that hangs does not run out.
-    HangingMachinesKeepLeases,
+    /// Jobs that fit no machine seem to fit.
+    UnfitJobsFit,
+    /// Missing fields of submissions are filled in.
+    MissingFieldsFilled,
+    /// Machines that have hung ignore commands that stop tasks.
+    HungMachinesIgnoreStops,
 }
 
 /// What a run consists of.
