--- a/crates/loadtest/src/capacity.rs
+++ b/crates/loadtest/src/capacity.rs
@@ -1,8 +1,396 @@
 //! Lines through the reports of several sizes, and the tables made from them.
 
+use crate::report::{is_controller, Report};
+use serde::{Deserialize, Serialize};
 use std::path::Path;
 
+/// Name of the experiments with different numbers of workers, and of those with different rates of starts.
+const WORKERS_SERIES: &str = "workers";
+const STARTS_SERIES: &str = "starts";
+/// Kinds of messages to the state service and to the cloud.
+const STATE_KINDS: [&str; 7] = ["get", "list", "txn", "lease", "renew", "end lease", "watch"];
+const CLOUD_KINDS: [&str; 4] = ["machine types", "rent", "release", "list machines"];
+/// Kinds of messages between controllers and workers.
+const WORKER_KINDS: [&str; 3] = ["report", "commands", "status"];
+/// Marks in the page between which the tables are written.
+const BEGIN_MARK: &str = "<!-- capacity: begin -->";
+const END_MARK: &str = "<!-- capacity: end -->";
+
+/// The planned size, its regions and their budgets.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// Workers, running tasks and task starts a second at the peak, of the whole and evenly divided.
+    pub workers: f64,
+    pub starts_per_s: f64,
+    pub regions: f64,
+    /// Controllers of a region.
+    pub controllers: f64,
+    /// What one controller may use.
+    pub controller_cores: f64,
+    pub controller_memory_mb: f64,
+    pub controller_sockets: f64,
+    /// What the state service and the cloud of a region allow a second.
+    pub state_requests_per_s: f64,
+    pub state_writes_per_s: f64,
+    pub cloud_requests_per_s: f64,
+    /// What control may cost a worker.
+    pub worker_bytes_per_s: f64,
+}
+
+/// A line `intercept + slope * x`, and how well it fits.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct Line {
+    pub points: usize,
+    pub intercept: f64,
+    pub slope: f64,
+    /// Standard error of the slope.
+    pub slope_error: f64,
+    /// Part of the variance that the line explains.
+    pub r_squared: f64,
+    /// Mean of x over the points.
+    pub mean_x: f64,
+}
+
+impl Line {
+    /// Least squares; none for fewer than three points or a single x.
+    pub fn fit(points: &[(f64, f64)]) -> Option<Line> {
+        let count = points.len() as f64;
+        if points.len() < 3 {
+            return None;
+        }
+        let mean_x = points.iter().map(|p| p.0).sum::<f64>() / count;
+        let mean_y = points.iter().map(|p| p.1).sum::<f64>() / count;
+        let spread: f64 = points.iter().map(|p| (p.0 - mean_x).powi(2)).sum();
+        if spread <= f64::EPSILON {
+            return None;
+        }
+        let together: f64 = points.iter().map(|p| (p.0 - mean_x) * (p.1 - mean_y)).sum();
+        let slope = together / spread;
+        let intercept = mean_y - slope * mean_x;
+        let residual = |p: &(f64, f64)| (p.1 - intercept - slope * p.0).powi(2);
+        let residuals: f64 = points.iter().map(residual).sum();
+        let variance: f64 = points.iter().map(|p| (p.1 - mean_y).powi(2)).sum();
+        Some(Line {
+            points: points.len(),
+            intercept,
+            slope,
+            slope_error: (residuals / (count - 2.0) / spread).sqrt(),
+            r_squared: if variance > 0.0 { 1.0 - residuals / variance } else { 1.0 },
+            mean_x,
+        })
+    }
+}
+
+/// A measured quantity with its budget.
+struct Quantity {
+    name: &'static str,
+    unit: &'static str,
+    /// What carries it in the present design.
+    module: &'static str,
+    value: fn(&Report) -> f64,
+    budget: fn(&Target) -> f64,
+}
+
+const QUANTITIES: [Quantity; 10] = [
+    Quantity {
+        name: "processor time, all controllers",
+        unit: "cores",
+        module: "`scheduler`, `queue`, `coordination::node`",
+        value: |report| controllers(report, |p| p.cpu_mean).iter().sum(),
+        budget: |target| target.controllers * target.controller_cores,
+    },
+    Quantity {
+        name: "processor time, busiest controller",
+        unit: "cores",
+        module: "`coordination::node::leader` (planner), `fleet`",
+        value: |report| most(&controllers(report, |p| p.cpu_mean)),
+        budget: |target| target.controller_cores,
+    },
+    Quantity {
+        name: "processor time, busiest second of a controller",
+        unit: "cores",
+        module: "`coordination::node`",
+        value: |report| most(&controllers(report, |p| p.cpu_peak)),
+        budget: |target| target.controller_cores,
+    },
+    Quantity {
+        name: "memory, largest controller",
+        unit: "MB",
+        module: "`coordination::mirror`, `scheduler::machine`",
+        value: |report| most(&controllers(report, |p| p.memory_mb_max)),
+        budget: |target| target.controller_memory_mb,
+    },
+    Quantity {
+        name: "sockets, fullest controller",
+        unit: "sockets",
+        module: "`trackcrank::server`, `trackcrank::clients`",
+        value: |report| most(&controllers(report, |p| p.sockets_max as f64)),
+        budget: |target| target.controller_sockets,
+    },
+    Quantity {
+        name: "reports, all workers",
+        unit: "messages/s",
+        module: "`coordination::node::workers`",
+        value: |report| messages(report, &["report"]),
+        budget: |_| f64::INFINITY,
+    },
+    Quantity {
+        name: "control traffic, all workers",
+        unit: "bytes/s",
+        module: "`wire::workers`",
+        value: |report| bytes(report, &WORKER_KINDS),
+        budget: |target| target.workers / target.regions * target.worker_bytes_per_s,
+    },
+    Quantity {
+        name: "state service, requests",
+        unit: "requests/s",
+        module: "`coordination::budget`, `coordination::mirror` (watches)",
+        value: |report| messages(report, &STATE_KINDS),
+        budget: |target| target.state_requests_per_s,
+    },
+    Quantity {
+        name: "state service, puts and deletes",
+        unit: "writes/s",
+        module: "`coordination::ledger`, `coordination::records`",
+        value: |report| stand_in(report, "state service", "writes taken") / report.window_s,
+        budget: |target| target.state_writes_per_s,
+    },
+    Quantity {
+        name: "cloud, requests",
+        unit: "requests/s",
+        module: "`coordination::node::machines`",
+        value: |report| messages(report, &CLOUD_KINDS),
+        budget: |target| target.cloud_requests_per_s,
+    },
+];
+
+fn controllers(
+    report: &Report,
+    value: impl Fn(&crate::processes::ProcessFigures) -> f64,
+) -> Vec<f64> {
+    report.processes.iter().filter(|p| is_controller(&p.name)).map(value).collect()
+}
+
+fn most(values: &[f64]) -> f64 {
+    values.iter().copied().fold(0.0, f64::max)
+}
+
+fn messages(report: &Report, kinds: &[&str]) -> f64 {
+    let all = report.traffic.values().flatten();
+    all.filter(|(kind, _)| kinds.contains(&kind.as_str())).map(|(_, t)| t.messages_per_s).sum()
+}
+
+fn bytes(report: &Report, kinds: &[&str]) -> f64 {
+    let all = report.traffic.values().flatten();
+    let ours = all.filter(|(kind, _)| kinds.contains(&kind.as_str()));
+    ours.map(|(_, t)| t.bytes_from_controller_per_s + t.bytes_to_controller_per_s).sum()
+}
+
+fn stand_in(report: &Report, name: &str, figure: &str) -> f64 {
+    report.stand_ins.get(name).and_then(|f| f.get(figure)).copied().unwrap_or_default()
+}
+
+fn rate(report: &Report, name: &str) -> f64 {
+    report.rates.get(name).copied().unwrap_or_default()
+}
+
+/// A quantity with its lines and what they come to at the size of a region.
+#[derive(Debug, Clone, Serialize)]
+pub struct Row {
+    pub quantity: &'static str,
+    pub unit: &'static str,
+    pub module: &'static str,
+    pub per_worker: Option<Line>,
+    pub per_start: Option<Line>,
+    /// At a region's size, and its error.
+    pub extrapolated: Option<f64>,
+    pub error: Option<f64>,
+    pub budget: f64,
+}
+
+impl Row {
+    fn of(quantity: &Quantity, reports: &[Report], target: &Target) -> Row {
+        let line = |series: &str, x: fn(&Report) -> f64| {
+            let reports = reports.iter().filter(|r| r.name == series && r.ended == "whole");
+            let points: Vec<_> = reports.map(|r| (x(r), (quantity.value)(r))).collect();
+            Line::fit(&points)
+        };
+        let per_worker = line(WORKERS_SERIES, |r| rate(r, "workers"));
+        let per_start = line(STARTS_SERIES, |r| rate(r, "task starts a second"));
+        let workers = target.workers / target.regions;
+        let starts = target.starts_per_s / target.regions;
+        // The few starts in the series of workers are in its intercept.
+        let extrapolated = per_worker.zip(per_start).map(|(worker, start)| {
+            worker.intercept + worker.slope * workers + start.slope * starts
+        });
+        let error = per_worker.zip(per_start).map(|(worker, start)| {
+            let workers_away = (workers - worker.mean_x).abs();
+            (worker.slope_error * workers_away).hypot(start.slope_error * starts)
+        });
+        Row {
+            quantity: quantity.name,
+            unit: quantity.unit,
+            module: quantity.module,
+            per_worker,
+            per_start,
+            extrapolated,
+            error,
+            budget: (quantity.budget)(target),
+        }
+    }
+
+    fn text(&self) -> String {
+        let slope = |line: &Option<Line>, times: f64| match line {
+            Some(line) => format!(
+                "{} ± {} (r² {:.2})",
+                number(line.slope * times),
+                number(line.slope_error * times),
+                line.r_squared
+            ),
+            None => "not measured".into(),
+        };
+        let budget = if self.budget.is_finite() { number(self.budget) } else { "none set".into() };
+        let (value, verdict) = match (self.extrapolated, self.error) {
+            (Some(value), Some(error)) => {
+                (format!("{} ± {}", number(value), number(error)), self.verdict(value))
+            }
+            _ => ("-".into(), "-".into()),
+        };
+        format!(
+            "| {}, {} | {} | {} | {value} | {budget} | {verdict} | {} |",
+            self.quantity,
+            self.unit,
+            slope(&self.per_worker, 1_000.0),
+            slope(&self.per_start, 100.0),
+            self.module
+        )
+    }
+
+    fn verdict(&self, value: f64) -> String {
+        if !self.budget.is_finite() {
+            return "-".into();
+        }
+        let times = self.budget / value.max(f64::EPSILON);
+        if times >= 1.0 {
+            format!("{}%", ((1.0 - 1.0 / times) * 100.0).round())
+        } else {
+            format!("**does not fit: {:.1} times the budget**", 1.0 / times)
+        }
+    }
+}
+
+/// Three digits, without an exponent.
+fn number(value: f64) -> String {
+    let size = value.abs();
+    match size {
+        0.0 => "0".into(),
+        _ if size >= 100.0 => format!("{value:.0}"),
+        _ if size >= 10.0 => format!("{value:.1}"),
+        _ if size >= 1.0 => format!("{value:.2}"),
+        _ if size >= 0.01 => format!("{value:.3}"),
+        _ => format!("{value:.5}"),
+    }
+}
+
 /// Reads all reports of a directory and prints or writes the tables.
-pub fn command(_directory: &Path, _page: Option<&Path>, _json: bool) -> Result<(), String> {
-    Err("not there yet".into())
+pub fn command(directory: &Path, page: Option<&Path>, json: bool) -> Result<(), String> {
+    let target = read_target(directory)?;
+    let reports = read_reports(directory)?;
+    let rows: Vec<Row> = QUANTITIES.iter().map(|q| Row::of(q, &reports, &target)).collect();
+    if json {
+        let text = serde_json::to_string(&rows).map_err(|e| e.to_string())?;
+        println!("{text}");
+        return Ok(());
+    }
+    let tables = tables(&rows, &reports, &target);
+    match page {
+        Some(page) => write_page(page, &tables),
+        None => {
+            println!("{tables}");
+            Ok(())
+        }
+    }
+}
+
+fn read_target(directory: &Path) -> Result<Target, String> {
+    let path = directory.join("target.toml");
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    toml::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn read_reports(directory: &Path) -> Result<Vec<Report>, String> {
+    let problem = |path: &Path, e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    let entries = std::fs::read_dir(directory).map_err(|e| problem(directory, &e))?;
+    let mut paths: Vec<_> = entries.flatten().map(|entry| entry.path()).collect();
+    paths.retain(|path| path.extension().is_some_and(|extension| extension == "json"));
+    paths.sort();
+    let read = |path: &std::path::PathBuf| {
+        let text = std::fs::read_to_string(path).map_err(|e| problem(path, &e))?;
+        serde_json::from_str(&text).map_err(|e| problem(path, &e))
+    };
+    paths.iter().map(read).collect()
+}
+
+fn write_page(page: &Path, tables: &str) -> Result<(), String> {
+    let text = std::fs::read_to_string(page).map_err(|e| format!("{}: {e}", page.display()))?;
+    let marks = || format!("{}: the marks {BEGIN_MARK} and {END_MARK} are missing", page.display());
+    let (before, rest) = text.split_once(BEGIN_MARK).ok_or_else(marks)?;
+    let (_, after) = rest.split_once(END_MARK).ok_or_else(marks)?;
+    let text = format!("{before}{BEGIN_MARK}\n\n{tables}\n{END_MARK}{after}");
+    std::fs::write(page, text).map_err(|e| format!("{}: {e}", page.display()))
+}
+
+fn tables(rows: &[Row], reports: &[Report], target: &Target) -> String {
+    let mut lines = vec![
+        format!(
+            "At one of {} regions: {} workers, {} starts a second at the peak.",
+            target.regions,
+            number(target.workers / target.regions),
+            number(target.starts_per_s / target.regions)
+        ),
+        String::new(),
+        "| quantity | for 1,000 workers | for 100 starts a second | at a region's size | budget | headroom | carried by |".into(),
+        "| --- | --- | --- | --- | --- | --- | --- |".into(),
+    ];
+    lines.extend(rows.iter().map(Row::text));
+    lines.extend([
+        String::new(),
+        "The runs, one line each:".into(),
+        String::new(),
+        "| run | seed | ended | workers | tasks | starts/s | cores, all controllers | busiest (peak) | MB, largest | sockets, fullest | state requests/s | writes/s | urgent start p50, p99 ms | broken rules | load |".into(),
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |".into(),
+    ]);
+    let mut reports: Vec<&Report> = reports.iter().collect();
+    reports.sort_by(|a, b| {
+        let key = |r: &Report| (r.name.clone(), rate(r, "workers").round() as u64);
+        key(a)
+            .cmp(&key(b))
+            .then(rate(a, "task starts a second").total_cmp(&rate(b, "task starts a second")))
+    });
+    lines.extend(reports.into_iter().map(run_line));
+    lines.join("\n") + "\n"
+}
+
+fn run_line(report: &Report) -> String {
+    let cpu = controllers(report, |p| p.cpu_mean);
+    let urgent = report.latencies.get("urgent").map(|l| l.first_start).unwrap_or_default();
+    let cells = [
+        report.name.clone(),
+        report.experiment.seed.to_string(),
+        report.ended.clone(),
+        format!("{:.0}", rate(report, "workers")),
+        format!("{:.0}", rate(report, "tasks")),
+        number(rate(report, "task starts a second")),
+        number(cpu.iter().sum()),
+        format!("{} ({})", number(most(&cpu)), number(most(&controllers(report, |p| p.cpu_peak)))),
+        number(most(&controllers(report, |p| p.memory_mb_max))),
+        number(most(&controllers(report, |p| p.sockets_max as f64))),
+        number(messages(report, &STATE_KINDS)),
+        number(stand_in(report, "state service", "writes taken") / report.window_s),
+        format!("{:.0}, {:.0}", urgent.p50_ms, urgent.p99_ms),
+        report.rules.broken.len().to_string(),
+        format!("{:.0}", report.machine.load_after),
+    ];
+    format!("| {} |", cells.join(" | "))
 }
--- a/crates/loadtest/src/cloud.rs
+++ b/crates/loadtest/src/cloud.rs
@@ -96,6 +96,7 @@
     rng: RefCell<SmallRng>,
     requests: RefCell<RateLimit>,
     throttled: Cell<u64>,
+    latency: Duration,
     announced: RefCell<BTreeSet<String>>,
     /// Connections to the processes that hold the workers.
     links: Vec<Mutex<Option<Client>>>,
@@ -112,6 +113,7 @@
             rng: RefCell::new(SmallRng::seed_from_u64(experiment.seed)),
             requests: RefCell::new(RateLimit::new(experiment.cloud.requests_per_s, BURST_S)),
             throttled: Cell::default(),
+            latency: Duration::from_secs_f64(experiment.cloud.latency_ms / 1e3),
             announced: RefCell::default(),
             links: (0..experiment.worker_processes()).map(|_| Mutex::default()).collect(),
         }
@@ -182,6 +184,7 @@
     }
 
     async fn handle(&self, call: Call) -> Answer {
+        tokio::time::sleep(self.latency).await;
         let Some((kind, request)) = read_request(&call) else {
             return Answer::error("malformed", 400, "malformed");
         };
--- a/crates/loadtest/src/config.rs
+++ b/crates/loadtest/src/config.rs
@@ -76,6 +76,8 @@
     pub writes_per_s: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// Time that each request takes; watches wait besides.
+    pub latency_ms: f64,
 }
 
 /// Allowances of the cloud.
@@ -83,6 +85,8 @@
 #[serde(deny_unknown_fields)]
 pub struct CloudLimits {
     pub requests_per_s: f64,
+    /// Time that each request takes.
+    pub latency_ms: f64,
 }
 
 /// The hollow workers.
@@ -167,6 +171,31 @@
     Err(ConfigError::Field { field: field.into(), problem: problem.into() })
 }
 
+/// Sets a field of the file, as `classes.0.run_s=2.0`.
+fn set(table: &mut toml::Value, change: &str) -> Result<(), ConfigError> {
+    let Some((path, text)) = change.split_once('=') else {
+        return bad(change, "is to be set as field=value");
+    };
+    let mut place = table;
+    for part in path.split('.') {
+        let next = match place {
+            toml::Value::Table(fields) => fields.get_mut(part),
+            toml::Value::Array(items) => {
+                part.parse::<usize>().ok().and_then(|at| items.get_mut(at))
+            }
+            _ => None,
+        };
+        let Some(next) = next else { return bad(path, "there is no such field") };
+        place = next;
+    }
+    let parsed: Result<toml::Table, _> = toml::from_str(&format!("value = {text}"));
+    *place = match parsed {
+        Ok(mut parsed) => parsed.remove("value").unwrap_or_else(|| text.into()),
+        Err(_) => text.into(),
+    };
+    Ok(())
+}
+
 fn within(field: &str, value: f64, least: f64, most: f64) -> Result<(), ConfigError> {
     if value.is_finite() && (least..=most).contains(&value) {
         return Ok(());
@@ -177,8 +206,19 @@
 impl Experiment {
     /// Reads and checks an experiment file.
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
-        let experiment: Experiment = toml::from_str(text)
-            .map_err(|e| ConfigError::Syntax(e.to_string().trim().replace('\n', " ")))?;
+        Self::parse_with(text, &[])
+    }
+
+    /// The same, with fields set otherwise: each as `workers.count=500`.
+    pub fn parse_with(text: &str, changes: &[String]) -> Result<Self, ConfigError> {
+        let syntax =
+            |e: toml::de::Error| ConfigError::Syntax(e.to_string().trim().replace('\n', " "));
+        let mut table: toml::Value = toml::from_str::<toml::Table>(text).map_err(syntax)?.into();
+        for change in changes {
+            set(&mut table, change)?;
+        }
+        let experiment: Experiment =
+            toml::from_str(&toml::to_string(&table).unwrap_or_default()).map_err(syntax)?;
         experiment.check()?;
         Ok(experiment)
     }
@@ -222,7 +262,9 @@
         within("state.writes_per_s", self.state.writes_per_s, 1.0, 1e6)?;
         within("state.value_kb", self.state.value_kb, 1.0, 64.0)?;
         within("state.txn_ops", self.state.txn_ops as f64, 2.0, 128.0)?;
-        within("cloud.requests_per_s", self.cloud.requests_per_s, 0.1, 1e6)
+        within("state.latency_ms", self.state.latency_ms, 0.0, 1_000.0)?;
+        within("cloud.requests_per_s", self.cloud.requests_per_s, 0.1, 1e6)?;
+        within("cloud.latency_ms", self.cloud.latency_ms, 0.0, 3_000.0)
     }
 
     fn check_workers(&self) -> Result<(), ConfigError> {
--- a/crates/loadtest/src/controllers.rs
+++ b/crates/loadtest/src/controllers.rs
@@ -17,7 +17,8 @@
 /// Runs the controllers until it is told to stop.
 pub async fn run(context: Context, program: &str) -> io::Result<RoleReport> {
     let Context { net, clock, experiment, mut stop } = context;
-    let directory = std::env::temp_dir().join(format!("trackcrank-loadtest-{}", std::process::id()));
+    let directory =
+        std::env::temp_dir().join(format!("trackcrank-loadtest-{}", std::process::id()));
     std::fs::create_dir_all(&directory)?;
     let mut supervisor = Supervisor::new(program, directory, &experiment, net)?;
     say(&RoleMessage::Ready);
--- a/crates/loadtest/src/experiment.rs
+++ b/crates/loadtest/src/experiment.rs
@@ -93,7 +93,8 @@
     }
 
     fn start(&mut self, programs: &Programs, net: Net, started_us: u64) -> Result<(), String> {
-        let workers = (0..self.experiment.worker_processes()).map(|process| Role::Workers { process });
+        let workers =
+            (0..self.experiment.worker_processes()).map(|process| Role::Workers { process });
         let program = programs.controller.to_string_lossy().into_owned();
         let roles = [Role::StateService, Role::Cloud]
             .into_iter()
@@ -149,7 +150,9 @@
             if let Err(limit) = check_processes(self.sampler.processes()) {
                 return limit.to_string();
             }
-            if let Some(failed) = self.roles.iter_mut().find_map(|r| r.failed().then(|| r.role.name())) {
+            if let Some(failed) =
+                self.roles.iter_mut().find_map(|r| r.failed().then(|| r.role.name()))
+            {
                 return format!("{failed}: the process ended");
             }
             let over = self.roles.iter().any(|r| r.role == Role::Users && r.report.is_some());
--- a/crates/loadtest/src/http.rs
+++ b/crates/loadtest/src/http.rs
@@ -208,7 +208,11 @@
     }
 }
 
-async fn respond<H, F>(request: Request<Incoming>, handler: H, meter: &Meter) -> Response<Full<Bytes>>
+async fn respond<H, F>(
+    request: Request<Incoming>,
+    handler: H,
+    meter: &Meter,
+) -> Response<Full<Bytes>>
 where
     H: Fn(Call) -> F,
     F: Future<Output = Answer>,
@@ -251,7 +255,11 @@
 
 impl Client {
     /// Connects from an address of one's own, if one is given.
-    pub async fn connect(from: Option<IpAddr>, to: SocketAddr, controller: u32) -> io::Result<Self> {
+    pub async fn connect(
+        from: Option<IpAddr>,
+        to: SocketAddr,
+        controller: u32,
+    ) -> io::Result<Self> {
         let socket = TcpSocket::new_v4()?;
         if let Some(from) = from {
             socket.bind(SocketAddr::new(from, 0))?;
--- a/crates/loadtest/src/limits.rs
+++ b/crates/loadtest/src/limits.rs
@@ -22,7 +22,9 @@
 /// An experiment that this machine does not hold.
 #[derive(Debug, Error)]
 pub enum LimitError {
-    #[error("field `{field}`: {needed} descriptors needed in one process ({why}), its limit is {limit}")]
+    #[error(
+        "field `{field}`: {needed} descriptors needed in one process ({why}), its limit is {limit}"
+    )]
     Descriptors { field: &'static str, needed: u64, limit: u64, why: &'static str },
     #[error("field `workers.count`: about {needed} MiB needed, {allowed} MiB allowed: {why}")]
     MemoryBefore { needed: u64, allowed: u64, why: &'static str },
--- a/crates/loadtest/src/main.rs
+++ b/crates/loadtest/src/main.rs
@@ -30,11 +30,12 @@
         /// Writes the report as JSON into a file.
         #[arg(long)]
         report: Option<PathBuf>,
+        /// Sets a field of the file otherwise, as `workers.count=500`.
+        #[arg(long)]
+        set: Vec<String>,
     },
     /// Checks an experiment file without running it.
-    Check {
-        file: PathBuf,
-    },
+    Check { file: PathBuf },
     /// Fits lines through the reports in a directory and prints the tables of docs/CAPACITY.md.
     Capacity {
         directory: PathBuf,
@@ -52,10 +53,9 @@
 
 fn main() -> ExitCode {
     let outcome = match Arguments::parse().command {
-        Command::Run { file, controller, json, report } => {
-            run(&file, controller, json, report.as_deref())
-        }
-        Command::Check { file } => load(&file).map(|experiment| {
+        Command::Run { file, controller, json, report, set } => load(&file, &set)
+            .and_then(|experiment| run(&experiment, controller, json, report.as_deref())),
+        Command::Check { file } => load(&file, &[]).map(|experiment| {
             println!("{}: good, {} workers", experiment.name, experiment.workers.count);
             true
         }),
@@ -74,24 +74,23 @@
     }
 }
 
-fn load(file: &Path) -> Result<Experiment, String> {
+fn load(file: &Path, changes: &[String]) -> Result<Experiment, String> {
     let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
-    Experiment::parse(&text).map_err(|e| format!("{}: {e}", file.display()))
+    Experiment::parse_with(&text, changes).map_err(|e| format!("{}: {e}", file.display()))
 }
 
 /// Runs an experiment; false if it was not whole or broke a rule.
 fn run(
-    file: &Path,
+    experiment: &Experiment,
     controller: Option<PathBuf>,
     json: bool,
     to: Option<&Path>,
 ) -> Result<bool, String> {
-    let experiment = load(file)?;
     let loadtest = std::env::current_exe().map_err(|e| e.to_string())?;
     let controller = controller.unwrap_or_else(|| loadtest.with_file_name("trackcrank"));
     let programs = Programs { controller, loadtest };
-    let report = experiment::run(&experiment, &programs, &mut |line| eprintln!("{line}"))?;
-    let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
+    let report = experiment::run(experiment, &programs, &mut |line| eprintln!("{line}"))?;
+    let text = serde_json::to_string(&report).map_err(|e| e.to_string())?;
     if let Some(to) = to {
         std::fs::write(to, format!("{text}\n")).map_err(|e| format!("{}: {e}", to.display()))?;
     }
--- a/crates/loadtest/src/report.rs
+++ b/crates/loadtest/src/report.rs
@@ -13,8 +13,9 @@
 /// How the figures came about, in every report.
 pub const SETTING: &str = "real controller processes over loopback on one shared machine; state \
     service, cloud, workers and users are stand-ins, no tasks are run";
-/// Digits that histograms keep.
+/// Digits that histograms keep, and the longest latency that they tell apart.
 const DIGITS: u8 = 3;
+const LONGEST_US: u64 = 3_600_000_000;
 
 /// What a run measured.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -88,7 +89,10 @@
 }
 
 /// Traffic as rates.
-pub fn traffic_rates(tally: &Tally, window_s: f64) -> BTreeMap<String, BTreeMap<String, TrafficRate>> {
+pub fn traffic_rates(
+    tally: &Tally,
+    window_s: f64,
+) -> BTreeMap<String, BTreeMap<String, TrafficRate>> {
     let rate = |count: u64| count as f64 / window_s;
     let kinds = |kinds: &BTreeMap<String, Traffic>| {
         let rates = kinds.iter().map(|(kind, traffic)| {
@@ -112,7 +116,8 @@
 
 impl Distribution {
     fn new() -> Result<Self, String> {
-        Histogram::new(DIGITS).map(Distribution).map_err(|e| e.to_string())
+        let histogram = Histogram::new_with_bounds(1, LONGEST_US, DIGITS);
+        histogram.map(Distribution).map_err(|e| e.to_string())
     }
 
     fn record(&mut self, from_us: u64, to_us: u64) {
--- a/crates/loadtest/src/site.rs
+++ b/crates/loadtest/src/site.rs
@@ -253,10 +253,7 @@
                     ("txn_ops", (state.txn_ops as i64).into()),
                 ]),
             ),
-            (
-                "cloud",
-                table([("rps", cloud.requests_per_s.into()), ("list_lag_s", 6.0.into())]),
-            ),
+            ("cloud", table([("rps", cloud.requests_per_s.into()), ("list_lag_s", 6.0.into())])),
         ])
     }
 }
--- a/crates/loadtest/src/state_service.rs
+++ b/crates/loadtest/src/state_service.rs
@@ -137,6 +137,7 @@
     }
 
     async fn handle(&self, call: Call) -> Answer {
+        tokio::time::sleep(Duration::from_secs_f64(self.experiment.state.latency_ms / 1e3)).await;
         let Some((kind, request)) = read_request(&call) else {
             return Answer::error("malformed", 400, "malformed");
         };
--- a/crates/loadtest/src/users.rs
+++ b/crates/loadtest/src/users.rs
@@ -292,8 +292,7 @@
         self.record(number, self.clock.now_us(), UserAnswer::CancelAsked);
         while !self.ending.get() {
             let asked = self.clock.now_us();
-            let answer =
-                self.ask(Method::POST, &path, Vec::new(), "cancel", SUBMIT_TIMEOUT).await;
+            let answer = self.ask(Method::POST, &path, Vec::new(), "cancel", SUBMIT_TIMEOUT).await;
             match answer {
                 Some((200, _, body)) => {
                     self.note_state(number, asked, &body);
--- a/crates/loadtest/src/workers.rs
+++ b/crates/loadtest/src/workers.rs
@@ -101,10 +101,8 @@
         }
     };
     let serving = serve(listener, ANY_CONTROLLER, site.tally.clone(), handler);
-    let tasks = vec![
-        tokio::task::spawn_local(serving),
-        tokio::task::spawn_local(worker.clone().live()),
-    ];
+    let tasks =
+        vec![tokio::task::spawn_local(serving), tokio::task::spawn_local(worker.clone().live())];
     *worker.running.borrow_mut() = tasks;
     site.workers.borrow_mut().insert(machine.name, worker);
     Ok(())
