--- a/crates/loadtest/src/processes.rs
+++ b/crates/loadtest/src/processes.rs
@@ -94,7 +94,14 @@
 
     /// Whether it ended without a report.
     pub fn failed(&mut self) -> bool {
-        self.report.is_none() && matches!(self.child.try_wait(), Ok(Some(_)))
+        if self.report.is_some() || !matches!(self.child.try_wait(), Ok(Some(_))) {
+            return false;
+        }
+        // Its last lines may still be on their way to us.
+        while let Ok(message) = self.messages.recv() {
+            self.note(message);
+        }
+        self.report.is_none()
     }
 
     /// Tells it to stop, without waiting.
