--- a/crates/loadtest/src/state_service.rs
+++ b/crates/loadtest/src/state_service.rs
@@ -27,7 +27,7 @@
 
 /// Runs the state service until it is told to stop.
 pub async fn run(context: Context) -> std::io::Result<RoleReport> {
-    let Context { net, clock, experiment, stop } = context;
+    let Context { net, clock, experiment, mut stop } = context;
     let tally = SharedTally::default();
     let count = experiment.controllers.count;
     let warmup = (experiment.warmup_s * 1_000.0) as u64;
@@ -44,9 +44,14 @@
     tokio::task::spawn_local(watch_leases(service.clone()));
     tokio::task::spawn_local(crate::http::clear_at(clock, warmup, tally.clone()));
     say(&RoleMessage::Ready);
-    clock.sleep_until_ms(warmup).await;
-    let before = service.figures();
-    let _ = stop.await;
+    let mut before = service.figures();
+    tokio::select! {
+        () = clock.sleep_until_ms(warmup) => {
+            before = service.figures();
+            let _ = stop.await;
+        }
+        _ = &mut stop => {}
+    }
     let mut figures = service.figures();
     for (name, value) in &mut figures {
         *value -= before.get(name).copied().unwrap_or_default();
--- a/crates/loadtest/src/users.rs
+++ b/crates/loadtest/src/users.rs
@@ -48,13 +48,13 @@
     for class in 0..users.experiment.classes.len() {
         tokio::task::spawn_local(users.clone().submit_class(class));
     }
-    tokio::select! {
-        () = clock.sleep_until_ms(end_ms) => {}
-        _ = &mut stop => {}
-    }
+    let whole = tokio::select! {
+        () = clock.sleep_until_ms(end_ms) => true,
+        _ = &mut stop => false,
+    };
     users.ending.set(true);
     let traffic = users.tally.borrow().clone();
-    let unanswered = users.clone().ask_about_all().await;
+    let unanswered = if whole { users.clone().ask_about_all().await } else { 0 };
     let figures = [
         ("jobs accepted", users.accepted.borrow().len() as f64),
         ("submissions given up", users.given_up.get() as f64),
