--- a/crates/loadtest/src/capacity.rs
+++ b/crates/loadtest/src/capacity.rs
@@ -1,4 +1,4 @@
-//! Lines through the reports of several sizes, and the tables made from them.
+//! Fits through the reports of several sizes, and the tables made from them.
 
 use crate::report::{is_controller, Report};
 use serde::{Deserialize, Serialize};
@@ -38,48 +38,112 @@
     pub worker_bytes_per_s: f64,
 }
 
-/// A line `intercept + slope * x`, and how well it fits.
+/// One run of a fit: what it had, and what was measured.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Point {
+    pub workers: f64,
+    pub starts_per_s: f64,
+    pub value: f64,
+}
+
+/// A value with its standard error.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
-pub struct Line {
+pub struct Estimate {
+    pub value: f64,
+    pub error: f64,
+}
+
+/// Number of coefficients of a fit.
+const COEFFICIENTS: usize = 3;
+
+type Matrix = [[f64; COEFFICIENTS]; COEFFICIENTS];
+
+/// `constant + per_worker * workers + per_start * starts_per_s`, by least squares.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Fit {
     pub points: usize,
-    pub intercept: f64,
-    pub slope: f64,
-    /// Standard error of the slope.
-    pub slope_error: f64,
-    /// Part of the variance that the line explains.
+    pub constant: Estimate,
+    pub per_worker: Estimate,
+    pub per_start: Estimate,
+    /// Part of the variance that the fit explains.
     pub r_squared: f64,
-    /// Mean of x over the points.
-    pub mean_x: f64,
+    #[serde(skip)]
+    covariance: Matrix,
 }
 
-impl Line {
-    /// Least squares; none for fewer than three points or a single x.
-    pub fn fit(points: &[(f64, f64)]) -> Option<Line> {
-        let count = points.len() as f64;
-        if points.len() < 3 {
+impl Fit {
+    /// Fits the points; none if there are too few or they do not tell the coefficients apart.
+    pub fn of(points: &[Point]) -> Option<Fit> {
+        if points.len() <= COEFFICIENTS {
             return None;
         }
-        let mean_x = points.iter().map(|p| p.0).sum::<f64>() / count;
-        let mean_y = points.iter().map(|p| p.1).sum::<f64>() / count;
-        let spread: f64 = points.iter().map(|p| (p.0 - mean_x).powi(2)).sum();
-        if spread <= f64::EPSILON {
-            return None;
+        let mut normal = Matrix::default();
+        let mut right = [0.0; COEFFICIENTS];
+        for point in points {
+            let row = regressors(point.workers, point.starts_per_s);
+            for (i, left) in row.iter().enumerate() {
+                right[i] += left * point.value;
+                for (j, other) in row.iter().enumerate() {
+                    normal[i][j] += left * other;
+                }
+            }
         }
-        let together: f64 = points.iter().map(|p| (p.0 - mean_x) * (p.1 - mean_y)).sum();
-        let slope = together / spread;
-        let intercept = mean_y - slope * mean_x;
-        let residual = |p: &(f64, f64)| (p.1 - intercept - slope * p.0).powi(2);
-        let residuals: f64 = points.iter().map(residual).sum();
-        let variance: f64 = points.iter().map(|p| (p.1 - mean_y).powi(2)).sum();
-        Some(Line {
+        let inverse = inverted(normal)?;
+        let solved = inverse.map(|row| dot(&row, &right));
+        let mean = points.iter().map(|p| p.value).sum::<f64>() / points.len() as f64;
+        let predicted = |p: &Point| dot(&solved, &regressors(p.workers, p.starts_per_s));
+        let residuals: f64 = points.iter().map(|p| (p.value - predicted(p)).powi(2)).sum();
+        let variance: f64 = points.iter().map(|p| (p.value - mean).powi(2)).sum();
+        let noise = residuals / (points.len() - COEFFICIENTS) as f64;
+        let covariance = inverse.map(|row| row.map(|cell| cell * noise));
+        let estimate =
+            |at: usize| Estimate { value: solved[at], error: covariance[at][at].max(0.0).sqrt() };
+        Some(Fit {
             points: points.len(),
-            intercept,
-            slope,
-            slope_error: (residuals / (count - 2.0) / spread).sqrt(),
+            constant: estimate(0),
+            per_worker: estimate(1),
+            per_start: estimate(2),
             r_squared: if variance > 0.0 { 1.0 - residuals / variance } else { 1.0 },
-            mean_x,
+            covariance,
         })
     }
+
+    /// What it comes to, with the error of the fit alone.
+    pub fn at(&self, workers: f64, starts_per_s: f64) -> Estimate {
+        let row = regressors(workers, starts_per_s);
+        let coefficients = [self.constant.value, self.per_worker.value, self.per_start.value];
+        let spread = self.covariance.map(|cells| dot(&cells, &row));
+        Estimate { value: dot(&coefficients, &row), error: dot(&spread, &row).max(0.0).sqrt() }
+    }
+}
+
+fn regressors(workers: f64, starts_per_s: f64) -> [f64; COEFFICIENTS] {
+    [1.0, workers, starts_per_s]
+}
+
+fn dot(left: &[f64; COEFFICIENTS], right: &[f64; COEFFICIENTS]) -> f64 {
+    left.iter().zip(right).map(|(a, b)| a * b).sum()
+}
+
+/// The inverse of a symmetric matrix by its cofactors; none if it has none.
+fn inverted(m: Matrix) -> Option<Matrix> {
+    let minor = |i: usize, j: usize| {
+        let (a, b) = ((i + 1) % 3, (i + 2) % 3);
+        let (c, d) = ((j + 1) % 3, (j + 2) % 3);
+        m[a][c] * m[b][d] - m[a][d] * m[b][c]
+    };
+    let determinant: f64 = (0..COEFFICIENTS).map(|j| m[0][j] * minor(0, j)).sum();
+    let scale: f64 = (0..COEFFICIENTS).map(|i| m[i][i]).product();
+    if determinant.abs() <= scale.abs() * 1e-12 {
+        return None;
+    }
+    let mut inverse = Matrix::default();
+    for (i, row) in inverse.iter_mut().enumerate() {
+        for (j, cell) in row.iter_mut().enumerate() {
+            *cell = minor(j, i) / determinant;
+        }
+    }
+    Some(inverse)
 }
 
 /// A measured quantity with its budget.
@@ -195,74 +259,60 @@
     report.rates.get(name).copied().unwrap_or_default()
 }
 
-/// A quantity with its lines and what they come to at the size of a region.
+/// A quantity with its fit and what that comes to at the size of a region.
 #[derive(Debug, Clone, Serialize)]
 pub struct Row {
     pub quantity: &'static str,
     pub unit: &'static str,
     pub module: &'static str,
-    pub per_worker: Option<Line>,
-    pub per_start: Option<Line>,
-    /// At a region's size, and its error.
-    pub extrapolated: Option<f64>,
-    pub error: Option<f64>,
+    pub fit: Option<Fit>,
+    pub extrapolated: Option<Estimate>,
     pub budget: f64,
 }
 
 impl Row {
     fn of(quantity: &Quantity, reports: &[Report], target: &Target) -> Row {
-        let line = |series: &str, x: fn(&Report) -> f64| {
-            let reports = reports.iter().filter(|r| r.name == series && r.ended == "whole");
-            let points: Vec<_> = reports.map(|r| (x(r), (quantity.value)(r))).collect();
-            Line::fit(&points)
-        };
-        let per_worker = line(WORKERS_SERIES, |r| rate(r, "workers"));
-        let per_start = line(STARTS_SERIES, |r| rate(r, "task starts a second"));
+        let series = [WORKERS_SERIES, STARTS_SERIES];
+        let fitted = reports.iter().filter(|r| series.contains(&r.name.as_str()));
+        let points: Vec<Point> = fitted
+            .filter(|report| report.ended == "whole")
+            .map(|report| Point {
+                workers: rate(report, "workers"),
+                starts_per_s: rate(report, "task starts a second"),
+                value: (quantity.value)(report),
+            })
+            .collect();
+        let fit = Fit::of(&points);
         let workers = target.workers / target.regions;
         let starts = target.starts_per_s / target.regions;
-        // The few starts in the series of workers are in its intercept.
-        let extrapolated = per_worker.zip(per_start).map(|(worker, start)| {
-            worker.intercept + worker.slope * workers + start.slope * starts
-        });
-        let error = per_worker.zip(per_start).map(|(worker, start)| {
-            let workers_away = (workers - worker.mean_x).abs();
-            (worker.slope_error * workers_away).hypot(start.slope_error * starts)
-        });
         Row {
             quantity: quantity.name,
             unit: quantity.unit,
             module: quantity.module,
-            per_worker,
-            per_start,
-            extrapolated,
-            error,
+            fit,
+            extrapolated: fit.map(|fit| fit.at(workers, starts)),
             budget: (quantity.budget)(target),
         }
     }
 
     fn text(&self) -> String {
-        let slope = |line: &Option<Line>, times: f64| match line {
-            Some(line) => format!(
-                "{} ± {} (r² {:.2})",
-                number(line.slope * times),
-                number(line.slope_error * times),
-                line.r_squared
-            ),
-            None => "not measured".into(),
-        };
         let budget = if self.budget.is_finite() { number(self.budget) } else { "none set".into() };
-        let (value, verdict) = match (self.extrapolated, self.error) {
-            (Some(value), Some(error)) => {
-                (format!("{} ± {}", number(value), number(error)), self.verdict(value))
-            }
-            _ => ("-".into(), "-".into()),
+        let (Some(fit), Some(value)) = (self.fit, self.extrapolated) else {
+            return format!(
+                "| {}, {} | not measured | | | | {budget} | | |",
+                self.quantity, self.unit
+            );
         };
         format!(
-            "| {}, {} | {} | {} | {value} | {budget} | {verdict} | {} |",
+            "| {}, {} | {} | {} | {} (r² {:.2}) | {} | {budget} | {} | {} |",
             self.quantity,
             self.unit,
-            slope(&self.per_worker, 1_000.0),
-            slope(&self.per_start, 100.0),
+            estimate_text(fit.constant, 1.0),
+            estimate_text(fit.per_worker, 1_000.0),
+            estimate_text(fit.per_start, 100.0),
+            fit.r_squared,
+            estimate_text(value, 1.0),
+            self.verdict(value.value),
             self.module
         )
     }
@@ -280,6 +330,10 @@
     }
 }
 
+fn estimate_text(estimate: Estimate, times: f64) -> String {
+    format!("{} ± {}", number(estimate.value * times), number(estimate.error * times))
+}
+
 /// Three digits, without an exponent.
 fn number(value: f64) -> String {
     let size = value.abs();
@@ -350,8 +404,8 @@
             number(target.starts_per_s / target.regions)
         ),
         String::new(),
-        "| quantity | for 1,000 workers | for 100 starts a second | at a region's size | budget | headroom | carried by |".into(),
-        "| --- | --- | --- | --- | --- | --- | --- |".into(),
+        "| quantity | at rest | + for 1,000 workers | + for 100 starts a second | at a region's size | budget | headroom | carried by |".into(),
+        "| --- | --- | --- | --- | --- | --- | --- | --- |".into(),
     ];
     lines.extend(rows.iter().map(Row::text));
     lines.extend([
--- a/crates/loadtest/tests/config.rs
+++ b/crates/loadtest/tests/config.rs
@@ -15,6 +15,7 @@
         SMALL,
         include_str!("../experiments/workers.toml"),
         include_str!("../experiments/starts.toml"),
+        include_str!("../experiments/faults.toml"),
     ] {
         Experiment::parse(text).expect("a good file");
     }
@@ -38,7 +39,7 @@
         ("faults.0.controller=3", "faults[0].controller"),
         ("faults.0.at_s=31.0", "faults[0].at_s"),
         ("workers.number=1", "workers.number"),
-        ("workers.count=many", "workers"),
+        ("workers.count=many", "count = \"many\""),
     ] {
         let problem = problem(change);
         assert!(problem.contains(field) && !problem.contains('\n'), "{change}: {problem}");
