--- a/crates/loadtest/src/capacity.rs
+++ b/crates/loadtest/src/capacity.rs
@@ -255,6 +255,11 @@
     report.stand_ins.get(name).and_then(|f| f.get(figure)).copied().unwrap_or_default()
 }
 
+/// Leases of workers that ran out.
+fn lapsed(report: &Report) -> f64 {
+    report.stand_ins.values().filter_map(|f| f.get("leases that lapsed")).sum()
+}
+
 fn rate(report: &Report, name: &str) -> f64 {
     report.rates.get(name).copied().unwrap_or_default()
 }
@@ -299,12 +304,12 @@
         let budget = if self.budget.is_finite() { number(self.budget) } else { "none set".into() };
         let (Some(fit), Some(value)) = (self.fit, self.extrapolated) else {
             return format!(
-                "| {}, {} | not measured | | | | {budget} | | |",
+                "| {}, {} | not measured | | | | {budget} | | | |",
                 self.quantity, self.unit
             );
         };
         format!(
-            "| {}, {} | {} | {} | {} (r² {:.2}) | {} | {budget} | {} | {} |",
+            "| {}, {} | {} | {} | {} (r² {:.2}) | {} | {budget} | {} | {} | {} |",
             self.quantity,
             self.unit,
             estimate_text(fit.constant, 1.0),
@@ -313,10 +318,20 @@
             fit.r_squared,
             estimate_text(value, 1.0),
             self.verdict(value.value),
+            self.end(fit.constant.value, value.value),
             self.module
         )
     }
 
+    /// How many times a region's workers and starts its budget carries.
+    fn end(&self, at_rest: f64, value: f64) -> String {
+        let growth = value - at_rest;
+        if !self.budget.is_finite() || growth <= 0.0 {
+            return "-".into();
+        }
+        number((self.budget - at_rest) / growth)
+    }
+
     fn verdict(&self, value: f64) -> String {
         if !self.budget.is_finite() {
             return "-".into();
@@ -404,16 +419,16 @@
             number(target.starts_per_s / target.regions)
         ),
         String::new(),
-        "| quantity | at rest | + for 1,000 workers | + for 100 starts a second | at a region's size | budget | headroom | carried by |".into(),
-        "| --- | --- | --- | --- | --- | --- | --- | --- |".into(),
+        "| quantity | at rest | + for 1,000 workers | + for 100 starts a second | at a region's size | budget | headroom | ends at, times a region's size | carried by |".into(),
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- |".into(),
     ];
     lines.extend(rows.iter().map(Row::text));
     lines.extend([
         String::new(),
         "The runs, one line each:".into(),
         String::new(),
-        "| run | seed | ended | workers | tasks | starts/s | cores, all controllers | busiest (peak) | MB, largest | sockets, fullest | state requests/s | writes/s | urgent start p50, p99 ms | broken rules | load |".into(),
-        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |".into(),
+        "| run | seed | ended | workers | tasks | starts/s | cores, all controllers | busiest (peak) | MB, largest | sockets, fullest | state requests/s | writes/s | writes refused/s | urgent accepted p99 ms | urgent start p50, p99 ms | leases lapsed | broken rules | load |".into(),
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |".into(),
     ]);
     let mut reports: Vec<&Report> = reports.iter().collect();
     reports.sort_by(|a, b| {
@@ -428,7 +443,8 @@
 
 fn run_line(report: &Report) -> String {
     let cpu = controllers(report, |p| p.cpu_mean);
-    let urgent = report.latencies.get("urgent").map(|l| l.first_start).unwrap_or_default();
+    let latencies = report.latencies.get("urgent").copied().unwrap_or_default();
+    let (accepted, urgent) = (latencies.accept, latencies.first_start);
     let cells = [
         report.name.clone(),
         report.experiment.seed.to_string(),
@@ -442,7 +458,10 @@
         number(most(&controllers(report, |p| p.sockets_max as f64))),
         number(messages(report, &STATE_KINDS)),
         number(stand_in(report, "state service", "writes taken") / report.window_s),
+        number(stand_in(report, "state service", "writes refused (429)") / report.window_s),
+        format!("{:.0}", accepted.p99_ms),
         format!("{:.0}, {:.0}", urgent.p50_ms, urgent.p99_ms),
+        number(lapsed(report)),
         report.rules.broken.len().to_string(),
         format!("{:.0}", report.machine.load_after),
     ];
