--- a/crates/loadtest/src/lib.rs
+++ b/crates/loadtest/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod controllers;
 pub mod experiment;
+pub mod fit;
 pub mod http;
 pub mod limits;
 pub mod observations;
--- a/crates/loadtest/tests/capacity.rs
+++ b/crates/loadtest/tests/capacity.rs
@@ -1,6 +1,6 @@
 //! Fits through points.
 
-use loadtest::capacity::{Fit, Point};
+use loadtest::fit::{Fit, Point};
 
 fn points(value: impl Fn(f64, f64) -> f64) -> Vec<Point> {
     let places = [(100.0, 5.0), (200.0, 5.0), (400.0, 6.0), (300.0, 50.0), (320.0, 200.0)];
@@ -27,7 +27,7 @@
 
 #[test]
 fn scatter_shows_in_the_errors_and_grows_with_the_distance() {
-    let noise = |w: f64| if w as u64 % 200 == 0 { 1.0 } else { -1.0 };
+    let noise = |w: f64| if (w as u64).is_multiple_of(200) { 1.0 } else { -1.0 };
     let fit = Fit::of(&points(|w, s| 3.0 + 0.02 * w + 0.5 * s + noise(w))).expect("a fit");
     assert!(fit.per_worker.error > 1e-4 && fit.r_squared < 1.0, "{fit:?}");
     let (near, far) = (fit.at(250.0, 50.0), fit.at(4_200.0, 640.0));
