--- a/crates/coordination/src/node/leader.rs
+++ b/crates/coordination/src/node/leader.rs
@@ -4,6 +4,7 @@
 use super::{Node, Purpose, LEAD};
 use crate::budget::{Bucket, Importance};
 use crate::records::{DemandRecord, MachineRecord, TYPES};
+use crate::rejections::{MessageFault, MessageSource};
 use fleet::{FleetAction, FleetMachine, Offer, PartitionNeed};
 use model::{CallId, MachineName, Moment, NodeName, PartitionId, Span, ZoneName};
 use std::collections::{BTreeMap, HashMap};
@@ -257,7 +258,10 @@
     }
 
     pub(super) fn on_cloud(&mut self, call: CallId, reply: CloudReply) {
-        let Some(purpose) = self.calls.remove(&call) else { return };
+        let Some(purpose) = self.calls.remove(&call) else {
+            self.counters.rejections.add(MessageSource::Cloud, MessageFault::Stale);
+            return;
+        };
         if reply == CloudReply::Refused {
             self.counters.cloud_refused += 1;
         }
@@ -308,8 +312,11 @@
     }
 
     fn on_rented(&mut self, request: RentRequest, partition: PartitionId, reply: CloudReply) {
-        let offer: Offer =
-            (request.machine_type.clone(), ZoneName::from(request.zone.as_str()), request.spot);
+        let offer = Offer {
+            machine_type: request.machine_type.clone(),
+            zone: ZoneName::from(request.zone.as_str()),
+            spot: request.spot,
+        };
         match reply {
             CloudReply::Rented(names) => {
                 if (names.len() as u32) < request.count {
@@ -350,7 +357,14 @@
             self.leader.listing = false;
             return;
         };
+        let before = gathered.last().map(|m| m.id.as_str());
         let after = list.machines.last().map(|m| m.id.clone());
+        if list.more && (after.is_none() || after.as_deref() == before) {
+            // It would be asked for again and again; what it lacks must not count as gone.
+            self.counters.rejections.add(MessageSource::Cloud, MessageFault::Malformed);
+            self.leader.listing = false;
+            return;
+        }
         gathered.extend(list.machines);
         if let (true, Some(after)) = (list.more, after) {
             self.cloud(CloudRequest::List { after, limit: 500 }, Purpose::CloudList { gathered });
@@ -380,7 +394,7 @@
                 *seen = (r.partition, now);
             }
             let (there, held) = (seen.1, self.leader.held.get(&r.partition).map(|held| held.1));
-            let since = now.since(held.map_or(there, |held| held.max(there)));
+            let observable_for = now.since(held.map_or(there, |held| held.max(there)));
             let load = self.leader.loads.get(&r.partition).and_then(|(load, at)| {
                 let fresh = now.since(*at) <= Span(2_500);
                 // A holder tells of its machines in the order of their names.
@@ -395,19 +409,19 @@
                 zone: ZoneName::from(r.zone.as_str()),
                 spot: r.spot,
                 partition: r.partition,
-                up: load.is_some_and(|(m, _)| m.up),
+                reporting: load.is_some_and(|(m, _)| m.up),
                 tasks: load.map_or(0, |(m, _)| m.tasks),
-                idle: load.map_or(Span::ZERO, |(m, _)| Span(m.idle_ms)),
+                idle_for: load.map_or(Span::ZERO, |(m, _)| Span(m.idle_ms)),
                 faulty: load.is_some_and(|(m, _)| m.faulty),
                 leaving: r.leaving,
                 age: age.max(now.since(there)),
-                since,
-                silent: load.map_or(Span::ZERO, |(m, _)| Span(m.silent_ms)),
+                observable_for,
+                silent_for: load.map_or(Span::ZERO, |(m, _)| Span(m.silent_ms)),
                 failed: listed.is_some_and(|m| m.state == MachineState::Failed),
-                known: load.is_some_and(|(_, fresh)| fresh),
-                cedable: load.is_some_and(|(m, _)| m.cedable),
+                view_is_fresh: load.is_some_and(|(_, fresh)| fresh),
+                transferable: load.is_some_and(|(m, _)| m.cedable),
                 best_effort: load.is_some_and(|(m, _)| m.best_effort),
-                ceding: load.and_then(|(m, _)| m.ceding).map(PartitionId),
+                transfer_to: load.and_then(|(m, _)| m.ceding).map(PartitionId),
             });
         }
         let mut pending: Vec<(String, MachineRecord)> = self
@@ -433,19 +447,19 @@
                 zone: ZoneName::from(record.zone.as_str()),
                 spot: record.spot,
                 partition: record.partition,
-                up: false,
+                reporting: false,
                 tasks: 0,
-                idle: Span::ZERO,
+                idle_for: Span::ZERO,
                 faulty: false,
                 leaving: false,
                 age: Span::ZERO,
-                since: Span::ZERO,
-                silent: Span::ZERO,
+                observable_for: Span::ZERO,
+                silent_for: Span::ZERO,
                 failed: false,
-                known: false,
-                cedable: false,
+                view_is_fresh: false,
+                transferable: false,
                 best_effort: false,
-                ceding: None,
+                transfer_to: None,
             });
         }
         machines
@@ -496,9 +510,9 @@
                     };
                     self.rent(request, partition);
                 }
-                FleetAction::Shift { machine, to } => self.ask_release(&machine, Some(to.0)),
+                FleetAction::TransferIdle { machine, to } => self.ask_release(&machine, Some(to.0)),
                 FleetAction::Return { machine } => self.ask_release(&machine, None),
-                FleetAction::Cede { from, to, shape, count } => {
+                FleetAction::TransferWhenEmpty { from, to, shape, count } => {
                     self.ask_cede(MeshMessage::Cede { from: from.0, to: to.0, count, shape });
                 }
             }
--- a/crates/coordination/src/node/partitions.rs
+++ b/crates/coordination/src/node/partitions.rs
@@ -6,8 +6,9 @@
 use super::{Node, PeerView, Purpose};
 use crate::budget::Importance;
 use crate::records::{partition_key, wish_key, PartitionRecord, WishRecord, COUNTER};
-use model::{Moment, NodeName, PartitionId, Session, Span, Token};
-use standby::signs::SILENT;
+use crate::rejections::{MessageFault, MessageSource};
+use model::{MachineName, Moment, NodeName, PartitionId, Session, Span, Token};
+use standby::failure_detector::HEARTBEAT_TIMEOUT;
 use wire::mesh::MeshMessage;
 use wire::state::{StateReply, StateRequest, Txn, Write};
 
@@ -45,8 +46,8 @@
     until: Moment,
     /// The pause after the next time.
     pause: Span,
-    /// Addresses of some of its workers.
-    workers: Vec<String>,
+    /// Some of its machines, with their addresses.
+    workers: Vec<(MachineName, String)>,
     probed_at: Moment,
     /// One of them has answered since.
     reached: bool,
@@ -98,8 +99,8 @@
         self.grant_wishes();
     }
 
-    /// Takes a partition whose record stands, if its holder is known to be over or several signs say
-    /// so.
+    /// Takes a partition whose record stands, if its holder is known to be over or suspected to
+    /// have crashed.
     fn take_early(&mut self, partition: PartitionId) {
         let Some(held) = self.mirror.partitions.get(&partition) else { return };
         let (holder, boot, version) =
@@ -119,15 +120,15 @@
             }
             return;
         }
-        // The commonest doubt first: this is asked at each event.
-        if self.peers.get(&holder).is_some_and(|p| self.now.since(p.heard_at) < SILENT) {
+        // The most frequent blocker first: this is checked at each event.
+        if self.peers.get(&holder).is_some_and(|p| self.now.since(p.heard_at) < HEARTBEAT_TIMEOUT) {
             return;
         }
         let stands_by = self.standbys().get(&partition) == Some(&me);
-        if stands_by && self.doubts(partition).is_empty() {
+        if stands_by && self.failover_blockers(partition).is_empty() {
             tracing::info!(%partition, %holder, "its holder has ended by several signs");
             self.standby.tried_at = self.now;
-            self.note_taken(partition, holder, boot);
+            self.record_early_failover(partition, holder, boot);
             self.acquire(partition, version);
         }
     }
@@ -154,11 +155,11 @@
             let waits = now >= shun.until && !shun.reached && now < shun.until + LONGEST_SHUN;
             if waits && now.since(shun.probed_at) >= PROBE {
                 shun.probed_at = now;
-                due.extend(shun.workers.iter().map(|address| (*partition, address.clone())));
+                due.extend(shun.workers.iter().map(|worker| (*partition, worker.clone())));
             }
         }
-        for (partition, address) in due {
-            let purpose = Purpose::Probe(partition);
+        for (partition, (machine, address)) in due {
+            let purpose = Purpose::Probe { partition, machine };
             self.ask_worker(address, Token(0), Session(0), purpose, WORKER_TIMEOUT);
         }
     }
@@ -508,6 +509,7 @@
 
     pub(super) fn on_mesh(&mut self, from: NodeName, message: MeshMessage) {
         if !self.settings.peers.iter().any(|p| p.name == from) {
+            self.counters.rejections.add(MessageSource::Peer, MessageFault::UnknownSender);
             return;
         }
         match message {
@@ -516,7 +518,7 @@
                     heard.iter().map(|(name, ago)| (NodeName::from(name.as_str()), Span(*ago)));
                 let heard = heard.collect();
                 let view = PeerView { heard_at: self.now, boot, state_contact, ready, heard };
-                self.note_living(&from, boot);
+                self.detect_false_suspicion(&from, boot);
                 self.peers.insert(from.clone(), view);
                 let now = self.now;
                 for holding in self.holdings.values_mut() {
@@ -530,6 +532,9 @@
             MeshMessage::Hints(part) => self.on_hints(&from, part),
             MeshMessage::Release { machine, to } => self.on_release_asked(&machine, to),
             MeshMessage::Cede { .. } => self.on_cede_asked(&message),
+            MeshMessage::Taken { holder, .. } if holder != from.as_str() => {
+                self.counters.rejections.add(MessageSource::Peer, MessageFault::Misrouted);
+            }
             MeshMessage::Taken { partition, term, holder } => {
                 if let Some(holding) = self.holdings.get_mut(&PartitionId(partition)) {
                     if Token(term) > holding.term() {
--- a/crates/coordination/src/node/sync.rs
+++ b/crates/coordination/src/node/sync.rs
@@ -4,6 +4,7 @@
 use crate::budget::Importance;
 use crate::mirror::Changed;
 use crate::records::WATCHED;
+use crate::rejections::{MessageFault, MessageSource};
 use model::{CallId, LeaseId, Moment, Span};
 use wire::state::{Changes, Item, StateReply, StateRequest};
 
@@ -78,7 +79,10 @@
     /// An answer of the state service.
     pub(super) fn on_state(&mut self, call: CallId, reply: StateReply) {
         let sent = self.sent_at.remove(&call).unwrap_or(self.now);
-        let Some(purpose) = self.calls.remove(&call) else { return };
+        let Some(purpose) = self.calls.remove(&call) else {
+            self.counters.rejections.add(MessageSource::State, MessageFault::Stale);
+            return;
+        };
         if let StateReply::Refused { throttled } = reply {
             self.counters.state_refused += 1;
             // What changes something may have met either limit; the rest only that of requests.
@@ -86,20 +90,20 @@
                 _ if !throttled => {}
                 Purpose::List
                 | Purpose::Watch
-                | Purpose::Fresh(_)
+                | Purpose::ReadChanges(_)
                 | Purpose::NewLease
                 | Purpose::Renew(_)
                 | Purpose::LedgerList { .. }
                 | Purpose::LedgerProof { .. }
                 | Purpose::FinalRead { .. }
-                | Purpose::NoFinals(_) => self.requests.drain(self.now),
+                | Purpose::CompareFinals(_) => self.requests.drain(self.now),
                 _ => self.writes.drain(self.now),
             }
         }
         match purpose {
             Purpose::List => self.on_list(reply),
             Purpose::Watch => self.on_watch(reply, sent),
-            Purpose::Fresh(polls) => self.on_fresh(polls, reply, sent),
+            Purpose::ReadChanges(requests) => self.on_changes_read(requests, reply, sent),
             Purpose::NewLease => {
                 self.lease_pending = false;
                 self.renew_at = self.now + Span(200);
@@ -123,10 +127,10 @@
             Purpose::LedgerProof { partition, term, id } => {
                 self.on_proof(partition, term, id, reply);
             }
-            Purpose::Intake => self.on_intake(reply),
-            Purpose::Cancels => self.on_cancels(reply),
-            Purpose::NoFinals(polls) => self.on_no_finals(polls, reply),
-            Purpose::FinalRead { poll } => self.on_final_read(poll, reply),
+            Purpose::Accept => self.on_accept_written(reply),
+            Purpose::Cancel => self.on_cancel_written(reply),
+            Purpose::CompareFinals(requests) => self.on_finals_compared(requests, reply),
+            Purpose::FinalRead { request } => self.on_final_read(request, reply),
             Purpose::Ends { partition, term } => self.on_ends(partition, term, reply),
             Purpose::Machines => self.on_machines(reply),
             Purpose::TypesWrite => self.leader.types_pending = false,
@@ -136,7 +140,7 @@
             | Purpose::Rent { .. }
             | Purpose::Release(_)
             | Purpose::CloudList { .. }
-            | Purpose::Probe(_)
+            | Purpose::Probe { .. }
             | Purpose::Ask { .. }
             | Purpose::Direct { .. } => {}
         }
@@ -146,6 +150,13 @@
         match reply {
             StateReply::List(page) => {
                 let Some(listing) = self.listing.as_mut() else { return };
+                let last = listing.items.last().map_or("", |item| item.key.as_str());
+                if !page.follows(WATCHED, last) {
+                    tracing::error!(last, "a page of the full read does not follow the one before");
+                    self.counters.rejections.add(MessageSource::State, MessageFault::Malformed);
+                    self.list_anew();
+                    return;
+                }
                 // Later pages may be newer; the watch repeats what lies between.
                 listing.revision.get_or_insert(page.revision);
                 let after = page.items.last().map(|item| item.key.clone());
@@ -162,14 +173,17 @@
                     }
                 }
             }
-            _ => {
-                self.listing = Some(Listing::default());
-                let request = list_request(String::new());
-                self.again(Span(200), Importance::Lease, request, Purpose::List);
-            }
+            _ => self.list_anew(),
         }
     }
 
+    /// Begins the full read again, after a pause.
+    fn list_anew(&mut self) {
+        self.listing = Some(Listing::default());
+        let request = list_request(String::new());
+        self.again(Span(200), Importance::Lease, request, Purpose::List);
+    }
+
     fn on_watch(&mut self, reply: StateReply, sent: Moment) {
         match reply {
             StateReply::Changes(changes) => {
@@ -195,6 +209,12 @@
     }
 
     fn on_changed(&mut self, changed: Vec<Changed>) {
+        let unreadable = self.mirror.take_rejected();
+        self.counters.rejections.add_many(
+            MessageSource::State,
+            MessageFault::Malformed,
+            unreadable,
+        );
         for change in changed {
             match change {
                 Changed::Job(id) => self.job_changed(id),
--- a/crates/testkit/src/world/kinds.rs
+++ b/crates/testkit/src/world/kinds.rs
@@ -124,10 +124,6 @@
     Copies,
     LateWrites(u64),
     Long(u64),
-    CloseLooks,
-    CancelAtEnd(u64),
-    OddRequests,
-    OneTaskJobs,
     Mute(String),
     LostAnswers(u64),
     KeptCopies(u64),
@@ -136,6 +132,10 @@
     OneWay(usize, usize),
     MeshCopies(u64),
     SlowLinks(u64),
+    CloseLooks,
+    CancelAtEnd(u64),
+    OddRequests,
+    OneTaskJobs,
 }
 
 pub(super) struct Running {
--- a/crates/testkit/src/world/mod.rs
+++ b/crates/testkit/src/world/mod.rs
@@ -21,6 +21,7 @@
 use crate::known::Known;
 use crate::rules::Rules;
 use crate::served::{least, Served, Share};
+use crate::starved::Starved;
 use crate::state::StateService;
 use crate::takeovers::Takeovers;
 use crate::worker::{Happened, Worker, MISTAKEN};
@@ -61,19 +62,6 @@
     pub old_sessions: u64,
     /// Answers and commands that were lost on their way to machines whose reports arrive.
     pub unheard: u64,
-    /// Jobs that were cancelled at the moment of their acceptance, while they ran with long to go, and
-    /// around the end of their last task.
-    pub cancelled_at_acceptance: u64,
-    pub cancelled_running: u64,
-    pub cancelled_at_end: BTreeSet<String>,
-    /// Machines that hung while their jobs were cancelled.
-    pub hung_with_cancelled: u64,
-    /// Odd requests, by kind.
-    pub repeated_unfinished: u64,
-    pub cancelled_done: u64,
-    pub refused_unfit: u64,
-    pub refused_malformed: u64,
-    pub one_task_jobs: u64,
     /// Connections of machines that failed, and direct commands and questions that reached these
     /// machines meanwhile.
     pub mute: u64,
@@ -99,6 +87,19 @@
     /// What nodes told each other and was lost on one way, and what came again late.
     pub lost_on_one_way: u64,
     pub mesh_copies: u64,
+    /// Jobs that were cancelled at the moment of their acceptance, while they ran with long to go, and
+    /// around the end of their last task.
+    pub cancelled_at_acceptance: u64,
+    pub cancelled_running: u64,
+    pub cancelled_at_end: BTreeSet<String>,
+    /// Machines that hung while their jobs were cancelled.
+    pub hung_with_cancelled: u64,
+    /// Odd requests, by kind.
+    pub repeated_unfinished: u64,
+    pub cancelled_done: u64,
+    pub refused_unfit: u64,
+    pub refused_malformed: u64,
+    pub one_task_jobs: u64,
 }
 
 /// The world.
@@ -144,6 +145,12 @@
     pub takeovers: Takeovers,
     /// Whether questions are answered once all troubles are over.
     known: Known,
+    /// Whether jobs wait beside room for them, from the end of all troubles on.
+    starved: Starved,
+    troubles_over: u64,
+    /// Arrays of low priority among them: these are left to cheap machines and to the gaps beside other
+    /// work, see `scheduler::best_effort`, and are told apart until that is settled.
+    pub starved_low: Vec<String>,
     /// Since when each node has been healthy without a break.
     healthy_since: [Option<u64>; NODES],
     served: Served,
@@ -196,6 +203,9 @@
             rules: Rules::new(terms.cancel),
             takeovers: Takeovers::default(),
             known: Known::default(),
+            starved: Starved::default(),
+            troubles_over: 0,
+            starved_low: Vec::new(),
             healthy_since: [None; NODES],
             served: Served::default(),
             carried_out: [0; NODES],
@@ -213,7 +223,8 @@
         world.at(0, Happening::Workers);
         world.at(1_500, Happening::Submit);
         let over = world.plan.faults.iter().map(|(at, fault)| at + fault.lasts()).max();
-        world.at(over.unwrap_or(0).max(60_000), Happening::AskAll);
+        world.troubles_over = over.unwrap_or(0).max(60_000);
+        world.at(world.troubles_over, Happening::AskAll);
         for (at, fault) in world.plan.faults.clone() {
             world.at(at, Happening::Fault(fault));
         }
@@ -387,6 +398,27 @@
         unplaced.filter_map(|id| Some(self.jobs.get(&id)?.tasks)).sum()
     }
 
+    /// Notes jobs that have been waiting for too long beside room for them.
+    fn look_for_starved(&mut self) {
+        if self.now < self.troubles_over {
+            return;
+        }
+        let Rules { accepted, done_told, cancel_asked, .. } = &self.rules;
+        let open = accepted
+            .keys()
+            .filter(|id| !done_told.contains_key(*id) && !cancel_asked.contains(*id));
+        let starved = self.starved.look(&self.workers, &self.jobs, open, &self.limits, self.now);
+        for id in starved {
+            let low =
+                |job: &JobRequest| job.kind == JobKind::Array && job.priority == Priority::Low;
+            if self.jobs.get(&id).is_some_and(low) {
+                self.starved_low.push(id);
+            } else {
+                self.rules.broke("starved", format!("{id} waits beside room for it"), self.now);
+            }
+        }
+    }
+
     /// Jobs that were accepted and are neither done nor cancelled by now.
     pub fn unfinished(&self) -> Vec<String> {
         self.rules
@@ -560,6 +592,7 @@
                 }
                 let (accepted, asked) = (&self.rules.accepted, &self.rules.cancel_asked);
                 self.served.look(&self.workers, &self.jobs, accepted, asked, self.now);
+                self.look_for_starved();
                 self.at(self.now + self.terms.step, Happening::Workers);
             }
             Happening::Submit => self.submit(),
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -46,11 +46,11 @@
             Cut::Refuse(_) | Cut::Cloud | Cut::Users(_) | Cut::Slow(_) => false,
             Cut::Boots | Cut::Mistakes | Cut::Questions | Cut::Heavy => false,
             Cut::LateWrites(_) | Cut::Long(_) => false,
-            Cut::CloseLooks | Cut::CancelAtEnd(_) | Cut::OddRequests | Cut::OneTaskJobs => false,
             Cut::Mute(_) | Cut::LostAnswers(_) | Cut::KeptCopies(_) | Cut::HeldReports(_) => false,
             Cut::LateCommands(_) | Cut::OneWay(..) | Cut::MeshCopies(_) | Cut::SlowLinks(_) => {
                 false
             }
+            Cut::CloseLooks | Cut::CancelAtEnd(_) | Cut::OddRequests | Cut::OneTaskJobs => false,
         })
     }
 
--- a/crates/testkit/src/world/plan.rs
+++ b/crates/testkit/src/world/plan.rs
@@ -143,6 +143,16 @@
     CopiesTrusted,
     /// Questions about every seventh job are not answered.
     SomeUnanswered,
+    /// Late direct commands are carried out whatever token and session they bear.
+    LateCommandsTrusted,
+    /// Nothing of every seventh job is ever started.
+    SomeNeverStarted,
+    /// Workers take direct commands and questions for answers to reports: these keep their leases up.
+    DirectKeepsLease,
+    /// Late copies of signs of life claim to know all changes.
+    MeshCopiesTrusted,
+    /// Transactions whose answers would be lost are called committed and are not carried out.
+    LostNotCarriedOut,
     /// Reads of changes that are to be fresh tell nothing new.
     FreshReadsOld,
     /// Ends are written whatever has been cancelled since they were decided.
@@ -153,14 +163,6 @@
     MissingFieldsFilled,
     /// Machines that have hung ignore commands that stop tasks.
     HungMachinesIgnoreStops,
-    /// Late direct commands are carried out whatever token and session they bear.
-    LateCommandsTrusted,
-    /// Workers take direct commands and questions for answers to reports: these keep their leases up.
-    DirectKeepsLease,
-    /// Late copies of signs of life claim to know all changes.
-    MeshCopiesTrusted,
-    /// Transactions whose answers would be lost are called committed and are not carried out.
-    LostNotCarriedOut,
 }
 
 /// What a run consists of.
