--- a/crates/testkit/tests/machine_meetings.rs
+++ b/crates/testkit/tests/machine_meetings.rs
@@ -118,10 +118,14 @@
     let mut faults = Vec::new();
     for (nth, at) in [45_000, 70_000, 95_000].into_iter().enumerate() {
         let node = (nth + seed as usize) % 3;
-        faults.push((at, Fault::HeldReports { percent: 40, ms: 6_000 }));
-        faults.push((at + 200, Fault::Burst { jobs: 6 }));
-        faults.push((at + 1_000 + seed * 140, Fault::Crash { node, back: 200 + seed * 600 }));
-        faults.push((at + 4_000 + seed * 140, Fault::CancelAll { through: (node + 1) % 3 }));
+        faults.push((at, Fault::HeldReports { percent: 75, ms: 8_000 }));
+        faults.push((at + 200, Fault::Burst { jobs: 16 }));
+        let crash = at + 1_000 + seed * 140;
+        faults.push((crash, Fault::Crash { node, back: 200 + seed * 600 }));
+        // Work for the successor to start before the reports come.
+        faults.push((crash + 2_000, Fault::Burst { jobs: 12 }));
+        faults.push((crash + 3_000, Fault::CancelAll { through: (node + 1) % 3 }));
+        faults.push((crash + 3_500, Fault::Burst { jobs: 12 }));
     }
     faults
 }
@@ -162,7 +166,7 @@
 
 /// Direct commands are held up as their leaders end, are deposed, or lose sight of what is cancelled.
 fn late_commands(seed: u64) -> Vec<(u64, Fault)> {
-    let mut faults = vec![(30_000, Fault::LateCommands { percent: 50, ms: 110_000 })];
+    let mut faults = vec![(30_000, Fault::LateCommands { percent: 80, ms: 110_000 })];
     for (nth, at) in [40_000, 70_000, 100_000].into_iter().enumerate() {
         let node = (nth + seed as usize) % 3;
         faults.push((at, Fault::KillMany { count: 2 }));
