--- a/crates/testkit/tests/meetings.rs
+++ b/crates/testkit/tests/meetings.rs
@@ -415,11 +415,13 @@
         let partition = seed as u32 % 3;
         let name = format!("n{partition}");
         let spoilt = 40_000 + seed * 111;
-        let faults = vec![
+        let mut faults = vec![
             (spoilt, Fault::SpoilPage { partition, ms: 3_000 }),
-            (spoilt + 500, Fault::Burst { jobs: 10 }),
+            (spoilt + 600, Fault::CancelAll { through: (seed as usize + 2) % 3 }),
             (spoilt + 4_000, Fault::CancelAll { through: (seed as usize + 1) % 3 }),
         ];
+        // Room, and a round for each page of the ring, so that one of them meets the page that is spoilt.
+        faults.extend((1..=7).map(|nth| (spoilt + 500 * nth, Fault::Burst { jobs: 10 })));
         let mut world = site(seed, 160_000, faults);
         world.run_to(spoilt - 1);
         let before = world.term(partition);
