Why a waiting task finds no machine: a reason a machine, in explanations and metrics

A waiting job's explanation told only in which queue its tasks are. The filters of the search for a machine are one function now, which names the first one that turns the machine down (MachineRejection). admin job counts the machines of the partition by reason; trackcrank_unplaced_tasks_total{reason} counts searches by the machine that came closest, at the cost of one comparison for each machine looked at.

--- a/crates/controller/src/controller/counters.rs
+++ b/crates/controller/src/controller/counters.rs
@@ -25,6 +25,8 @@
     pub refusals: BTreeMap<&'static str, u64>,
     /// Messages that changed nothing, to be drained by the metrics.
     pub rejections: RejectionCounts,
+    /// How often a task found no machine, to be drained by the metrics.
+    pub unplaced: scheduler::RejectionCounts,
     /// Times from when a job was first seen to its placement (ms), to be drained by the metrics.
     pub waits: Vec<u64>,
 }
--- a/crates/controller/src/controller/leadership/advance.rs
+++ b/crates/controller/src/controller/leadership/advance.rs
@@ -98,6 +98,9 @@
         self.counters
             .waits
             .append(&mut loaded.partition_state.waits);
+        self.counters
+            .unplaced
+            .append(&mut loaded.partition_state.rejections);
         true
     }
 
--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -2,11 +2,11 @@
 //! that is not possible.
 
 use crate::capacity_index::MAX_RANKED_REPLICAS;
-use crate::colocation::colocation_capacity;
 use crate::job::Job;
 use crate::machine::Machine;
 use crate::partition_state::PartitionState;
 use crate::queue_entry::EntryKey;
+use crate::suitability::{MachineRejection, MachineSearch};
 use model::DurationExt;
 use model::{JobId, JobKind, TaskId, Timestamp, ZoneName};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -27,9 +27,6 @@
 /// The shortest run time on which the turnover of machines is based (ms).
 const MIN_ESTIMATE_MS: u64 = 1_000;
 
-/// A job avoids machines on which its tasks failed until it has failed on so many.
-const MAX_AVOIDED_MACHINES: usize = 4;
-
 /// The least fetch rate that is assumed (GB per second).
 const MIN_FETCH_GB_PER_S: f64 = 0.01;
 
@@ -158,9 +155,13 @@
             return Err(PlacementFailure::Quota);
         }
         let has_reservation = self.reserved_machine(entry, job, now).is_some();
-        let machine = self
-            .best_machine(entry, job, now)
-            .ok_or(PlacementFailure::Room)?;
+        let machine = match self.best_machine(entry, job, now) {
+            Ok(machine) => machine,
+            Err(rejection) => {
+                self.rejections.add(rejection);
+                return Err(PlacementFailure::Room);
+            }
+        };
         let fetch_time = fetch_time(job, machine);
         let name = machine.name.clone();
         if fetch_time > Duration::ZERO
@@ -192,33 +193,26 @@
     }
 
     /// The best machine with free capacity for a task. If capacity is reserved for it, the task waits for
-    /// that, or takes another machine that has its image.
+    /// that, or takes another machine that has its image. If there is none: why the machine that came closest
+    /// does not suit it.
     pub(crate) fn best_machine(
         &self,
         entry: EntryKey,
         job: &Job,
         now: Timestamp,
-    ) -> Option<&Machine> {
-        let zones = self.tasks_by_zone(job);
+    ) -> Result<&Machine, MachineRejection> {
         let reserved = self.reserved_machine(entry, job, now);
-        let gangs = self.gangs_with_precedence(job, now);
-        let is_suitable = |machine: &Machine| {
-            colocation_capacity(job, machine, self.free_capacity_for(entry, machine)) > 0
-                && self.admits(job, machine, now)
-                && zone_allowed(job, &machine.zone, &zones)
-                && !self.is_reserved_from(job, machine, now)
-                && !self.is_left_to_gangs(&gangs, machine, now)
-                && !self.is_left_to_unplaced_jobs(job, machine, now)
-        };
+        let search = MachineSearch::new(self, entry, job, now);
         let with_image_only = reserved.is_some();
         let best = self.capacity_index.best(
             &job.spec,
             with_image_only,
             |name| self.machines.get(name),
-            is_suitable,
+            |machine| search.is_suitable(machine),
             |machine| score(job, machine),
         );
-        best.or(reserved.filter(|machine| is_suitable(machine)))
+        best.or(reserved.filter(|machine| search.is_suitable(machine)))
+            .ok_or_else(|| search.closest_rejection())
     }
 
     /// Whether running tasks will leave room for all waiting tasks of an array on machines that have its
@@ -244,17 +238,6 @@
             .is_some_and(|team| (team.used + job.spec.needs.times(tasks)).fits_quota(&team.limit))
     }
 
-    /// Whether a job may run on a machine, apart from the free capacity there.
-    pub(crate) fn admits(&self, job: &Job, machine: &Machine, now: Timestamp) -> bool {
-        machine.usable(now, self.heartbeat_timeout())
-            && job
-                .spec
-                .allows(&machine.machine_type, &machine.zone, machine.spot)
-            && !(job.failed_on.contains(&machine.name)
-                && job.failed_on.len() < self.machines.len().min(MAX_AVOIDED_MACHINES))
-            && self.admits_best_effort(job, machine)
-    }
-
     /// How many of a job's tasks are placed in each zone; empty if the job's zones do not matter.
     pub(crate) fn tasks_by_zone(&self, job: &Job) -> BTreeMap<ZoneName, u32> {
         let mut zones = BTreeMap::new();
--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -33,10 +33,10 @@
             .collect();
         entries.sort_unstable();
         let waiting: Vec<String> = entries
-            .into_iter()
+            .iter()
             .take(EXPLAINED_ENTRIES)
             .filter_map(|entry| {
-                let (stage, failures) = self.queue.location(entry)?;
+                let (stage, failures) = self.queue.location(*entry)?;
                 Some(format!("{stage} after {failures} failures"))
             })
             .collect();
@@ -45,12 +45,16 @@
         } else {
             ""
         };
+        let machines = entries
+            .first()
+            .map(|entry| self.explain_machines(*entry, job, now))
+            .unwrap_or_default();
         let gang = self.explain_gang(job, now);
         let is_stopping = |placement: &&crate::job::Placement| placement.stop.is_some();
         let stopping = job.placed.values().filter(is_stopping).count();
         Some(format!(
             "{} done, {} placed ({} running, {stopping} stopping) of {}; \
-             cancelled: {}, ending: {}, guaranteed: {}; queued: [{}] {reason}{gang}",
+             cancelled: {}, ending: {}, guaranteed: {}; queued: [{}] {reason}{gang}{machines}",
             job.done_count(),
             job.placed.len(),
             job.running_count(),
@@ -62,6 +66,22 @@
         ))
     }
 
+    /// Why machines do not take a waiting task; empty for gangs, which need several.
+    fn explain_machines(&self, entry: EntryKey, job: &Job, now: Timestamp) -> String {
+        if job.spec.kind == JobKind::Gang {
+            return String::new();
+        }
+        let rejections: Vec<String> = self
+            .rejections_of(entry, job, now)
+            .into_iter()
+            .map(|(rejection, count)| format!("{rejection}: {count}"))
+            .collect();
+        format!(
+            "; machines that do not take it: [{}]",
+            rejections.join(", ")
+        )
+    }
+
     /// Why a gang waits; empty for other jobs.
     fn explain_gang(&self, job: &Job, now: Timestamp) -> String {
         if job.spec.kind != JobKind::Gang || job.all_done() {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod reconciliation;
 mod reservations;
 mod reserved_capacity;
+mod suitability;
 pub mod transfers;
 mod zone_alarms;
 
@@ -54,3 +55,4 @@
 pub use queue_entry::{EntryKey, Rank};
 pub use quotas::{TeamQuotas, TeamUsage};
 pub use reconciliation::StatusSource;
+pub use suitability::{MachineRejection, RejectionCounts};
--- a/crates/scheduler/src/partition_state.rs
+++ b/crates/scheduler/src/partition_state.rs
@@ -14,6 +14,7 @@
 use crate::queue_entry::{EntryKey, Rank};
 use crate::quotas::TeamQuotas;
 use crate::reserved_capacity::{GangReservation, Reservation};
+use crate::suitability::RejectionCounts;
 use crate::zone_alarms::ZoneAlarms;
 use model::DurationExt;
 use model::{FencingToken, JobId, MachineName, Resources, TaskId, TeamName, Timestamp, ZoneName};
@@ -79,6 +80,8 @@
     pub(crate) job_probes: JobProbes,
     /// When replicas were last consolidated.
     pub(crate) consolidated_at: Timestamp,
+    /// How often tasks found no machine, for the metrics.
+    pub rejections: RejectionCounts,
     /// Times from submission to placement in milliseconds, for the metrics.
     pub waits: Vec<u64>,
 }
@@ -125,6 +128,7 @@
             unplaced_since: BTreeMap::new(),
             job_probes: JobProbes::default(),
             consolidated_at: Timestamp::default(),
+            rejections: RejectionCounts::default(),
             waits: Vec::new(),
         }
     }
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -234,7 +234,7 @@
         if self.preemption_scope(job)? == PreemptionScope::CheapBestEffort {
             return None;
         }
-        let machine = self.best_machine(entry, job, now)?.name.clone();
+        let machine = self.best_machine(entry, job, now).ok()?.name.clone();
         let team = self.teams.get(&job.spec.team)?;
         let wanted = team.used + team.reserved + job.spec.needs;
         let mut plan = PreemptionPlan {
--- a/crates/scheduler/tests/partition_state/main.rs
+++ b/crates/scheduler/tests/partition_state/main.rs
@@ -3,6 +3,7 @@
 mod best_effort;
 mod builders;
 mod commands;
+mod explanations;
 mod failure_attribution;
 mod leases;
 mod liveness;
--- a/crates/trackcrank/src/metrics.rs
+++ b/crates/trackcrank/src/metrics.rs
@@ -4,6 +4,7 @@
 use prometheus::{
     Encoder, GaugeVec, Histogram, HistogramOpts, IntCounterVec, Opts, Registry, TextEncoder,
 };
+use scheduler::MachineRejection;
 use serde_json::Value;
 
 /// All metrics of the process.
@@ -16,6 +17,7 @@
     now: GaugeVec,
     waits: Histogram,
     rejected: RejectedMessages,
+    unplaced: IntCounterVec,
 }
 
 /// The counter of rejected messages. Clones share it.
@@ -84,6 +86,13 @@
             now: family("trackcrank_count", "What there is now", &["of"])?,
             waits: Histogram::with_opts(waits)?,
             rejected: RejectedMessages::new()?,
+            unplaced: IntCounterVec::new(
+                Opts::new(
+                    "trackcrank_unplaced_tasks_total",
+                    "How often a waiting task found no machine, by why the closest one did not take it",
+                ),
+                &["reason"],
+            )?,
         };
         for gauge in [
             &metrics.pending,
@@ -98,6 +107,9 @@
         metrics
             .registry
             .register(Box::new(metrics.rejected.0.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.unplaced.clone()))?;
         Ok(metrics)
     }
 
@@ -106,6 +118,13 @@
         &self.rejected
     }
 
+    /// Counts tasks that found no machine for this reason.
+    pub fn add_unplaced(&self, reason: MachineRejection, count: u64) {
+        self.unplaced
+            .with_label_values(&[reason.as_str()])
+            .inc_by(count);
+    }
+
     /// Records the time in milliseconds after which a task was placed.
     pub fn observe_wait(&self, ms: u64) {
         self.waits.observe(ms as f64 / 1000.0);
--- a/crates/trackcrank/src/metrics/tests.rs
+++ b/crates/trackcrank/src/metrics/tests.rs
@@ -4,6 +4,7 @@
 fn page_contains_queues_and_latencies() {
     let metrics = Metrics::new().expect("metrics");
     metrics.observe_wait(1_500);
+    metrics.add_unplaced(scheduler::MachineRejection::NotSpare, 4);
     let view = serde_json::json!({
         "pending": { "active": 3 },
         "incoming": [["backoff", "failure", 7]],
@@ -17,6 +18,10 @@
         page.contains("event=\"failure\",queue=\"backoff\"} 7"),
         "{page}"
     );
+    assert!(
+        page.contains("trackcrank_unplaced_tasks_total{reason=\"not_spare\"} 4"),
+        "{page}"
+    );
     assert!(
         page.contains("trackcrank_start_latency_seconds_bucket{le=\"2\"} 1"),
         "{page}"
--- a/crates/trackcrank/src/runtime.rs
+++ b/crates/trackcrank/src/runtime.rs
@@ -122,6 +122,9 @@
             for wait in controller.counters.waits.drain(..) {
                 shared.metrics.observe_wait(wait);
             }
+            for (reason, count) in controller.counters.unplaced.drain() {
+                shared.metrics.add_unplaced(reason, count);
+            }
             for (source, fault, count) in controller.counters.rejections.drain() {
                 shared.metrics.rejected().add_many(source, fault, count);
             }
