--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -66,9 +66,10 @@
         ))
     }
 
-    /// Why machines do not take a waiting task; empty for gangs, which need several.
+    /// Why machines do not take a waiting task; empty for gangs, which need several, and where the team's limit
+    /// alone keeps it back.
     fn explain_machines(&self, entry: EntryKey, job: &Job, now: Timestamp) -> String {
-        if job.spec.kind == JobKind::Gang {
+        if job.spec.kind == JobKind::Gang || !self.fits_quota_now(job, 1) {
             return String::new();
         }
         let rejections: Vec<String> = self
