--- a/crates/scheduler/tests/partition_state/main.rs
+++ b/crates/scheduler/tests/partition_state/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a partition's state on its own.
 
 mod best_effort;
+mod best_effort_waits;
 mod builders;
 mod commands;
 mod explanations;
