--- a/crates/scheduler/tests/gangs.rs
+++ b/crates/scheduler/tests/gangs.rs
@@ -675,3 +675,38 @@
     retry_all(&mut partition, 4_000, 5_000);
     assert_eq!(placed_tasks(&partition, gang), 2);
 }
+
+/// Seen in this test, at first: an array left two machines with free capacity to a gang of three tasks for 120 s,
+/// counted from when the present leader first saw the array. It could have run on machines of another type, of which
+/// there were none. No job may wait for 90 s beside free capacity, and a new leader must not begin that time anew.
+#[test]
+fn array_takes_machines_left_to_waiting_gang_within_the_limit_on_waiting() {
+    let mut partition = new_partition(1_000.0);
+    (1..=2).for_each(|n| add_machine(&mut partition, n, "large", "a"));
+    let gang = submit(
+        &mut partition,
+        &job(1, JobKind::Gang, 3, 18.0, 0.0),
+        Timestamp::from_millis(0),
+    );
+    retry_all(&mut partition, 0, 2_000);
+    // Its former leader saw it at 2 ms on the clock of submissions, this one sees it at 50 s.
+    let seen_ms = 50_000;
+    let array = submit(
+        &mut partition,
+        &job(2, JobKind::Array, 40, 1.0, 0.0),
+        Timestamp::from_millis(seen_ms),
+    );
+    for at_ms in (seen_ms..85_000).step_by(1_000) {
+        for machine in 1..=2 {
+            let now = Timestamp::from_millis(at_ms);
+            send_heartbeat(&mut partition, machine, at_ms, Vec::new(), now);
+        }
+        retry_all(&mut partition, at_ms, at_ms + 200);
+        make_durable(&mut partition);
+        if placed_tasks(&partition, array) > 0 {
+            break;
+        }
+    }
+    assert_eq!(placed_tasks(&partition, gang), 0);
+    assert!(placed_tasks(&partition, array) > 0, "beside 40 free CPUs");
+}
