A job leaves machines to waiting gangs for 75 s from its submission, not for 120 s anew

Symptom: an array beside 40 free CPUs started after 120 s at best, and later if its leader changed. Cause: the time for which jobs leave machines of a gang's type to it was longer than the 90 s that no job may wait beside free capacity, and it counted from when the present leader first saw the job. It is 75 s on the clock of submissions now.

--- a/crates/scheduler/src/gang_precedence.rs
+++ b/crates/scheduler/src/gang_precedence.rs
@@ -7,11 +7,13 @@
 use crate::machine::Machine;
 use crate::partition_state::PartitionState;
 use crate::queue_entry::{EntryKey, Rank};
+use model::DurationExt;
 use model::{JobId, JobKind, Timestamp};
 use std::time::Duration;
 
-/// How long a job leaves machines to gangs if it has others to run on.
-const GANG_PRECEDENCE_DURATION: Duration = Duration::from_secs(120);
+/// How long from its submission a job leaves machines to gangs if it has others to run on. No job may wait for
+/// 90 s beside free capacity; the rest of that is for the next try, which may be 10 s away.
+const GANG_PRECEDENCE_DURATION: Duration = Duration::from_secs(75);
 /// Failed placements after which a gang takes precedence and has machines reserved for it.
 pub(crate) const GANG_FAILURES_BEFORE_RESERVATION: u32 = 2;
 
@@ -46,9 +48,8 @@
     /// Waiting gangs to which a job leaves machines, since it can run on machines of another type. One of
     /// each kind, usually none.
     pub(crate) fn gangs_with_precedence(&self, job: &Job, now: Timestamp) -> Vec<&Job> {
-        if job.spec.kind == JobKind::Gang
-            || now.duration_since(job.seen_at) > GANG_PRECEDENCE_DURATION
-        {
+        let age_ms = self.logical_time_ms(now).saturating_sub(job.order);
+        if job.spec.kind == JobKind::Gang || age_ms > GANG_PRECEDENCE_DURATION.whole_millis() {
             return Vec::new();
         }
         let has_precedence = |gang: &&Job| {
