--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -5,7 +5,9 @@
 //! times, writes what [`PartitionState::take_dirty`] returns, and sends what
 //! [`PartitionState::commands_for`] returns.
 
-pub mod best_effort;
+mod best_effort;
+mod best_effort_eviction;
+mod best_effort_waits;
 mod capacity_index;
 mod colocation;
 pub mod commands;
--- a/crates/scheduler/tests/partition_state/best_effort_waits.rs
+++ b/crates/scheduler/tests/partition_state/best_effort_waits.rs
@@ -18,11 +18,14 @@
 //! Ordinary machines (`not_spare`) were left to other work until the *team* had had hardly any place for 120 s;
 //! that time began anew with each leader (134 s + 120 s = 254 s), and only one job of a team was let in at a time.
 
-use crate::builders::{add_machine, guest_share, hear, job, launch, make_durable, share};
-use model::{JobId, JobSpec, Timestamp};
-use scheduler::PartitionState;
+use crate::builders::{
+    add_machine, entry, guest_share, hear, job, launch, make_durable, name, report, share,
+};
+use model::{JobId, JobSpec, MachineName, Resources, Timestamp};
+use scheduler::{PartitionState, StatusSource};
 use std::time::Duration;
 use wire::users::{JobKind, Priority};
+use wire::workers::{Heartbeat, TaskState, TaskStatus};
 
 /// No job may wait this long beside free capacity, in ms; a part is left for what tests do not simulate:
 /// a write, a launch, the fetch of an image.
@@ -64,6 +67,15 @@
     share.jobs[&JobId(job)].placed.len()
 }
 
+/// Statuses that show all tasks placed on a machine as running.
+fn running_tasks(share: &PartitionState, machine: &MachineName) -> Vec<TaskStatus> {
+    let status = |task: &model::TaskId| {
+        let attempt = share.jobs[&task.job].placed[&task.index].attempt.0;
+        entry(&task.to_string(), attempt, TaskState::Running, None)
+    };
+    share.machines[machine].tasks.iter().map(status).collect()
+}
+
 #[test]
 fn every_low_priority_array_of_a_team_starts_within_the_limit() {
     let mut share = guest_share(false);
@@ -100,7 +112,7 @@
     let mut share = share();
     for team in share.teams.values_mut() {
         team.guarantee = Default::default();
-        team.limit = model::Resources::offered(16.0, 0.0, 0.0);
+        team.limit = Resources::offered(16.0, 0.0, 0.0);
     }
     hear(&mut share, 1, 1, Vec::new(), Timestamp::from_millis(100));
     let one_zone = JobSpec {
@@ -120,26 +132,16 @@
         ..low_array(2, 1)
     };
     share.add_job(low, 2, &[], Timestamp::from_millis(100));
-    let running: Vec<_> = share.jobs[&JobId(1)]
-        .placed
-        .iter()
-        .map(|(index, placement)| (format!("j-000001/{index}"), placement.attempt.0))
-        .collect();
     for at_ms in (SECOND_MS..=LIMIT_MS).step_by(SECOND_MS as usize) {
         let now = Timestamp::from_millis(at_ms);
-        let tasks = running
-            .iter()
-            .map(|(task, attempt)| {
-                crate::builders::entry(task, *attempt, wire::workers::TaskState::Running, None)
-            })
-            .collect();
+        let tasks = running_tasks(&share, &name(1));
         hear(&mut share, 1, at_ms, tasks, now);
-        let other = wire::workers::Heartbeat {
+        let other = Heartbeat {
             machine: "host-000002".into(),
             zone: "b".into(),
-            ..crate::builders::report(at_ms, None, Vec::new())
+            ..report(at_ms, None, Vec::new())
         };
-        share.reconcile(&other, scheduler::StatusSource::Heartbeat, now);
+        share.reconcile(&other, StatusSource::Heartbeat, now);
         share.evict_best_effort(now);
         share.run_cycles(now, 1_000);
         make_durable(&mut share);
@@ -156,7 +158,7 @@
     share
         .teams
         .values_mut()
-        .for_each(|team| team.limit = model::Resources::offered(16.0, 0.0, 0.0));
+        .for_each(|team| team.limit = Resources::offered(16.0, 0.0, 0.0));
     let now = Timestamp::from_millis(100);
     (2..=4).for_each(|n| hear(&mut share, n, 1, Vec::new(), now));
     for id in 1..=12 {
@@ -167,16 +169,7 @@
     for at_ms in (SECOND_MS..=180 * SECOND_MS).step_by(SECOND_MS as usize) {
         let now = Timestamp::from_millis(at_ms);
         for n in 1..=4 {
-            let name = crate::builders::name(n);
-            let tasks = share.machines[&name]
-                .tasks
-                .iter()
-                .map(|task| {
-                    let attempt = share.jobs[&task.job].placed[&task.index].attempt.0;
-                    let task = task.to_string();
-                    crate::builders::entry(&task, attempt, wire::workers::TaskState::Running, None)
-                })
-                .collect();
+            let tasks = running_tasks(&share, &name(n));
             hear(&mut share, n, at_ms, tasks, now);
         }
         share.evict_best_effort(now);
@@ -195,3 +188,65 @@
     }
     assert_eq!(stopped, 0);
 }
+
+/// The clock of a controller that has just started is far behind the clock of submissions.
+#[test]
+fn waiting_time_counts_for_a_controller_that_has_just_started() {
+    let mut share = guest_share(false);
+    share.logical_clock_offset = Duration::from_secs(1_000);
+    let submitted_ms = 960 * SECOND_MS;
+    share.add_job(
+        low_array(1, 20),
+        submitted_ms,
+        &[],
+        Timestamp::from_millis(100),
+    );
+    advance(&mut share, 1, SECOND_MS, 9 * SECOND_MS);
+    assert_eq!(placed(&share, 1), 0, "other work comes back first");
+    advance(&mut share, 1, 10 * SECOND_MS, 12 * SECOND_MS);
+    assert_eq!(placed(&share, 1), 1);
+}
+
+/// Thousands of waiting arrays take one task each of the capacity there is, request one machine a team, and give way.
+#[test]
+fn many_low_priority_arrays_take_little() {
+    let mut share = guest_share(false);
+    (2..=4).for_each(|n| add_machine(&mut share, n));
+    for team in share.teams.values_mut() {
+        team.limit = Resources::offered(4_000.0, 0.0, 0.0);
+    }
+    let jobs = 2_000;
+    for id in 1..=jobs {
+        let team = if id % 2 == 0 { "t" } else { "u" };
+        let spec = JobSpec {
+            team: team.into(),
+            ..low_array(id, 4)
+        };
+        share.add_job(spec, id, &[], Timestamp::from_millis(100));
+    }
+    advance(&mut share, 4, SECOND_MS, 39 * SECOND_MS);
+    let total = |share: &PartitionState| (1..=jobs).map(|id| placed(share, id)).sum::<usize>();
+    assert_eq!(total(&share), 0);
+    advance(&mut share, 4, 40 * SECOND_MS, 55 * SECOND_MS);
+    assert_eq!(total(&share), 16, "all that is free");
+    assert!((1..=jobs).all(|id| placed(&share, id) <= 1), "one each");
+    let requested: u64 = share
+        .demand(Timestamp::from_millis(55 * SECOND_MS))
+        .iter()
+        .filter(|shape| shape.priority == Priority::Normal)
+        .map(|shape| shape.tasks)
+        .sum();
+    assert_eq!(requested, 2, "one task a team");
+    let normal = job(jobs + 1, "u", JobKind::Service, Priority::High, 16);
+    let now = Timestamp::from_millis(56 * SECOND_MS);
+    share.add_job(normal, 56 * SECOND_MS, &[], now);
+    share.run_cycles(now, 10_000);
+    let left = share
+        .jobs
+        .values()
+        .filter(|job| job.spec.priority == Priority::Low)
+        .flat_map(|job| job.placed.values())
+        .filter(|placement| placement.stop.is_none())
+        .count();
+    assert_eq!(left, 0, "all are preempted at once");
+}
