--- a/crates/simulator/src/single_controller.rs
+++ b/crates/simulator/src/single_controller.rs
@@ -449,6 +449,11 @@
             .execute(self.now, &StateRequest::Transaction(txn));
     }
 
+    /// The value under a key of the state service.
+    pub fn stored(&self, key: &str) -> Option<&serde_json::Value> {
+        self.state.value(key)
+    }
+
     /// From now on another machine stands at all addresses: it executes no direct call and answers with this
     /// heartbeat. None: each machine answers for itself.
     pub fn answer_direct_calls_with(&mut self, report: Option<Heartbeat>) {
