Records of accepted jobs that cannot be read stay on their page, and are undecidable

Symptom: 404 for an accepted job whose record this version cannot read, and the record gone for good with the next acceptance on its page. Cause: a page of accepted jobs was made up from the open jobs in the cache alone; what could not be decoded was counted (record rejected) and dropped. Now such entries are kept as they are and count against the page's room; requests about their jobs get 503, since nothing can be said of them. One of a job that is known from elsewhere, or in a terminal state, goes as before.

--- a/crates/controller/src/controller/admission.rs
+++ b/crates/controller/src/controller/admission.rs
@@ -171,8 +171,7 @@
                 break;
             };
             next = next.max(number + 1);
-            let open = page.record.iter().filter_map(|id| self.cache.jobs.get(id));
-            let free_bytes = capacity.saturating_sub(open.map(|job| job.size).sum());
+            let free_bytes = capacity.saturating_sub(self.cache.kept_bytes(key));
             let better = best
                 .as_ref()
                 .is_none_or(|best| free_bytes > best.free_bytes);
@@ -231,16 +230,7 @@
     /// Adds pending submissions to a page and the page to the batch; false if the page takes none.
     fn fill_page(&mut self, page: &OpenPage, batch: &mut AdmissionBatch, max_jobs: usize) -> bool {
         let key = accepted_jobs_key(self.own_name(), page.number);
-        let kept = self
-            .cache
-            .accepted_job_pages
-            .get(&key)
-            .into_iter()
-            .flat_map(|page| &page.record);
-        let mut jobs: Vec<serde_json::Value> = kept
-            .filter_map(|id| self.cache.jobs.get(id))
-            .filter_map(|job| serde_json::to_value(&*job.packed).ok())
-            .collect();
+        let mut jobs = self.cache.kept_entries(&key);
         let mut free_bytes = page.free_bytes;
         let before = batch.submissions.len();
         while batch.submissions.len() < max_jobs {
--- a/crates/controller/src/controller/linearizable_reads.rs
+++ b/crates/controller/src/controller/linearizable_reads.rs
@@ -254,6 +254,9 @@
                 }
                 Err(_) => self.reply_busy(request.ticket, UNREADABLE_STATE_RETRY_AFTER_S),
             },
+            StateReply::Missing if self.cache.is_unreadable(request.id) => {
+                self.reply_busy(request.ticket, UNREADABLE_STATE_RETRY_AFTER_S);
+            }
             StateReply::Missing => match request.kind {
                 RequestKind::Resubmit {
                     reject: Some(reason),
--- a/crates/controller/src/state_cache/mod.rs
+++ b/crates/controller/src/state_cache/mod.rs
@@ -8,8 +8,8 @@
 mod reference_counts;
 
 use crate::records::{
-    DemandRecord, IncarnationRecord, MachineRecord, PackedJob, PartitionRecord, ReclaimRecord,
-    TerminalJobsPage, TokenCounterRecord,
+    packed_size, DemandRecord, IncarnationRecord, MachineRecord, PackedJob, PartitionRecord,
+    ReclaimRecord, TerminalJobsPage, TokenCounterRecord,
 };
 use model::{
     ControllerName, JobId, JobSpec, JobState, MachineName, PartitionId, Revision, Version,
@@ -83,6 +83,9 @@
     pub jobs: BTreeMap<JobId, OpenJob>,
     /// The jobs on each page of accepted jobs, by key, whether in a terminal state or not.
     pub accepted_job_pages: BTreeMap<String, Versioned<Vec<JobId>>>,
+    /// Entries of pages of accepted jobs that cannot be read, by the key of their page. They stay in the state
+    /// service as they are: another version may have written them.
+    unreadable_jobs: BTreeMap<String, Vec<Value>>,
     /// Cancelled jobs by the controller that accepted the cancellation.
     pub cancellations: BTreeMap<ControllerName, Versioned<BTreeSet<JobId>>>,
     /// Pages of terminal jobs by partition and number.
@@ -134,6 +137,37 @@
         self.registered.contains(id)
     }
 
+    /// Whether a job is on a page of accepted jobs in a form that cannot be read, and is in no terminal state
+    /// that is known: nothing can be said of it.
+    pub fn is_unreadable(&self, id: JobId) -> bool {
+        self.registered.contains(id) && !self.jobs.contains_key(&id) && !self.terminal.contains(id)
+    }
+
+    /// The entries that a page of accepted jobs keeps when it is written again: open jobs, and what cannot be
+    /// read.
+    pub fn kept_entries(&self, page_key: &str) -> Vec<Value> {
+        let unreadable = self.unreadable_jobs.get(page_key).into_iter().flatten();
+        self.open_jobs_on(page_key)
+            .filter_map(|job| serde_json::to_value(&*job.packed).ok())
+            .chain(unreadable.cloned())
+            .collect()
+    }
+
+    /// Bytes of the entries that a page of accepted jobs keeps when it is written again.
+    pub fn kept_bytes(&self, page_key: &str) -> usize {
+        let unreadable = self.unreadable_jobs.get(page_key).into_iter().flatten();
+        let open_bytes: usize = self.open_jobs_on(page_key).map(|job| job.size).sum();
+        open_bytes + unreadable.map(packed_size).sum::<usize>()
+    }
+
+    fn open_jobs_on(&self, page_key: &str) -> impl Iterator<Item = &OpenJob> {
+        self.accepted_job_pages
+            .get(page_key)
+            .into_iter()
+            .flat_map(|page| &page.record)
+            .filter_map(|id| self.jobs.get(id))
+    }
+
     /// Takes the number of records and entries that could not be used since the last call.
     pub fn take_rejected(&mut self) -> u64 {
         std::mem::take(&mut self.rejected)
--- a/crates/controller/src/state_cache/pages.rs
+++ b/crates/controller/src/state_cache/pages.rs
@@ -22,9 +22,11 @@
         let read = self.decode_numbered::<_, AcceptedJobsPage>(key, number, value);
         let Some((_, page)) = read else { return };
         let mut ids = Vec::new();
-        for entry in &page.jobs {
+        let mut unreadable = Vec::new();
+        for entry in page.jobs {
             let Some(id) = entry.get(1).and_then(Value::as_str).and_then(JobId::parse) else {
                 self.reject(key, &"an entry has no job id");
+                unreadable.push(entry);
                 continue;
             };
             ids.push(id);
@@ -33,25 +35,14 @@
             if self.jobs.contains_key(&id) || self.terminal.contains(id) {
                 continue;
             }
-            let Some(packed) = self.decode::<PackedJob>(key, entry) else {
+            let Some(job) = self.decode_job(key, &entry) else {
+                unreadable.push(entry);
                 continue;
             };
-            let spec = match JobSpec::try_from(&packed.request) {
-                Ok(spec) => spec,
-                Err(error) => {
-                    self.reject(key, &error);
-                    continue;
-                }
-            };
-            let size = packed_size(&packed);
-            let job = OpenJob {
-                packed: Arc::new(packed),
-                size,
-                spec: Arc::new(spec),
-            };
             self.jobs.insert(id, job);
             changed.push(CacheEvent::Job(id));
         }
+        self.set_unreadable_jobs(key, unreadable);
         for id in &ids {
             self.registered.add(*id);
         }
@@ -67,6 +58,28 @@
         }
     }
 
+    /// Decodes an accepted job; none if its form or its content is not known.
+    fn decode_job(&mut self, key: &str, entry: &Value) -> Option<OpenJob> {
+        let packed = self.decode::<PackedJob>(key, entry)?;
+        let spec = JobSpec::try_from(&packed.request)
+            .map_err(|error| self.reject(key, &error))
+            .ok()?;
+        let size = packed_size(&packed);
+        Some(OpenJob {
+            packed: Arc::new(packed),
+            size,
+            spec: Arc::new(spec),
+        })
+    }
+
+    fn set_unreadable_jobs(&mut self, key: &str, entries: Vec<Value>) {
+        if entries.is_empty() {
+            self.unreadable_jobs.remove(key);
+        } else {
+            self.unreadable_jobs.insert(key.to_owned(), entries);
+        }
+    }
+
     pub(super) fn apply_terminal_jobs_page(
         &mut self,
         key: &str,
