--- a/crates/scheduler/src/best_effort.rs
+++ b/crates/scheduler/src/best_effort.rs
@@ -5,9 +5,10 @@
 //! long may run one task on any machine, and a team with hardly any such place a few; see the modules
 //! `best_effort_waits` and `best_effort_eviction`.
 
-use crate::job::{Job, Placement};
+use crate::job::Job;
 use crate::machine::Machine;
 use crate::partition_state::PartitionState;
+use crate::placement::Placement;
 use crate::preempt::SAVE_ALLOWANCE_MS;
 use model::DurationExt;
 use model::{JobId, Resources, Timestamp};
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -1,8 +1,8 @@
 //! Commands to workers.
 
-use crate::job::{DirectLaunch, LaunchState, Placement, TaskAttempt};
 use crate::machine::{Machine, OrphanedTask};
 use crate::partition_state::PartitionState;
+use crate::placement::{DirectLaunch, LaunchState, Placement, TaskAttempt};
 use model::{FencingToken, MachineName, TaskId, Timestamp, WorkerEpoch};
 use wire::workers::{Command, TaskState};
 
--- /dev/null
+++ b/crates/scheduler/src/demand_estimate.rs
@@ -0,0 +1,321 @@
+//! The estimate of demand: free capacity is allotted to waiting jobs one after the other, and what is left of them
+//! is demand.
+
+use crate::colocation::colocation_capacity;
+use crate::cycle::zone_allowed;
+use crate::job::Job;
+use crate::machine::Machine;
+use crate::partition_state::PartitionState;
+use crate::preempt::PreemptionScope;
+use model::{DurationExt, JobKind, Priority, Resources, TeamName, Timestamp, ZoneName};
+use std::collections::{BTreeMap, HashMap};
+use wire::mesh::DemandShape;
+
+/// Free capacity of a machine that has not been allotted to waiting tasks yet.
+struct FreeCapacity<'a> {
+    machine: &'a Machine,
+    free: Resources,
+    /// What best-effort tasks use; they give way to other work.
+    reclaimable: Resources,
+}
+
+impl FreeCapacity<'_> {
+    fn how_many_fit(&self, job: &Job) -> u64 {
+        let reclaimable = if job.spec.is_best_effort() {
+            Resources::default()
+        } else {
+            self.reclaimable
+        };
+        colocation_capacity(job, self.machine, self.free + reclaimable)
+    }
+
+    fn allocate(&mut self, resources: Resources) {
+        self.reclaimable -= resources.saturating_sub(&self.free);
+        self.free -= resources;
+    }
+}
+
+/// A team's tasks of one priority.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct TeamPriority<'a> {
+    team: &'a TeamName,
+    priority: Priority,
+}
+
+/// What the preemptible tasks of each team use, by priority. Tasks that would be preempted for their own
+/// team's work of higher priority leave room within the team's limit for that work, even where they use
+/// all of the limit.
+struct PreemptibleUsage<'a>(BTreeMap<TeamPriority<'a>, Resources>);
+
+impl<'a> PreemptibleUsage<'a> {
+    fn new(partition: &'a PartitionState) -> Self {
+        let mut usage: BTreeMap<TeamPriority, Resources> = BTreeMap::new();
+        let preemptible = |job: &&Job| partition.policy.preempt && job.spec.kind != JobKind::Gang;
+        for job in partition.jobs.values().filter(preemptible) {
+            let key = TeamPriority {
+                team: &job.spec.team,
+                priority: job.spec.priority,
+            };
+            *usage.entry(key).or_default() += job.spec.needs.times(job.placed.len() as u64);
+        }
+        PreemptibleUsage(usage)
+    }
+
+    /// Allots usage of lower priority to tasks of a job, the lowest first, and returns how many tasks
+    /// that makes room for.
+    fn allot(&mut self, partition: &PartitionState, job: &Job, tasks: u64) -> u64 {
+        if tasks == 0 || partition.preemption_scope(job) != Some(PreemptionScope::All) {
+            return 0;
+        }
+        let needs = quota_needs(job);
+        let mut allotted = 0;
+        for (key, usage) in &mut self.0 {
+            if *key.team == job.spec.team && key.priority < job.spec.priority {
+                let count = usage.how_many_fit(&needs).min(tasks - allotted);
+                *usage -= needs.times(count);
+                allotted += count;
+            }
+        }
+        allotted
+    }
+}
+
+/// Where waiting tasks of a job find free capacity.
+struct WaitingPlacement {
+    /// Tasks that fit into free capacity.
+    placed: u64,
+    /// The zone in which machines for the other tasks have to be, if that matters.
+    zone: Option<ZoneName>,
+}
+
+/// Allots free capacity to waiting jobs one after the other and collects the remaining tasks as demand.
+pub(crate) struct DemandEstimate<'a> {
+    partition: &'a PartitionState,
+    now: Timestamp,
+    free: Vec<FreeCapacity<'a>>,
+    /// What running array tasks free soon.
+    turnover: Resources,
+    preemptible: PreemptibleUsage<'a>,
+    /// What is left of each team's limit.
+    quota_left: HashMap<TeamName, Resources>,
+    pub(crate) shapes: Vec<DemandShape>,
+}
+
+impl<'a> DemandEstimate<'a> {
+    /// `min_milli_cpus`: the least that a waiting task needs. Machines that have less are left out, so
+    /// that full machines are not checked for each job.
+    pub(crate) fn new(partition: &'a PartitionState, min_milli_cpus: u64, now: Timestamp) -> Self {
+        let free = partition
+            .machines
+            .values()
+            .filter(|machine| machine.usable(now, partition.heartbeat_timeout()))
+            .map(|machine| FreeCapacity {
+                machine,
+                free: machine.free(),
+                reclaimable: partition.reclaimable_resources(machine, now),
+            })
+            .filter(|capacity| (capacity.free + capacity.reclaimable).milli_cpus >= min_milli_cpus)
+            .collect();
+        DemandEstimate {
+            partition,
+            now,
+            free,
+            turnover: partition.turnover(),
+            preemptible: PreemptibleUsage::new(partition),
+            quota_left: HashMap::new(),
+            shapes: Vec::new(),
+        }
+    }
+
+    /// Allots free capacity to waiting tasks of a job and adds the others to the demand.
+    pub(crate) fn add_job(&mut self, job: &Job, waiting_tasks: u64) {
+        // A gang that waits for machines that are free soon needs no others.
+        if job.spec.kind == JobKind::Gang
+            && self.partition.reservation_is_near(job.spec.id, self.now)
+        {
+            return;
+        }
+        let starved = job.starved && job.placed.is_empty();
+        let wanted = if starved {
+            waiting_tasks.min(1)
+        } else {
+            waiting_tasks
+        };
+        let Some(within_quota) = self.allot_quota(job, wanted) else {
+            return;
+        };
+        let preempting = self
+            .preemptible
+            .allot(self.partition, job, wanted - within_quota);
+        let startable = within_quota + preempting;
+        let placement = self.place_waiting_tasks(job, startable);
+        let unplaced = startable - placement.placed;
+        let tasks = unplaced - self.allot_turnover(job, unplaced);
+        if tasks > 0 {
+            self.add_shape(demand_shape(job, tasks, placement.zone, starved));
+        }
+    }
+
+    /// How many tasks fit into what is left of the team's limit, which is reduced by them. `None` if the
+    /// team is not known.
+    fn allot_quota(&mut self, job: &Job, wanted: u64) -> Option<u64> {
+        let team = self.partition.teams.get(&job.spec.team)?;
+        let left = self
+            .quota_left
+            .entry(job.spec.team.clone())
+            .or_insert_with(|| team.limit.saturating_sub(&(team.used + team.held)));
+        let needs = quota_needs(job);
+        let tasks = wanted.min(left.how_many_fit(&needs));
+        // The part of the limit that gangs need is reserved with their machines.
+        if job.spec.kind != JobKind::Gang {
+            *left -= needs.times(tasks);
+        }
+        Some(tasks)
+    }
+
+    /// How many array tasks fit into what running tasks free soon, which is reduced by them.
+    fn allot_turnover(&mut self, job: &Job, tasks: u64) -> u64 {
+        if job.guaranteed || job.spec.kind != JobKind::Array {
+            return 0;
+        }
+        let needs = quota_needs(job);
+        let absorbed = tasks.min(self.turnover.how_many_fit(&needs));
+        self.turnover -= needs.times(absorbed);
+        absorbed
+    }
+
+    /// Allots free capacity to waiting tasks of a job.
+    fn place_waiting_tasks(&mut self, job: &Job, tasks: u64) -> WaitingPlacement {
+        let (partition, now) = (self.partition, self.now);
+        let zone_constrained = job.spec.one_zone || job.spec.spread;
+        let mut zones = partition.tasks_by_zone(job);
+        if job.spec.one_zone && zones.is_empty() {
+            zones.extend(self.choose_zone(job).map(|zone| (zone, 0)));
+        }
+        let gangs = partition.gangs_with_precedence(job, now);
+        let may_use = |machine: &Machine| {
+            partition.admits(job, machine, now)
+                && !partition.is_reserved_from(job, machine, now)
+                && !partition.is_left_to_gangs(&gangs, machine, now)
+        };
+        let mut placed = 0;
+        for capacity in &mut self.free {
+            if placed == tasks {
+                break;
+            }
+            let zone = &capacity.machine.zone;
+            let fitting = capacity.how_many_fit(job);
+            if fitting == 0 || !may_use(capacity.machine) || !zone_allowed(job, zone, &zones) {
+                continue;
+            }
+            let count = fitting
+                .min(tasks - placed)
+                .min(zone_capacity(job, zone, &zones));
+            if zone_constrained {
+                *zones.entry(zone.clone()).or_default() += count as u32;
+            }
+            capacity.allocate(job.spec.needs.times(count));
+            placed += count;
+        }
+        WaitingPlacement {
+            placed,
+            zone: partition.zone_for_remaining_tasks(job, &zones),
+        }
+    }
+
+    /// The zone for a job that has to run in one zone and has no task placed: that of the machines
+    /// reserved for it, or the one with the most free capacity for it.
+    fn choose_zone(&self, job: &Job) -> Option<ZoneName> {
+        let partition = self.partition;
+        let reserved = partition
+            .gang_reservations
+            .get(&job.spec.id)
+            .and_then(|reservation| reservation.machines.keys().next())
+            .and_then(|name| partition.machines.get(name))
+            .map(|machine| machine.zone.clone());
+        let mut fitting_by_zone: BTreeMap<&ZoneName, u64> = BTreeMap::new();
+        for capacity in &self.free {
+            if partition.admits(job, capacity.machine, self.now) {
+                *fitting_by_zone.entry(&capacity.machine.zone).or_default() +=
+                    capacity.how_many_fit(job);
+            }
+        }
+        let roomiest = fitting_by_zone
+            .into_iter()
+            .max_by_key(|(_, fitting)| *fitting)
+            .map(|(zone, _)| zone.clone());
+        reserved
+            .or(roomiest)
+            .or_else(|| partition.zones.first().cloned())
+    }
+
+    /// Adds to a shape that is alike, if there is one.
+    fn add_shape(&mut self, shape: DemandShape) {
+        match self.shapes.iter_mut().find(|other| is_alike(other, &shape)) {
+            Some(other) => {
+                other.tasks += shape.tasks;
+                other.urgent += shape.urgent;
+                other.estimate_ms = other.estimate_ms.max(shape.estimate_ms);
+            }
+            None => self.shapes.push(shape),
+        }
+    }
+}
+
+/// What a task uses of its team's limit, which does not count memory.
+fn quota_needs(job: &Job) -> Resources {
+    Resources {
+        memory_mb: 0,
+        ..job.spec.needs
+    }
+}
+
+/// How many more tasks of a job a zone may take.
+fn zone_capacity(job: &Job, zone: &ZoneName, zones: &BTreeMap<ZoneName, u32>) -> u64 {
+    if !job.spec.spread {
+        return u64::MAX;
+    }
+    let placed = zones.get(zone).copied().unwrap_or(0);
+    u64::from(job.spec.zone_limit().saturating_sub(placed))
+}
+
+fn demand_shape(job: &Job, tasks: u64, zone: Option<ZoneName>, starved: bool) -> DemandShape {
+    let estimate_ms = job.spec.estimate.whole_millis();
+    let is_urgent = job.guaranteed || estimate_ms == 0;
+    let is_unplaced_one_zone_gang = job.spec.one_zone && job.placed.is_empty();
+    DemandShape {
+        milli_cpus: job.spec.needs.milli_cpus,
+        milli_gpus: job.spec.needs.milli_gpus,
+        memory_mb: job.spec.needs.memory_mb,
+        types: job.spec.types.clone(),
+        zone: zone.map(|zone| zone.to_string()),
+        spot: job.spec.spot,
+        tasks,
+        urgent: if is_urgent { tasks } else { 0 },
+        estimate_ms,
+        // Work of low priority gets spare capacity only, which this task has waited for in vain.
+        priority: if starved {
+            Priority::Normal
+        } else {
+            job.spec.priority
+        },
+        gang: if is_unplaced_one_zone_gang {
+            u64::from(job.spec.tasks)
+        } else {
+            0
+        },
+    }
+}
+
+/// Whether tasks of two shapes can be added up. Gangs in one zone are never added up.
+fn is_alike(left: &DemandShape, right: &DemandShape) -> bool {
+    left.milli_cpus == right.milli_cpus
+        && left.milli_gpus == right.milli_gpus
+        && left.memory_mb == right.memory_mb
+        && left.types == right.types
+        && left.zone == right.zone
+        && left.spot == right.spot
+        && left.priority == right.priority
+        && left.gang + right.gang == 0
+        && (left.estimate_ms == 0) == (right.estimate_ms == 0)
+}
--- a/crates/scheduler/src/durability.rs
+++ b/crates/scheduler/src/durability.rs
@@ -1,8 +1,9 @@
 //! Handing changed progress to the placement log, and what follows when it is durable.
 
-use crate::job::{TaskAttempt, TaskChunk, CHUNK};
 use crate::partition_state::PartitionState;
+use crate::placement::TaskAttempt;
 use crate::progress::{ChunkKey, CommittedChanges};
+use crate::task_chunk::{TaskChunk, CHUNK};
 use model::TaskId;
 
 impl PartitionState {
--- a/crates/scheduler/src/explain.rs
+++ b/crates/scheduler/src/explain.rs
@@ -50,7 +50,7 @@
             .map(|entry| self.explain_machines(*entry, job, now))
             .unwrap_or_default();
         let gang = self.explain_gang(job, now);
-        let is_stopping = |placement: &&crate::job::Placement| placement.stop.is_some();
+        let is_stopping = |placement: &&crate::placement::Placement| placement.stop.is_some();
         let stopping = job.placed.values().filter(is_stopping).count();
         Some(format!(
             "{} done, {} placed ({} running, {stopping} stopping) of {}; \
--- a/crates/scheduler/src/gang_reservation_choice.rs
+++ b/crates/scheduler/src/gang_reservation_choice.rs
@@ -3,9 +3,10 @@
 
 use crate::colocation::colocation_capacity;
 use crate::cycle::{image_fetch_time, score};
-use crate::job::{Job, Placement};
+use crate::job::Job;
 use crate::machine::Machine;
 use crate::partition_state::PartitionState;
+use crate::placement::Placement;
 use crate::queue_entry::{EntryKey, Rank};
 use crate::reserved_capacity::GangReservation;
 use model::DurationExt;
--- a/crates/scheduler/src/job_lifecycle.rs
+++ b/crates/scheduler/src/job_lifecycle.rs
@@ -1,8 +1,9 @@
 //! Jobs of a partition from admission to removal.
 
-use crate::job::{Job, TaskChunk};
+use crate::job::Job;
 use crate::partition_state::PartitionState;
 use crate::queue_entry::{EntryKey, Rank};
+use crate::task_chunk::TaskChunk;
 use model::DurationExt;
 use model::{JobId, JobKind, JobSpec, TaskId, Timestamp};
 use std::sync::Arc;
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -1,8 +1,8 @@
 //! When a worker's lease may be renewed, and what its expiry proves.
 
-use crate::job::Placement;
 use crate::machine::Machine;
 use crate::partition_state::PartitionState;
+use crate::placement::Placement;
 use model::{JobId, MachineName, TaskId, Timestamp};
 
 impl PartitionState {
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -1,6 +1,6 @@
 //! A machine of the partition, as its newest status and what was sent to it show it.
 
-use crate::job::{DirectLaunch, TaskAttempt};
+use crate::placement::{DirectLaunch, TaskAttempt};
 use model::DurationExt;
 use model::{
     FencingToken, JobId, JobKind, JobSpec, MachineName, PartitionId, Resources, SequenceNumber,
--- a/crates/scheduler/src/partition_state.rs
+++ b/crates/scheduler/src/partition_state.rs
@@ -5,9 +5,10 @@
 //! `job_lifecycle`, `placements`, `durability`, `guarantees`, `leases`, `reconciliation`, `commands`.
 
 use crate::capacity_index::CapacityIndex;
-use crate::job::{Job, Placement};
+use crate::job::Job;
 use crate::job_probes::JobProbes;
 use crate::machine::Machine;
+use crate::placement::Placement;
 use crate::policy::Policy;
 use crate::preemption_candidates::PreemptionCandidates;
 use crate::progress::UnrecordedProgress;
--- a/crates/scheduler/src/placements.rs
+++ b/crates/scheduler/src/placements.rs
@@ -1,7 +1,7 @@
 //! Placements: creation, stopping and removal, with the counts that depend on them.
 
-use crate::job::{LaunchState, Placement, Stop};
 use crate::partition_state::PartitionState;
+use crate::placement::{LaunchState, Placement, Stop};
 use crate::queue_entry::{EntryKey, Rank};
 use model::DurationExt;
 use model::{Attempt, JobId, JobKind, JobSpec, MachineName, TaskId, Timestamp};
--- a/crates/scheduler/src/preemption_candidates.rs
+++ b/crates/scheduler/src/preemption_candidates.rs
@@ -4,7 +4,7 @@
 //! preemption begins with the newest placements, and ends as soon as the others have run for longer than the
 //! best plan costs.
 
-use crate::job::Placement;
+use crate::placement::Placement;
 use model::{JobKind, JobSpec, Priority, TaskId, Timestamp};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/scheduler/src/progress.rs
+++ b/crates/scheduler/src/progress.rs
@@ -1,6 +1,7 @@
 //! Progress of jobs that is not durable yet.
 
-use crate::job::{TaskAttempt, CHUNK};
+use crate::placement::TaskAttempt;
+use crate::task_chunk::CHUNK;
 use model::{JobId, TaskId};
 use std::collections::{BTreeSet, HashSet};
 use std::ops::RangeInclusive;
--- a/crates/scheduler/src/reconciliation.rs
+++ b/crates/scheduler/src/reconciliation.rs
@@ -1,8 +1,9 @@
 //! Reconciliation: what a worker's status proves is compared with what is placed on its machine.
 
-use crate::job::{Job, LaunchState, TaskAttempt};
+use crate::job::Job;
 use crate::machine::{Machine, OrphanedTask};
 use crate::partition_state::PartitionState;
+use crate::placement::{LaunchState, TaskAttempt};
 use model::duration_from_secs;
 use model::{
     Attempt, FencingToken, JobKind, MachineName, SequenceNumber, TaskId, Timestamp, WorkerEpoch,
--- /dev/null
+++ b/crates/scheduler/src/task_chunk.rs
@@ -0,0 +1,59 @@
+//! The progress of a job's tasks as it is stored in the placement log.
+
+use serde::{Deserialize, Serialize, Serializer};
+
+/// Number of tasks whose progress is recorded together.
+pub const CHUNK: u32 = 64;
+
+/// A placed task in the placement log; serialised as an array of its three fields.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(from = "(u32, u64, String)")]
+pub struct PlacedTask {
+    /// Index of the task within its chunk.
+    pub offset: u32,
+    /// Number of the attempt, see [`model::Attempt`].
+    pub attempt: u64,
+    /// Name of the machine.
+    pub machine: String,
+}
+
+impl From<(u32, u64, String)> for PlacedTask {
+    fn from((offset, attempt, machine): (u32, u64, String)) -> Self {
+        PlacedTask {
+            offset,
+            attempt,
+            machine,
+        }
+    }
+}
+
+impl Serialize for PlacedTask {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        (self.offset, self.attempt, &self.machine).serialize(serializer)
+    }
+}
+
+/// Progress of one chunk of a job's tasks in the placement log.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct TaskChunk {
+    /// Bit i: task i of the chunk is done. Hexadecimal, because JSON readers do not agree on integers
+    /// beyond 53 bits.
+    #[serde(rename = "d", default, skip_serializing_if = "String::is_empty")]
+    pub done: String,
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub placed: Vec<PlacedTask>,
+}
+
+impl TaskChunk {
+    /// Whether there is no progress to be recorded.
+    pub fn is_empty(&self) -> bool {
+        self.done.is_empty() && self.placed.is_empty()
+    }
+
+    /// Whether all of it can be restored.
+    pub fn is_sound(&self) -> bool {
+        let done = self.done.is_empty() || u64::from_str_radix(&self.done, 16).is_ok();
+        let is_sound = |task: &PlacedTask| task.offset < CHUNK && !task.machine.is_empty();
+        done && self.placed.iter().all(is_sound)
+    }
+}
