Sabotage test of kills asks for two runs of twelve, in a slower state service

Neither the rule nor the product is at fault: the scenario hardly met what it is for.

The test asks for two of twelve instead of one.

--- a/crates/simulator/tests/combined_faults.rs
+++ b/crates/simulator/tests/combined_faults.rs
@@ -198,16 +198,21 @@
     assert!(coverage >= 30, "{coverage} tasks of cancelled jobs");
 }
 
-/// The rules detect a successor that renews leases without sending stop commands.
+/// The rules detect a successor that renews leases without sending stop commands, in two runs of twelve at least.
+///
+/// The state service is so slow that the outage begins before the placement log has been read. With a state service
+/// 30 times slower and an outage 20 ms after the failover one run of 36 detected the defect, by milliseconds, and none after
+/// an unrelated change of what is placed; with these times 10 of 36 do, and none without the defect.
 #[test]
 fn checker_detects_successor_that_renews_without_kills() {
-    let caught = (0..12).any(|nth| {
+    let is_caught = |nth: &usize| {
+        let nth = *nth;
         let leader = nth % 3;
         let mut faults = isolated_and_refused(leader);
         faults.push((
             52_000,
             Fault::SlowStateService {
-                times: 30,
+                times: 100,
                 ms: 60_000,
             },
         ));
@@ -217,15 +222,16 @@
             ..plan
         });
         let moved = run_until_failover(&mut world, leader, "sabotaged");
-        world.run_to(moved + 20);
+        world.run_to(moved + 150);
         world.inject(Fault::RefuseStateRequests {
             controller: None,
             ms: 45_000,
         });
         world.run();
         world.rules.has_violation_of(&["ran_cancelled"])
-    });
-    assert!(caught);
+    };
+    let caught = (0..12).filter(is_caught).count();
+    assert!(caught >= 2, "{caught} of 12");
 }
 
 /// Machines are unreachable or disconnected while leaders crash in turn.
