Tests: the pauses of controllers stand once, for rules.rs and low_priority_waits.rs

low_priority_waits.rs had a copy of the plan of rules.rs under other names. It is tests/common/pauses.rs now; times, seeds and assertions as they were, the tests in rules.rs unchanged to the letter.

--- a/crates/simulator/tests/low_priority_waits.rs
+++ b/crates/simulator/tests/low_priority_waits.rs
@@ -6,27 +6,15 @@
 //! 201 s between one and four machines with room turned it down as `not_spare`, and nothing else kept it back; the time
 //! after which its team's best-effort work may run there, 120 s, began anew as its leader was replaced at 134 s.
 
-use simulator::{for_seeds, Fault, Plan, World};
+#[path = "common/pauses.rs"]
+mod pauses;
+
+use pauses::pauses;
+use simulator::{for_seeds, Plan, World};
 
 /// Seeds in which arrays starved.
 const SEEDS: [u64; 4] = [4, 35, 36, 40];
 
-/// Controllers are paused for less and for more than a lease, one alone, two together, and a successor too.
-fn pauses(seed: u64) -> Vec<(u64, Fault)> {
-    let pause = |at: u64, controller: usize, ms: u64| {
-        (at + seed * 13, Fault::PauseController { controller, ms })
-    };
-    vec![
-        pause(30_000, 0, 20_000),
-        pause(36_000, 1, 5_000),
-        pause(70_000, 2, 3_000),
-        pause(90_000, 1, 14_000),
-        pause(90_000, 2, 12_000),
-        pause(120_000, 0, 800),
-        pause(130_000, 0, 3_600),
-    ]
-}
-
 #[test]
 fn low_priority_arrays_start_within_the_limit_although_leaders_change() {
     for_seeds(SEEDS.len() as u64, |nth| {
--- a/crates/simulator/tests/rules.rs
+++ b/crates/simulator/tests/rules.rs
@@ -1,5 +1,9 @@
 //! Seeded runs of a whole simulated site, with the rules checked after every step.
 
+#[path = "common/pauses.rs"]
+mod pauses;
+
+use pauses::pauses as freezes;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use simulator::{BootBehavior, Fault, Mutation, Plan, World};
@@ -124,22 +128,6 @@
     }
 }
 
-/// Controllers are paused for less and for more than a lease, one alone, two together, and a successor too.
-fn freezes(seed: u64) -> Vec<(u64, Fault)> {
-    let freeze = |at: u64, controller: usize, ms: u64| {
-        (at + seed * 13, Fault::PauseController { controller, ms })
-    };
-    vec![
-        freeze(30_000, 0, 20_000),
-        freeze(36_000, 1, 5_000),
-        freeze(70_000, 2, 3_000),
-        freeze(90_000, 1, 14_000),
-        freeze(90_000, 2, 12_000),
-        freeze(120_000, 0, 800),
-        freeze(130_000, 0, 3_600),
-    ]
-}
-
 #[test]
 fn paused_controllers_keep_rules_and_complete_work() {
     for seed in 1..=8 {
