--- /dev/null
+++ b/review/standins/src/cases.rs
@@ -0,0 +1,145 @@
+//! The cases of the review, and trials.
+
+use crate::cloud::MachineType;
+use crate::site::{job, Plan, Record, Site, Team};
+use crate::state::Limits;
+use crate::{Clock, Verdict};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+pub async fn run(case: &str, trouble: bool, clock: Clock, record: Rc<Record>) -> Result<Verdict, String> {
+    match case {
+        "final-states" => final_states(trouble, clock, record).await,
+        _ => Err(format!("no case {case}")),
+    }
+}
+
+fn root() -> PathBuf {
+    std::env::current_dir().unwrap_or_default()
+}
+
+/// The deployment of `rila-arcade-ops`: its limits, workers and teams, with fewer machines and without GPUs.
+fn rila() -> Plan {
+    let granite = MachineType {
+        label: "granite", vcpus: 32.0, gpus: 0.0, ram_gb: 128.0, local_gb: 80.0, fetch_gb_per_s: 0.2,
+        hourly: 2.01, market_price: 0.54, ready_s: 35.0,
+    };
+    let zones: Vec<String> = ["varna", "burgas", "rila", "ruse"].map(str::to_owned).to_vec();
+    let capacity = zones.iter().map(|zone| (("granite".to_owned(), zone.clone(), false), 16)).collect();
+    let team = |name: &str, cpus: f64, cpus_max: f64| Team { name: name.into(), cpus, cpus_max };
+    Plan {
+        node_zones: zones[..3].to_vec(),
+        zones,
+        teams: vec![
+            team("boardkeepers", 1200.0, 2500.0),
+            team("reelroom", 2000.0, 6000.0),
+            team("fairplay", 900.0, 2500.0),
+            team("harbour", 2000.0, 6000.0),
+        ],
+        report_s: 2.5, lease_s: 18.0, cancel_s: 38.0,
+        state: Limits {
+            rps: 120.0, write_rps: 40.0, value_bytes: 32 * 1024, txn_ops: 24, latency: Duration::from_millis(6),
+        },
+        value_kb: 32.0, cloud_rps: 8.0, list_lag_s: 5.0, types: vec![granite], capacity, boot_ms: 2_000,
+        sockets: 1500, log: "info".into(),
+    }
+}
+
+/// Number of jobs that the site has finished before the run: at its own 53 jobs a minute, those of 63 hours.
+const EARLIER_JOBS: u64 = 199_955;
+/// Jobs on one page of finished jobs, as the controllers write them.
+const JOBS_A_PAGE: u64 = 192;
+/// `scorescan` of the site: 33 jobs a minute.
+const JOB_INTERVAL_MS: u64 = 1_800;
+/// For how long jobs are submitted.
+const SUBMIT_FOR_MS: u64 = 45_000;
+
+/// Case 1: final states of jobs are forgotten.
+async fn final_states(trouble: bool, clock: Clock, record: Rc<Record>) -> Result<Verdict, String> {
+    let site = Site::start(clock, record.clone(), &root(), rila()).await?;
+    // What the controllers leave in the state service: finished jobs of each partition, on pages.
+    let mut ids = 300_000..300_000 + EARLIER_JOBS;
+    let mut page = 0;
+    while !ids.is_empty() {
+        let done: Vec<u64> = ids.by_ref().take(JOBS_A_PAGE as usize).collect();
+        let value = serde_json::json!({"d": done, "c": [], "fd": [], "fc": []});
+        site.state.preload(&format!("s/e/{}/{:04}", page % 3, page / 3), value);
+        page += 1;
+    }
+    record.say(format!("{EARLIER_JOBS} jobs were finished before the run, on {page} pages"));
+    site.start_all()?;
+    site.wait_healthy(Duration::from_secs(25)).await?;
+    record.say("the controllers are healthy");
+    let teams = ["boardkeepers", "reelroom", "fairplay", "harbour"];
+    // Two and a half times as many with the disruption, as on the site's own days.
+    let due = |round: u64| if trouble { (round + 1) * 5 / 2 } else { round + 1 };
+    let began = clock.ms();
+    let mut accepted = Vec::new();
+    let mut number: u64 = 0;
+    for round in 0..SUBMIT_FOR_MS / JOB_INTERVAL_MS {
+        clock.sleep_until(began + round * JOB_INTERVAL_MS).await;
+        while number < due(round) {
+            let id = 100 + number;
+            let asked = job(id, teams[number as usize % teams.len()], 1, 1.0, 3.0, 1.0);
+            match site.submit(number as usize % 3, &asked).await {
+                Some(200 | 201) => accepted.push(format!("j-{id:06}")),
+                status => return Err(format!("a submission ended with {status:?}")),
+            }
+            number += 1;
+        }
+    }
+    record.say(format!("{} jobs of this run are accepted", accepted.len()));
+    // Users poll until their job is done.
+    let mut told_done = Vec::new();
+    for (n, id) in accepted.iter().enumerate() {
+        while clock.ms() < began + SUBMIT_FOR_MS + 25_000 {
+            match site.get(n % 3, id).await {
+                Some((200, body)) if body["status"] == "done" => {
+                    told_done.push(id.clone());
+                    break;
+                }
+                Some((404, _)) => break,
+                _ => tokio::time::sleep(Duration::from_millis(500)).await,
+            }
+        }
+    }
+    record.say(format!("{} of them were called done", told_done.len()));
+    if accepted.len() as u64 != number {
+        return Err("not all jobs were accepted".into());
+    }
+    // They may poll again at any later time, at any node, and repeat the submission.
+    let mut forgotten = 0;
+    let mut unanswered = 0;
+    for id in &accepted {
+        for n in 0..3 {
+            match site.get(n, id).await {
+                Some((404, _)) => forgotten += 1,
+                Some((200, _)) => {}
+                _ => unanswered += 1,
+            }
+        }
+    }
+    let mut earlier_forgotten = 0;
+    for k in 0..60 {
+        let id = format!("j-{:06}", 300_000 + k * (EARLIER_JOBS / 60));
+        if let Some((404, _)) = site.get((k % 3) as usize, &id).await {
+            earlier_forgotten += 1;
+        }
+    }
+    site.check_processes();
+    record.say(format!(
+        "of {} polls for jobs of this run {forgotten} received a 404, {unanswered} no answer; of 60 polls for earlier jobs {earlier_forgotten} a 404",
+        accepted.len() * 3
+    ));
+    record.say(format!(
+        "final states archived under f/: {}; pages of finished jobs: {}; memory of the controllers: {:?} MB",
+        site.state.keys_with("f/").len(),
+        site.state.keys_with("s/e/").len(),
+        (0..3).map(|n| site.memory_mb(n).unwrap_or(0.0).round()).collect::<Vec<_>>()
+    ));
+    for page in site.state.keys_with("s/e/").iter().rev().take(1) {
+        record.line(format!("last page {page}: {}", site.state.value(page).unwrap_or_default()));
+    }
+    Ok(if forgotten > 0 { Verdict::Broken } else { Verdict::Held })
+}
