--- a/review/standins/src/cloud.rs
+++ b/review/standins/src/cloud.rs
@@ -87,7 +87,8 @@
     fn allow(&self, now: u64) -> bool {
         let (level, at) = self.level.get();
         let level = (level + (now - at) as f64 / 1e3 * self.rps).min(self.rps * 2.0);
-        self.level.set((if level >= 1.0 { level - 1.0 } else { level }, now));
+        self.level
+            .set((if level >= 1.0 { level - 1.0 } else { level }, now));
         level >= 1.0
     }
 
@@ -140,7 +141,10 @@
         if let Some(names) = self.asks.borrow().get(&ask) {
             return json(200, json!({"hosts": names}));
         }
-        let (rig, yard) = (body["rig"].as_str()?.to_owned(), body["yard"].as_str()?.to_owned());
+        let (rig, yard) = (
+            body["rig"].as_str()?.to_owned(),
+            body["yard"].as_str()?.to_owned(),
+        );
         let spot = body["loaners"].as_bool()?;
         let wanted = body["how_many"].as_u64()?.min(50) as u32;
         let used = self
@@ -149,7 +153,11 @@
             .values()
             .filter(|h| h.gone_at.is_none() && h.rig == rig && h.yard == yard && h.spot == spot)
             .count() as u32;
-        let capacity = self.capacity.get(&(rig.clone(), yard.clone(), spot)).copied().unwrap_or(0);
+        let capacity = self
+            .capacity
+            .get(&(rig.clone(), yard.clone(), spot))
+            .copied()
+            .unwrap_or(0);
         let count = wanted.min(capacity.saturating_sub(used));
         if count == 0 {
             return json(503, json!({"error": "no capacity"}));
@@ -178,7 +186,10 @@
 
     fn list(&self, now: u64, query: &str) -> Option<Resp> {
         let after = field(query, "after").unwrap_or_default();
-        let limit: usize = field(query, "limit").and_then(|l| l.parse().ok()).unwrap_or(500).min(500);
+        let limit: usize = field(query, "limit")
+            .and_then(|l| l.parse().ok())
+            .unwrap_or(500)
+            .min(500);
         let seen = now.saturating_sub(self.list_lag_ms);
         let hosts = self.hosts.borrow();
         let mut listed: Vec<Value> = hosts
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -92,10 +92,9 @@
     pub async fn connect(address: SocketAddr) -> Option<Self> {
         let stream = TcpStream::connect(address).await.ok()?;
         let _ = stream.set_nodelay(true);
-        let (sender, connection) =
-            hyper::client::conn::http1::handshake(TokioIo::new(stream))
-                .await
-                .ok()?;
+        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+            .await
+            .ok()?;
         tokio::task::spawn_local(async move {
             let _ = connection.await;
         });
@@ -103,12 +102,7 @@
     }
 
     /// Sends a request on this connection; the status and the body of the answer.
-    pub async fn send(
-        &mut self,
-        method: Method,
-        path: &str,
-        body: String,
-    ) -> Option<(u16, Bytes)> {
+    pub async fn send(&mut self, method: Method, path: &str, body: String) -> Option<(u16, Bytes)> {
         self.sender.ready().await.ok()?;
         let request = Request::builder()
             .method(method)
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -53,8 +53,14 @@
             return ExitCode::from(2);
         }
     };
-    record.say(format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+    record.say(format!(
+        "case {case}, {} the disruption",
+        if trouble { "with" } else { "without" }
+    ));
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("cannot start: {error}");
@@ -64,7 +70,9 @@
     let local = tokio::task::LocalSet::new();
     let outcome = local.block_on(&runtime, async {
         let run = cases::run(&case, trouble, clock, record.clone());
-        tokio::time::timeout(LONGEST, run).await.unwrap_or_else(|_| Err("the time is over".into()))
+        tokio::time::timeout(LONGEST, run)
+            .await
+            .unwrap_or_else(|_| Err("the time is over".into()))
     });
     match outcome {
         Ok(Verdict::Held) => {
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -78,7 +78,10 @@
 impl Node {
     fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(signal).arg(child.id().to_string()).status();
+            let _ = Command::new("kill")
+                .arg(signal)
+                .arg(child.id().to_string())
+                .status();
         }
     }
 }
@@ -114,8 +117,16 @@
     }
 }
 
-fn free_address() -> std::io::Result<SocketAddr> {
-    std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()
+/// A free port of a loopback address that no other run uses, so that nothing else takes it before the controller.
+fn free_port(last: usize) -> std::io::Result<std::net::TcpListener> {
+    let id = std::process::id();
+    let ip = std::net::Ipv4Addr::new(
+        127,
+        64 + (id / 256 % 128) as u8,
+        (id % 256) as u8,
+        last as u8 + 1,
+    );
+    std::net::TcpListener::bind((ip, 0))
 }
 
 /// Program and arguments of `run` in the deploy file.
@@ -123,12 +134,19 @@
     let file = root.join("deploy/service.toml");
     let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
     let line = text.lines().find_map(|l| l.trim().strip_prefix("run = \""));
-    let command = line.and_then(|l| l.strip_suffix('"')).ok_or("deploy file without `run`")?;
+    let command = line
+        .and_then(|l| l.strip_suffix('"'))
+        .ok_or("deploy file without `run`")?;
     Ok(command.split_whitespace().map(str::to_owned).collect())
 }
 
 impl Site {
-    pub async fn start(clock: Clock, record: Rc<Record>, root: &Path, plan: Plan) -> Result<Rc<Self>, String> {
+    pub async fn start(
+        clock: Clock,
+        record: Rc<Record>,
+        root: &Path,
+        plan: Plan,
+    ) -> Result<Rc<Self>, String> {
         let fail = |e: std::io::Error| e.to_string();
         let run = run_command(root)?;
         let folder = std::env::temp_dir().join(format!("trackcrank-review-{}", std::process::id()));
@@ -136,12 +154,17 @@
         let count = plan.node_zones.len();
         let mut addresses = Vec::new();
         let mut meshes = Vec::new();
-        for _ in 0..count {
-            addresses.push(free_address().map_err(fail)?);
-            meshes.push(free_address().map_err(fail)?);
+        for n in 0..count {
+            let ports = [free_port(n).map_err(fail)?, free_port(n).map_err(fail)?];
+            addresses.push(ports[0].local_addr().map_err(fail)?);
+            meshes.push(ports[1].local_addr().map_err(fail)?);
         }
         let names: Vec<String> = (0..count).map(|n| format!("rig-{n}")).collect();
-        let listed = names.iter().cloned().zip(addresses.iter().copied()).collect();
+        let listed = names
+            .iter()
+            .cloned()
+            .zip(addresses.iter().copied())
+            .collect();
         let fleet = Fleet::new(clock, plan.report_s, plan.lease_s, listed, record.clone());
         let state = StateService::new(clock, plan.state.clone(), count);
         tokio::task::spawn_local(state.clone().maintain());
@@ -162,13 +185,30 @@
             let state_address = state_listener.local_addr().map_err(fail)?;
             let cloud_address = cloud_listener.local_addr().map_err(fail)?;
             let (served_state, served_cloud) = (state.clone(), cloud.clone());
-            tokio::task::spawn_local(serve(state_listener, move |req| served_state.clone().handle(n, req)));
-            tokio::task::spawn_local(serve(cloud_listener, move |req| served_cloud.clone().handle(req)));
+            tokio::task::spawn_local(serve(state_listener, move |req| {
+                served_state.clone().handle(n, req)
+            }));
+            tokio::task::spawn_local(serve(cloud_listener, move |req| {
+                served_cloud.clone().handle(req)
+            }));
             let config = folder.join(format!("{}.toml", names[n]));
-            let text = settings(&plan, &names, n, &addresses, &meshes, cloud_address, state_address);
+            let text = settings(
+                &plan,
+                &names,
+                n,
+                &addresses,
+                &meshes,
+                cloud_address,
+                state_address,
+            );
             std::fs::write(&config, text).map_err(fail)?;
             let log = folder.join(format!("{}.log", names[n]));
-            nodes.push(Node { name: names[n].clone(), config, log, child: None });
+            nodes.push(Node {
+                name: names[n].clone(),
+                config,
+                log,
+                child: None,
+            });
         }
         Ok(Rc::new(Site {
             clock,
@@ -237,9 +277,13 @@
     /// Counts the processes that have ended by themselves.
     pub fn check_processes(&self) {
         for node in self.nodes.borrow_mut().iter_mut() {
-            let status = node.child.as_mut().and_then(|child| child.try_wait().ok().flatten());
+            let status = node
+                .child
+                .as_mut()
+                .and_then(|child| child.try_wait().ok().flatten());
             if let Some(status) = status {
-                self.record.say(format!("{} ended by itself: {status}", node.name));
+                self.record
+                    .say(format!("{} ended by itself: {status}", node.name));
                 self.ended.set(self.ended.get() + 1);
                 node.child = None;
             }
@@ -252,7 +296,11 @@
         let id = nodes[n].child.as_ref()?.id();
         let text = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
         let line = text.lines().find(|l| l.starts_with("VmRSS"))?;
-        line.split_whitespace().nth(1)?.parse::<f64>().ok().map(|kb| kb / 1024.0)
+        line.split_whitespace()
+            .nth(1)?
+            .parse::<f64>()
+            .ok()
+            .map(|kb| kb / 1024.0)
     }
 
     /// Lines of the controllers' logs that contain a text.
@@ -280,16 +328,27 @@
     }
 
     /// One request of a user at a node: status and body.
-    pub async fn ask(&self, n: usize, method: Method, path: &str, body: String, wait_s: f64) -> Option<(u16, Value)> {
+    pub async fn ask(
+        &self,
+        n: usize,
+        method: Method,
+        path: &str,
+        body: String,
+        wait_s: f64,
+    ) -> Option<(u16, Value)> {
         let sent = self.clock.ms();
         let wait = Duration::from_secs_f64(wait_s);
         let answer = once(self.addresses[n], method.clone(), path, body, wait).await;
-        let answer = answer.map(|(status, body)| (status, serde_json::from_slice(&body).unwrap_or(Value::Null)));
+        let answer = answer
+            .map(|(status, body)| (status, serde_json::from_slice(&body).unwrap_or(Value::Null)));
         let shown = match &answer {
             Some((status, body)) => format!("{status} {body}"),
             None => "no answer".to_owned(),
         };
-        self.record.line(format!("rig-{n} {method} {path} sent at {:.3} s -> {shown}", sent as f64 / 1e3));
+        self.record.line(format!(
+            "rig-{n} {method} {path} sent at {:.3} s -> {shown}",
+            sent as f64 / 1e3
+        ));
         answer
     }
 
@@ -300,7 +359,10 @@
         let began = self.clock.ms();
         let mut node = first_node % self.addresses.len();
         while self.clock.ms() < began + 60_000 {
-            match self.ask(node, Method::POST, "/v1/jobs", job.to_string(), 5.0).await {
+            match self
+                .ask(node, Method::POST, "/v1/jobs", job.to_string(), 5.0)
+                .await
+            {
                 Some((status @ (200 | 201 | 400 | 422), _)) => return Some(status),
                 _ => tokio::time::sleep(Duration::from_millis(1100)).await,
             }
@@ -310,7 +372,14 @@
     }
 
     pub async fn get(&self, n: usize, id: &str) -> Option<(u16, Value)> {
-        self.ask(n, Method::GET, &format!("/v1/jobs/{id}"), String::new(), 2.0).await
+        self.ask(
+            n,
+            Method::GET,
+            &format!("/v1/jobs/{id}"),
+            String::new(),
+            2.0,
+        )
+        .await
     }
 }
 
@@ -334,8 +403,16 @@
         );
     }
     text += &format!("[endpoints]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n\n");
-    let zones: Vec<String> = plan.zones.iter().map(|zone| format!("\"{zone}\"")).collect();
-    text += &format!("[settings]\ncount = {}\nzones = [{}]\nskew_ms = 100.0\n\n", names.len(), zones.join(", "));
+    let zones: Vec<String> = plan
+        .zones
+        .iter()
+        .map(|zone| format!("\"{zone}\""))
+        .collect();
+    text += &format!(
+        "[settings]\ncount = {}\nzones = [{}]\nskew_ms = 100.0\n\n",
+        names.len(),
+        zones.join(", ")
+    );
     for team in &plan.teams {
         text += &format!(
             "[[settings.teams]]\nname = \"{}\"\ncpus = {:?}\ncpus_max = {:?}\ngpus = 0.0\ngpus_max = 0.0\n\n",
@@ -350,8 +427,14 @@
         "[settings.state]\nrps = {:?}\nwrite_rps = {:?}\nvalue_kb = {:?}\ntxn_ops = {}\n\n",
         plan.state.rps, plan.state.write_rps, plan.value_kb, plan.state.txn_ops
     );
-    text += &format!("[settings.cloud]\nrps = {:?}\nlist_lag_s = {:?}\n\n", plan.cloud_rps, plan.list_lag_s);
-    text += &format!("[settings.quota]\ncpu_share = 0.16\nmem_mb = 72.0\nsockets = {}\n", plan.sockets);
+    text += &format!(
+        "[settings.cloud]\nrps = {:?}\nlist_lag_s = {:?}\n\n",
+        plan.cloud_rps, plan.list_lag_s
+    );
+    text += &format!(
+        "[settings.quota]\ncpu_share = 0.16\nmem_mb = 72.0\nsockets = {}\n",
+        plan.sockets
+    );
     text
 }
 
@@ -372,9 +455,14 @@
     for event in fleet.events.borrow().iter() {
         let hosts = on.entry(event.piece.clone()).or_default();
         if event.what == "started" {
-            *starts.entry(event.piece.split('/').next().unwrap_or_default().to_owned()).or_default() += 1;
+            *starts
+                .entry(event.piece.split('/').next().unwrap_or_default().to_owned())
+                .or_default() += 1;
             if hosts.iter().any(|host| *host != event.host) {
-                twice.push(format!("{} started on {} while on {:?}, at {} ms", event.piece, event.host, hosts, event.at));
+                twice.push(format!(
+                    "{} started on {} while on {:?}, at {} ms",
+                    event.piece, event.host, hosts, event.at
+                ));
             }
             hosts.push(event.host.clone());
         } else {
--- a/review/standins/src/state.rs
+++ b/review/standins/src/state.rs
@@ -59,7 +59,8 @@
             change["hold"] = hold.into();
         }
         let stamp = self.epoch;
-        self.keys.insert(key.to_owned(), Entry { value, stamp, hold });
+        self.keys
+            .insert(key.to_owned(), Entry { value, stamp, hold });
         self.record(key, change);
     }
 
@@ -104,11 +105,16 @@
 
 impl Rate {
     fn new(per_s: f64) -> Self {
-        Rate { per_s, level: per_s, at_ms: 0 }
+        Rate {
+            per_s,
+            level: per_s,
+            at_ms: 0,
+        }
     }
 
     fn take(&mut self, now: u64, amount: f64) -> bool {
-        self.level = (self.level + (now.saturating_sub(self.at_ms)) as f64 / 1e3 * self.per_s).min(self.per_s);
+        self.level = (self.level + (now.saturating_sub(self.at_ms)) as f64 / 1e3 * self.per_s)
+            .min(self.per_s);
         self.at_ms = now;
         if self.level < amount {
             return false;
@@ -153,17 +159,33 @@
         let mut store = self.store.borrow_mut();
         store.epoch += 1;
         let stamp = store.epoch;
-        store.keys.insert(key.to_owned(), Entry { value, stamp, hold: None });
+        store.keys.insert(
+            key.to_owned(),
+            Entry {
+                value,
+                stamp,
+                hold: None,
+            },
+        );
         store.forgotten_to = stamp;
     }
 
     pub fn keys_with(&self, prefix: &str) -> Vec<String> {
         let store = self.store.borrow();
-        store.keys.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+        store
+            .keys
+            .keys()
+            .filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
     }
 
     pub fn value(&self, key: &str) -> Option<Value> {
-        self.store.borrow().keys.get(key).map(|entry| entry.value.clone())
+        self.store
+            .borrow()
+            .keys
+            .get(key)
+            .map(|entry| entry.value.clone())
     }
 
     pub fn set_outage(&self, on: bool) {
@@ -235,7 +257,13 @@
                 let mut store = self.store.borrow_mut();
                 store.last_hold += 1;
                 let id = store.last_hold;
-                store.holds.insert(id, Hold { life_ms, ends_at: now + life_ms });
+                store.holds.insert(
+                    id,
+                    Hold {
+                        life_ms,
+                        ends_at: now + life_ms,
+                    },
+                );
                 json(200, json!({"hold": id}))
             }
             (method, path) => {
@@ -245,7 +273,11 @@
                 let known = if *method == Method::DELETE {
                     store.end_hold(id)
                 } else {
-                    store.holds.get_mut(&id).map(|hold| hold.ends_at = now + hold.life_ms).is_some()
+                    store
+                        .holds
+                        .get_mut(&id)
+                        .map(|hold| hold.ends_at = now + hold.life_ms)
+                        .is_some()
                 };
                 self.changed.send_replace(());
                 json(if known { 200 } else { 404 }, json!({}))
@@ -256,7 +288,10 @@
     fn list(&self, query: &str) -> Option<Resp> {
         let prefix = field(query, "prefix")?;
         let after = field(query, "after").unwrap_or_default();
-        let limit: usize = field(query, "limit").and_then(|l| l.parse().ok()).unwrap_or(1000).min(1000);
+        let limit: usize = field(query, "limit")
+            .and_then(|l| l.parse().ok())
+            .unwrap_or(1000)
+            .min(1000);
         let store = self.store.borrow();
         let mut pairs = Vec::new();
         let mut bytes = 0;
@@ -277,13 +312,18 @@
             bytes += size;
             pairs.push(item);
         }
-        json(200, json!({"pairs": pairs, "has_next": more, "epoch": store.epoch}))
+        json(
+            200,
+            json!({"pairs": pairs, "has_next": more, "epoch": store.epoch}),
+        )
     }
 
     async fn watch(&self, node: usize, query: &str) -> Option<Resp> {
         let prefix = field(query, "prefix")?;
         let after: u64 = field(query, "after")?.parse().ok()?;
-        let wait_ms: u64 = field(query, "wait_ms").and_then(|w| w.parse().ok()).unwrap_or(0);
+        let wait_ms: u64 = field(query, "wait_ms")
+            .and_then(|w| w.parse().ok())
+            .unwrap_or(0);
         let deadline = self.clock.ms() + wait_ms.min(60_000);
         let mut changed = self.changed.subscribe();
         loop {
@@ -320,10 +360,17 @@
         let conditions = txn["if"].as_array().unwrap_or(&empty);
         let writes = txn["writes"].as_array().unwrap_or(&empty);
         if body.len() > 64 * 1024 {
-            return refuse(format!("the transaction has {} bytes, more than 64 KiB", body.len()));
+            return refuse(format!(
+                "the transaction has {} bytes, more than 64 KiB",
+                body.len()
+            ));
         }
         if writes.len() > limits.txn_ops || conditions.len() > 4 * limits.txn_ops {
-            return refuse(format!("{} changes, {} conditions", writes.len(), conditions.len()));
+            return refuse(format!(
+                "{} changes, {} conditions",
+                writes.len(),
+                conditions.len()
+            ));
         }
         for write in writes {
             if write["put"].is_string() && write["v"].to_string().len() > limits.value_bytes {
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -205,7 +205,10 @@
             dead: Cell::new(false),
             running: RefCell::default(),
         });
-        fleet.workers.borrow_mut().insert(name.to_owned(), worker.clone());
+        fleet
+            .workers
+            .borrow_mut()
+            .insert(name.to_owned(), worker.clone());
         let served = worker.clone();
         let server = serve(listener, move |req| {
             let worker = served.clone();
@@ -219,6 +222,15 @@
         Some(address)
     }
 
+    /// CPUs and memory that no task takes which has not exited.
+    pub fn free(&self) -> (f64, f64) {
+        let state = self.state.borrow();
+        let taken = state.tasks.values().filter(|task| task.status != "exited");
+        taken.fold((self.rig.vcpus, self.rig.ram_gb), |(cpus, ram), task| {
+            (cpus - task.vcpus, ram - task.ram_gb)
+        })
+    }
+
     pub fn end(&self, what: &'static str) {
         self.dead.set(true);
         let keys: Vec<(String, u64)> = {
@@ -248,8 +260,15 @@
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         if now > state.lease_from + self.fleet.lease_ms {
-            let lost = state.tasks.values().filter(|task| task.is_on_machine()).count();
-            self.fleet.record(format!("{}: its lease is over, {lost} tasks are killed", self.name));
+            let lost = state
+                .tasks
+                .values()
+                .filter(|task| task.is_on_machine())
+                .count();
+            self.fleet.record(format!(
+                "{}: its lease is over, {lost} tasks are killed",
+                self.name
+            ));
             for (key, task) in &state.tasks {
                 if task.is_on_machine() {
                     self.record(key, "killed, its lease is over");
@@ -259,7 +278,9 @@
             state.shift += 1;
             state.lease_from = now;
             state.changed = true;
-            self.fleet.leases_ended.set(self.fleet.leases_ended.get() + 1);
+            self.fleet
+                .leases_ended
+                .set(self.fleet.leases_ended.get() + 1);
         }
         for (key, task) in &mut state.tasks {
             if task.status == "fetching" && now >= task.fetched_at {
@@ -275,7 +296,8 @@
                 }
                 let job = self.fleet.job(&key.0).unwrap_or_default();
                 if job["shape"] == "batch" {
-                    task.done_at = Some(now + (job["expect_s"].as_f64().unwrap_or(1.0) * 1e3) as u64);
+                    task.done_at =
+                        Some(now + (job["expect_s"].as_f64().unwrap_or(1.0) * 1e3) as u64);
                 }
             }
             if task.status == "running" && task.done_at.is_some_and(|at| now >= at) {
@@ -320,7 +342,8 @@
     fn execute(&self, orders: &Value) {
         let now = self.fleet.clock.ms();
         for order in orders.as_array().into_iter().flatten() {
-            let (Some(piece), Some(attempt)) = (order["piece"].as_str(), order["try"].as_u64()) else {
+            let (Some(piece), Some(attempt)) = (order["piece"].as_str(), order["try"].as_u64())
+            else {
                 continue;
             };
             let key = (piece.to_owned(), attempt);
@@ -329,7 +352,11 @@
                 Some("halt") => self.halt(key, order["mercy_s"].as_f64().unwrap_or(0.0), now),
                 Some("forget") => {
                     let mut state = self.state.borrow_mut();
-                    if state.tasks.get(&key).is_some_and(|task| task.status == "exited") {
+                    if state
+                        .tasks
+                        .get(&key)
+                        .is_some_and(|task| task.status == "exited")
+                    {
                         state.tasks.remove(&key);
                     }
                 }
@@ -349,14 +376,21 @@
             state.tasks.insert(key, Task::exited("unknown"));
             return;
         };
-        let busy = state.tasks.iter().any(|((piece, _), task)| *piece == key.0 && task.status != "exited");
+        let busy = state
+            .tasks
+            .iter()
+            .any(|((piece, _), task)| *piece == key.0 && task.status != "exited");
         if busy {
             state.tasks.insert(key, Task::exited("busy"));
             return;
         }
-        let (vcpus, ram_gb) = (job["vcpus"].as_f64().unwrap_or(0.0), job["ram_gb"].as_f64().unwrap_or(0.0));
+        let (vcpus, ram_gb) = (
+            job["vcpus"].as_f64().unwrap_or(0.0),
+            job["ram_gb"].as_f64().unwrap_or(0.0),
+        );
         let taken = state.tasks.values().filter(|task| task.status != "exited");
-        let (used_cpus, used_ram) = taken.fold((0.0, 0.0), |(c, r), task| (c + task.vcpus, r + task.ram_gb));
+        let (used_cpus, used_ram) =
+            taken.fold((0.0, 0.0), |(c, r), task| (c + task.vcpus, r + task.ram_gb));
         if used_cpus + vcpus > self.rig.vcpus + 1e-6 || used_ram + ram_gb > self.rig.ram_gb + 1e-6 {
             state.tasks.insert(key, Task::exited("full"));
             return;
@@ -367,7 +401,10 @@
         } else {
             job["pull_gb"].as_f64().unwrap_or(0.0) / self.rig.fetch_gb_per_s
         };
-        let fetching = state.tasks.values().find(|t| t.status == "fetching" && t.bundle == bundle);
+        let fetching = state
+            .tasks
+            .values()
+            .find(|t| t.status == "fetching" && t.bundle == bundle);
         let fetched_at = fetching.map_or(now + (fetch_s * 1e3) as u64, |task| task.fetched_at);
         let task = Task {
             status: "fetching",
@@ -422,7 +459,11 @@
             return json(200, self.report());
         }
         if req.body.len() > MAX_LINE_BYTES {
-            self.fleet.record(format!("{} refuses commands of {} bytes", self.name, req.body.len()));
+            self.fleet.record(format!(
+                "{} refuses commands of {} bytes",
+                self.name,
+                req.body.len()
+            ));
             return json(400, json!({"error": "the body is too large"}));
         }
         let body: Value = serde_json::from_slice(&req.body).ok()?;
@@ -453,13 +494,18 @@
             self.advance();
             let due = {
                 let state = self.state.borrow();
-                let early = if state.changed { state.last_report + MIN_REPORT_GAP_MS } else { u64::MAX };
+                let early = if state.changed {
+                    state.last_report + MIN_REPORT_GAP_MS
+                } else {
+                    u64::MAX
+                };
                 state.next_report.min(early).max(state.not_before)
             };
             let now = clock.ms();
             if now < due || self.cut.get() {
                 let wait = due.saturating_sub(now).clamp(5, 50);
-                let _ = tokio::time::timeout(Duration::from_millis(wait), self.wake.notified()).await;
+                let _ =
+                    tokio::time::timeout(Duration::from_millis(wait), self.wake.notified()).await;
                 continue;
             }
             self.send_report(now, &mut client).await;
@@ -479,14 +525,20 @@
         let body = self.report().to_string();
         let sent_bytes = body.len();
         let address = fleet.nodes[node].1;
-        let mut kept = client.take().filter(|(n, _)| *n == node).map(|(_, client)| client);
+        let mut kept = client
+            .take()
+            .filter(|(n, _)| *n == node)
+            .map(|(_, client)| client);
         let exchange = async {
             if kept.is_none() {
                 kept = Client::connect(address).await;
             }
             kept.as_mut()?.send(Method::POST, "/hello", body).await
         };
-        let answer = tokio::time::timeout(REPORT_TIMEOUT, exchange).await.ok().flatten();
+        let answer = tokio::time::timeout(REPORT_TIMEOUT, exchange)
+            .await
+            .ok()
+            .flatten();
         self.advance();
         let next = (node + 1) % fleet.nodes.len();
         let now_after = fleet.clock.ms();
@@ -498,10 +550,19 @@
             *client = Some((node, kept));
         }
         // "A response to workers and users must not contain any line longer than 64 KiB": such a one can't be read.
-        let longest = body.split(|byte| *byte == b'\n').map(<[u8]>::len).max().unwrap_or(0);
-        fleet.longest_line.set(fleet.longest_line.get().max(longest));
+        let longest = body
+            .split(|byte| *byte == b'\n')
+            .map(<[u8]>::len)
+            .max()
+            .unwrap_or(0);
+        fleet
+            .longest_line
+            .set(fleet.longest_line.get().max(longest));
         if longest > MAX_LINE_BYTES {
-            fleet.record(format!("{} receives an answer with a line of {longest} bytes and drops it", self.name));
+            fleet.record(format!(
+                "{} receives an answer with a line of {longest} bytes and drops it",
+                self.name
+            ));
             fleet.lines_too_long.set(fleet.lines_too_long.get() + 1);
             return self.turn_to(next, now_after + 1000);
         }
@@ -510,7 +571,8 @@
             200 => {
                 let accepted = {
                     let mut state = self.state.borrow_mut();
-                    let accepted = state.shift == shift && body["baton"].as_u64().is_some_and(|b| b >= state.baton);
+                    let accepted = state.shift == shift
+                        && body["baton"].as_u64().is_some_and(|b| b >= state.baton);
                     if accepted {
                         let baton = body["baton"].as_u64().unwrap_or(0);
                         state.changed |= baton > state.baton;
@@ -526,13 +588,18 @@
             421 => {
                 let foreman = body["foreman"].as_str().unwrap_or_default();
                 match fleet.nodes.iter().position(|(name, _)| name == foreman) {
-                    Some(other) if other != node => self.turn_to(other, now_after + fleet.random(500)),
+                    Some(other) if other != node => {
+                        self.turn_to(other, now_after + fleet.random(500))
+                    }
                     _ => self.turn_to(next, now_after + 1000),
                 }
             }
             status => {
                 if status != 503 {
-                    fleet.record(format!("{} receives {status} to a report of {sent_bytes} bytes", self.name));
+                    fleet.record(format!(
+                        "{} receives {status} to a report of {sent_bytes} bytes",
+                        self.name
+                    ));
                     *fleet.odd_answers.borrow_mut().entry(status).or_default() += 1;
                 }
                 self.turn_to(next, now_after + 1000);
@@ -551,6 +618,13 @@
 
 /// Whether a node says that it is healthy.
 pub async fn healthy(address: SocketAddr) -> bool {
-    let answer = once(address, Method::GET, "/healthz", String::new(), Duration::from_secs(1)).await;
+    let answer = once(
+        address,
+        Method::GET,
+        "/healthz",
+        String::new(),
+        Duration::from_secs(1),
+    )
+    .await;
     answer.is_some_and(|(status, _)| status == 200)
 }
