Simulator: limits of the state service are parameters, and are refused when exceeded

Cause: every simulated site had txn_ops 6 and 20, 40 or 70 writes a second, so no run met a site where a full transaction needs more than a controller's burst; nor could a run begin with finished jobs.

--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -22,7 +22,7 @@
 pub use failovers::Failover;
 pub use rules::Violation;
 pub use single_controller::SingleController;
-pub use world::{Fault, FaultCoverage, Mutation, Plan, World};
+pub use world::{Fault, FaultCoverage, Mutation, Plan, StateServiceLimits, World};
 
 /// Runs a function for each seed from 1 to `seeds`, on all cores.
 pub fn for_seeds(seeds: u64, run: impl Fn(u64) + Sync) {
--- a/crates/simulator/src/state.rs
+++ b/crates/simulator/src/state.rs
@@ -3,6 +3,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use wire::state::{Change, Changes, Item, ListPage, StateReply, StateRequest, Transaction, Write};
 
+/// Conditions that a transaction may have for each of its permitted puts and deletes.
+const CONDITIONS_PER_OPERATION: usize = 4;
+
 #[derive(Debug, Clone)]
 struct StoredValue {
     value: serde_json::Value,
@@ -29,9 +32,18 @@
     budget_refilled_at: u64,
     /// Rate limit: puts and deletes per second.
     write_rps: f64,
+    /// Requests that may be executed now, at most one second's worth.
+    request_budget: f64,
+    requests_refilled_at: u64,
+    /// Rate limit: requests per second, if there is one.
+    request_rps: Option<f64>,
+    /// Maximum number of puts and deletes in a transaction, if there is one.
+    max_txn_ops: Option<usize>,
     /// Number of puts and deletes that were accepted, and number of those that were refused because of the rate limit.
     pub accepted_writes: u64,
     pub refused_writes: u64,
+    /// Number of transactions that were refused because they exceeded a limit whatever the load.
+    pub oversized_transactions: u64,
     /// Maximum number of changes that are kept for watches.
     pub max_kept_changes: usize,
 }
@@ -47,6 +59,60 @@
         }
     }
 
+    /// An empty store with limits on requests and on puts and deletes per second, and on the puts and deletes
+    /// of a transaction. A transaction may have four times as many conditions.
+    pub fn with_limits(request_rps: f64, write_rps: f64, max_txn_ops: usize) -> Self {
+        StateService {
+            request_budget: request_rps,
+            request_rps: Some(request_rps),
+            max_txn_ops: Some(max_txn_ops),
+            ..StateService::new(write_rps)
+        }
+    }
+
+    /// Takes a request from the budget; true if it exceeds it and is refused.
+    pub fn throttle_request(&mut self, now: u64) -> bool {
+        let Some(request_rps) = self.request_rps else {
+            return false;
+        };
+        let elapsed_s = now.saturating_sub(self.requests_refilled_at) as f64 / 1000.0;
+        self.requests_refilled_at = now.max(self.requests_refilled_at);
+        self.request_budget = (self.request_budget + elapsed_s * request_rps).min(request_rps);
+        if self.request_budget < 1.0 {
+            return true;
+        }
+        self.request_budget -= 1.0;
+        false
+    }
+
+    /// Why a transaction exceeds the limits whatever the load, if it does.
+    fn limit_exceeded_by(&self, txn: &Transaction) -> Option<String> {
+        let max_txn_ops = self.max_txn_ops?;
+        let (writes, conditions) = (txn.writes.len(), txn.conditions.len());
+        let is_too_large =
+            writes > max_txn_ops || conditions > max_txn_ops * CONDITIONS_PER_OPERATION;
+        is_too_large.then(|| format!("{writes} changes and {conditions} conditions"))
+    }
+
+    /// Keys that begin with a prefix.
+    pub fn keys<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a str> {
+        self.values
+            .range(prefix.to_owned()..)
+            .map(|(key, _)| key.as_str())
+            .take_while(move |key| key.starts_with(prefix))
+    }
+
+    /// Stores a value without a change event and without limits, as if it had been there from the beginning.
+    pub fn preload(&mut self, key: &str, value: serde_json::Value) {
+        let stored = StoredValue {
+            value,
+            version: 1,
+            lease: None,
+        };
+        self.revision = self.revision.max(1);
+        self.values.insert(key.to_owned(), stored);
+    }
+
     fn record_change(&mut self, change: Change) {
         self.changes.push_back(change);
         while self.changes.len() > self.max_kept_changes {
@@ -133,6 +199,10 @@
     }
 
     fn execute_transaction(&mut self, now: u64, txn: &Transaction) -> StateReply {
+        if let Some(problem) = self.limit_exceeded_by(txn) {
+            self.oversized_transactions += 1;
+            return StateReply::Invalid(problem);
+        }
         if self.throttle_writes(now, txn.writes.len()) {
             return StateReply::Refused { throttled: true };
         }
--- a/crates/simulator/src/world/controllers.rs
+++ b/crates/simulator/src/world/controllers.rs
@@ -246,7 +246,12 @@
     /// Starts a controller as a new incarnation, with a clock that deviates from simulated time by up to 0.05 %.
     pub(super) fn start_controller(&mut self, controller: usize) {
         self.last_incarnation += 1;
-        let toml = settings_toml(controller, self.plan.mutation, self.plan.size);
+        let toml = settings_toml(
+            controller,
+            self.plan.mutation,
+            self.plan.size,
+            &self.parameters,
+        );
         let Ok(settings) = Settings::parse(&toml) else {
             panic!("the generated settings are invalid")
         };
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -21,6 +21,7 @@
 mod service_checks;
 mod site;
 mod state_service;
+mod stored_jobs;
 mod transport;
 mod unusual_requests;
 mod users;
@@ -28,6 +29,7 @@
 
 pub use coverage::FaultCoverage;
 pub use scenario::{Fault, Mutation, Plan};
+pub use site::StateServiceLimits;
 
 use crate::cloud::Cloud;
 use crate::failovers::FailoverTimeline;
@@ -104,6 +106,19 @@
     /// Returns a world at time 0 with all faults of the plan scheduled.
     pub fn new(plan: Plan) -> Self {
         let parameters = SiteParameters::of(plan.size);
+        World::with_parameters(plan, parameters)
+    }
+
+    /// As [`World::new`], but with a state service that has these limits.
+    pub fn with_state_limits(plan: Plan, state_limits: StateServiceLimits) -> Self {
+        let parameters = SiteParameters {
+            state_limits,
+            ..SiteParameters::of(plan.size)
+        };
+        World::with_parameters(plan, parameters)
+    }
+
+    fn with_parameters(plan: Plan, parameters: SiteParameters) -> Self {
         let last_fault_end = plan
             .faults
             .iter()
@@ -116,8 +131,8 @@
             queue: EventQueue::default(),
             controllers: (0..CONTROLLERS).map(|_| None).collect(),
             last_incarnation: 0,
-            state: StateService::new(parameters.writes_per_s),
-            stale_state: StateService::new(parameters.writes_per_s),
+            state: parameters.state_service(),
+            stale_state: parameters.state_service(),
             watches: Vec::new(),
             cloud: Cloud::new(&["a", "b"], 5 * plan.size as u32, 2 * plan.size as u32),
             workers: BTreeMap::new(),
--- a/crates/simulator/src/world/site.rs
+++ b/crates/simulator/src/world/site.rs
@@ -1,6 +1,7 @@
 //! Parameters of a simulated site by its size, and the settings files of its controllers.
 
 use super::scenario::Mutation;
+use crate::state::StateService;
 
 /// Number of controllers, and of partitions.
 pub(super) const CONTROLLERS: usize = 3;
@@ -13,14 +14,37 @@
 /// Sites of at least this size have the rate limits and intervals of a fleet.
 pub(super) const FLEET_SIZE: u64 = 100;
 
-/// Intervals and deadlines of workers, rate limits of the state service, and load of a site.
+/// Limits of the state service, as its clients' settings state them.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StateServiceLimits {
+    pub requests_per_s: f64,
+    /// Puts and deletes per second.
+    pub writes_per_s: f64,
+    /// Maximum size of a value in KiB.
+    pub value_kb: f64,
+    /// Maximum number of puts and deletes in a transaction.
+    pub txn_ops: usize,
+}
+
+impl Default for StateServiceLimits {
+    /// The limits of a small site.
+    fn default() -> Self {
+        StateServiceLimits {
+            requests_per_s: 400.0,
+            writes_per_s: SMALL_SITE_WRITES_PER_SECOND,
+            value_kb: 1.0,
+            txn_ops: 6,
+        }
+    }
+}
+
+/// Intervals and deadlines of workers, limits of the state service, and load of a site.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct SiteParameters {
     pub(super) heartbeat_interval_ms: u64,
     pub(super) lease_duration_ms: u64,
     pub(super) cancel_deadline_ms: u64,
-    pub(super) requests_per_s: f64,
-    pub(super) writes_per_s: f64,
+    pub(super) state_limits: StateServiceLimits,
     /// Interval at which workers and gangs advance.
     pub(super) step_ms: u64,
     /// Run time of an array task relative to a small site.
@@ -36,8 +60,7 @@
             heartbeat_interval_ms: 2_000,
             lease_duration_ms: 10_000,
             cancel_deadline_ms: 30_000,
-            requests_per_s: 400.0,
-            writes_per_s: SMALL_SITE_WRITES_PER_SECOND,
+            state_limits: StateServiceLimits::default(),
             step_ms: 50,
             run_time_factor: 1,
             max_submission_rate_factor: 4,
@@ -47,15 +70,23 @@
             0..=1 => small,
             // Fewer writes than on a small site, although there are more machines and jobs.
             2..FLEET_SIZE => SiteParameters {
-                writes_per_s: LARGE_SITE_WRITES_PER_SECOND,
+                state_limits: StateServiceLimits {
+                    writes_per_s: LARGE_SITE_WRITES_PER_SECOND,
+                    value_kb: 4.0,
+                    ..small.state_limits
+                },
                 ..small
             },
             _ => SiteParameters {
                 heartbeat_interval_ms: 5_000,
                 lease_duration_ms: 26_500,
                 cancel_deadline_ms: 56_500,
-                requests_per_s: 700.0,
-                writes_per_s: FLEET_WRITES_PER_SECOND,
+                state_limits: StateServiceLimits {
+                    requests_per_s: 700.0,
+                    writes_per_s: FLEET_WRITES_PER_SECOND,
+                    value_kb: 4.0,
+                    ..small.state_limits
+                },
                 step_ms: 200,
                 run_time_factor: 4,
                 max_submission_rate_factor: 8,
@@ -65,8 +96,26 @@
     }
 }
 
-/// The settings file of a controller.
-pub(super) fn settings_toml(controller: usize, mutation: Option<Mutation>, size: u64) -> String {
+impl SiteParameters {
+    /// An empty state service with the limits of the site.
+    pub(super) fn state_service(&self) -> StateService {
+        let StateServiceLimits {
+            requests_per_s,
+            writes_per_s,
+            txn_ops,
+            ..
+        } = self.state_limits;
+        StateService::with_limits(requests_per_s, writes_per_s, txn_ops)
+    }
+}
+
+/// The settings file of a controller of a site with these parameters.
+pub(super) fn settings_toml(
+    controller: usize,
+    mutation: Option<Mutation>,
+    size: u64,
+    parameters: &SiteParameters,
+) -> String {
     let zone = |controller: usize| if controller == 1 { "b" } else { "a" };
     let peers: String = (0..CONTROLLERS)
         .filter(|n| *n != controller)
@@ -90,11 +139,15 @@
         heartbeat_interval_ms,
         lease_duration_ms,
         cancel_deadline_ms,
-        requests_per_s,
-        writes_per_s,
+        state_limits:
+            StateServiceLimits {
+                requests_per_s,
+                writes_per_s,
+                value_kb,
+                txn_ops,
+            },
         ..
-    } = SiteParameters::of(size);
-    let value_kb = if size > 1 { 4 } else { 1 };
+    } = *parameters;
     let seconds = |ms: u64| ms as f64 / 1_000.0;
     let report_s = seconds(heartbeat_interval_ms);
     let lease_s = if mutation == Some(Mutation::ShortLease) {
@@ -113,7 +166,7 @@
          [endpoints]\ncloud = \"10.1.0.1:1\"\nstate = \"10.1.0.2:1\"\n\
          {teams}\n[settings.workers]\nreport_s = {report_s:.1}\nlease_s = {lease_s:.1}\n\
          gang_wait_s = 45.0\ngang_peer_s = 8.0\ncancel_s = {cancel_s:.1}\n\
-         [settings.state]\nrps = {requests_per_s:.1}\nwrite_rps = {writes_per_s:.1}\nvalue_kb = {value_kb}.0\ntxn_ops = 6\n\
+         [settings.state]\nrps = {requests_per_s:.1}\nwrite_rps = {writes_per_s:.1}\nvalue_kb = {value_kb:.1}\ntxn_ops = {txn_ops}\n\
          [settings.cloud]\nrps = 10.0\nlist_lag_s = 6.0\n",
         zone(controller)
     )
--- a/crates/simulator/src/world/state_service.rs
+++ b/crates/simulator/src/world/state_service.rs
@@ -98,6 +98,11 @@
             );
             return;
         }
+        if self.state.throttle_request(self.now) {
+            let refusal = StateReply::Refused { throttled: true };
+            self.send_state_reply(controller, incarnation, call, refusal);
+            return;
+        }
         if let StateRequest::Watch {
             prefix,
             after,
