Archive finished jobs with any limits of the state service, and the last few too

Cause: the archiver waited for txn_ops puts and the reserve of its priority (24 + 3), more than the bucket of writes ever holds (0.6 s of write_rps 40 = 24). Related: any call with a reserve could wait so, for small rps and write_rps; a transfer of leadership wrote three records where txn_ops is 2; fewer jobs than a full transaction of a partition were never archived at all.

Change: a full bucket grants any amount, a reserve is at most a quarter of the bucket; a transaction has at most 0.4 s of the write rate (StateLimits::max_txn_writes).

--- a/crates/controller/src/controller/admission.rs
+++ b/crates/controller/src/controller/admission.rs
@@ -208,7 +208,7 @@
     fn write_submissions(&mut self) {
         let limits = &self.settings.state_limits;
         let capacity_bytes = page_capacity_bytes(limits.max_value_bytes);
-        let max_pages = MAX_PAGES_PER_WRITE.min(limits.max_txn_ops);
+        let max_pages = MAX_PAGES_PER_WRITE.min(limits.max_txn_writes());
         // Each job adds one condition to the transaction, and each page another one.
         let max_jobs = (limits.max_txn_ops * CONDITIONS_PER_CHANGE)
             .saturating_sub(MAX_PAGES_PER_WRITE)
--- a/crates/controller/src/controller/leader_election/transfer.rs
+++ b/crates/controller/src/controller/leader_election/transfer.rs
@@ -46,7 +46,9 @@
             unconfirmed_predecessors,
         };
         let mut txn = self.leader_change_txn(partition, version.0, &record, lease);
-        if self.cache.reclaim_requests.contains_key(&partition) {
+        // A request that does not fit into the transaction ends with the lease of its controller.
+        let has_room = txn.writes.len() < self.settings.state_limits.max_txn_writes();
+        if has_room && self.cache.reclaim_requests.contains_key(&partition) {
             txn = txn.write(Write::delete(reclaim_key(partition)));
         }
         let purpose = CallKind::Leadership(LeadershipCall::Transfer {
--- a/crates/controller/src/controller/load_partition.rs
+++ b/crates/controller/src/controller/load_partition.rs
@@ -69,7 +69,7 @@
     /// the partition.
     pub(super) fn handle_log_page(&mut self, partition: PartitionId, term: u64, reply: StateReply) {
         let value_bytes = self.settings.state_limits.max_value_bytes;
-        let txn_ops = self.settings.state_limits.max_txn_ops;
+        let txn_ops = self.settings.state_limits.max_txn_writes();
         let Some(leadership) = self.leadership_in_term(partition, term) else {
             return;
         };
--- a/crates/controller/src/controller/machine_records.rs
+++ b/crates/controller/src/controller/machine_records.rs
@@ -225,7 +225,7 @@
             .values()
             .any(|change| matches!(change, MachineChange::Create(_)));
         let mut batch = MachineBatch {
-            max_pages: (limits.max_txn_ops - 1).clamp(1, MAX_PAGES_PER_WRITE),
+            max_pages: (limits.max_txn_writes() - 1).clamp(1, MAX_PAGES_PER_WRITE),
             page_capacity_bytes: page_capacity_bytes(limits.max_value_bytes),
             next_token: self.cache.next_token(),
             uses_token: false,
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -30,7 +30,7 @@
 use crate::job_status_cache::JobStatusCache;
 use crate::pending_calls::PendingCalls;
 use crate::registration::Registration;
-use crate::request_budget::CallPriority;
+use crate::request_budget::{CallPriority, TokenBucket};
 use crate::state_cache::StateCache;
 use crate::state_client::{QueuedCall, StateClient};
 use crate::state_sync::StateSync;
@@ -76,6 +76,8 @@
     lease: ControllerLease,
     calls: PendingCalls<CallKind>,
     state_client: StateClient,
+    /// Puts that the archiving of terminal jobs may use.
+    archive_budget: TokenBucket,
     leaderships: BTreeMap<PartitionId, PartitionLeadership>,
     leader_election: LeaderElection,
     peers: PeerRegistry,
@@ -117,6 +119,8 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let controllers = settings.controllers();
         let state_client = StateClient::new(&settings.state_limits, controllers.len());
+        let archive_budget =
+            job_archiver::archive_budget(&settings.state_limits, controllers.len());
         Controller {
             tuning: Tuning::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -130,6 +134,7 @@
             lease: ControllerLease::default(),
             calls: PendingCalls::default(),
             state_client,
+            archive_budget,
             leaderships: BTreeMap::new(),
             leader_election: LeaderElection::default(),
             peers: PeerRegistry::default(),
--- a/crates/controller/src/records.rs
+++ b/crates/controller/src/records.rs
@@ -87,6 +87,11 @@
         self.jobs().count()
     }
 
+    /// Number of jobs on the page that are not archived.
+    pub fn unarchived_count(&self) -> usize {
+        self.done.len() + self.cancelled.len()
+    }
+
     /// Whether the page has no jobs.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
--- a/crates/controller/src/request_budget.rs
+++ b/crates/controller/src/request_budget.rs
@@ -12,6 +12,9 @@
 /// Increase of the rate factor per second without a refusal.
 const RATE_INCREASE_PER_S: f64 = 0.05;
 
+/// Maximum fraction of a bucket's capacity that is kept as a reserve.
+const MAX_RESERVE_FRACTION: f64 = 0.25;
+
 /// A token bucket, optionally with an adaptive rate.
 #[derive(Debug, Clone)]
 pub struct TokenBucket {
@@ -63,17 +66,22 @@
         self.level
     }
 
-    /// Takes `amount` tokens if at least `reserve` tokens remain for more important calls. If the reserve
-    /// is 0, a full bucket grants any amount; otherwise no amount above its capacity could ever be taken.
-    pub fn take(&mut self, now: Timestamp, amount: f64, reserve: f64) -> bool {
+    /// Whether `amount` tokens may be taken now so that `reserve` tokens remain for more important calls. The
+    /// reserve is limited to a fraction of the capacity, and a full bucket grants any amount: no call can wait
+    /// for more tokens than the bucket ever holds.
+    pub fn allows(&mut self, now: Timestamp, amount: f64, reserve: f64) -> bool {
         self.refill(now);
-        let is_enough = self.level >= amount + reserve;
-        let is_full = self.level >= self.capacity && reserve == 0.0;
-        if is_enough || is_full {
+        let reserve = reserve.min(self.capacity * MAX_RESERVE_FRACTION);
+        self.level >= (amount + reserve).min(self.capacity)
+    }
+
+    /// Takes `amount` tokens if the bucket allows it. The level becomes negative if the bucket held less.
+    pub fn take(&mut self, now: Timestamp, amount: f64, reserve: f64) -> bool {
+        let is_allowed = self.allows(now, amount, reserve);
+        if is_allowed {
             self.level -= amount;
-            return true;
         }
-        false
+        is_allowed
     }
 
     /// Empties the bucket and lowers its rate, after the service refused a call because the budget was
--- a/crates/controller/src/state_client.rs
+++ b/crates/controller/src/state_client.rs
@@ -136,7 +136,8 @@
             .queues
             .range(..=priority)
             .any(|(_, queue)| queue.iter().any(QueuedCall::is_transaction));
-        !transaction_waits && self.write_budget.level(now) >= writes + priority.reserves().writes
+        let reserve = priority.reserves().writes;
+        !transaction_waits && self.write_budget.allows(now, writes, reserve)
     }
 
     /// Takes the calls that the budgets allow out of the queues, those of the highest priority first.
@@ -150,7 +151,7 @@
             for queued in queue.drain(..) {
                 let write_cost = queued.write_cost();
                 let writes = write_cost as f64;
-                let allowed = self.request_budget.level(now) >= 1.0 + reserves.requests
+                let allowed = self.request_budget.allows(now, 1.0, reserves.requests)
                     && (write_cost == 0
                         || !write_waits && self.write_budget.take(now, writes, reserves.writes));
                 if !allowed {
--- a/crates/controller/tests/request_budget.rs
+++ b/crates/controller/tests/request_budget.rs
@@ -34,3 +34,24 @@
     assert!(bucket.take(Timestamp::from_millis(120_000), 100.0, 0.0));
     assert!(bucket.level(Timestamp::from_millis(121_000)) > 15.0);
 }
+
+/// Guards against a call that waits for ever, since its amount and its reserve together exceed the capacity.
+#[test]
+fn full_bucket_grants_any_amount_whatever_the_reserve() {
+    for capacity in [0.4, 1.0, 3.0, 24.0] {
+        for (amount, reserve) in [(1.0, 6.0), (24.0, 3.0), (100.0, -5.0), (2.0, 0.0)] {
+            let mut bucket = TokenBucket::new(capacity, capacity);
+            let context = format!("capacity {capacity}, amount {amount}, reserve {reserve}");
+            assert!(
+                bucket.take(Timestamp::from_millis(0), amount, reserve),
+                "{context}"
+            );
+            // The debt is paid before the next call of the same kind.
+            let refilled_at = (amount / capacity * 1_000.0) as u64 + 1;
+            assert!(
+                bucket.take(Timestamp::from_millis(refilled_at), amount, reserve),
+                "{context}"
+            );
+        }
+    }
+}
--- a/crates/controller/tests/state_client.rs
+++ b/crates/controller/tests/state_client.rs
@@ -5,7 +5,7 @@
 use model::settings::StateLimits;
 use model::{CallId, Timestamp};
 use rand::rngs::SmallRng;
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use std::time::Duration;
 use wire::state::{StateRequest, Transaction, Write};
 
@@ -128,3 +128,39 @@
     let timeouts: Vec<Duration> = dispatched.iter().map(|call| call.timeout).collect();
     assert_eq!(timeouts[1], timeouts[0] + Duration::from_millis(700));
 }
+
+/// Guards against calls that wait for more than a budget ever holds: with any limits, a read and the largest
+/// transaction of each priority are sent within the time in which the even share of the rate pays for them.
+#[test]
+fn every_priority_is_served_whatever_the_limits() {
+    let mut rng = SmallRng::seed_from_u64(62);
+    for _ in 0..500 {
+        let limits = StateLimits {
+            requests_per_s: rng.random_range(1.0..400.0),
+            writes_per_s: rng.random_range(1.0..100.0),
+            max_value_bytes: 1_024,
+            max_txn_ops: rng.random_range(2..64),
+        };
+        let controllers = rng.random_range(1..6);
+        let writes = limits.max_txn_writes();
+        let slowest_rate = limits.requests_per_s.min(limits.writes_per_s) / controllers as f64;
+        let due_at = Timestamp::from_millis(((writes as f64 + 9.0) * 2e3 / slowest_rate) as u64);
+        for priority in [
+            CallPriority::Coordination,
+            CallPriority::UserRequest,
+            CallPriority::Placement,
+            CallPriority::Background,
+        ] {
+            let mut client = StateClient::new(&limits, controllers);
+            client.handle_throttled(Timestamp::default(), Budget::Requests);
+            client.handle_throttled(Timestamp::default(), Budget::Writes);
+            let context = format!("{priority:?}, {controllers} controllers, {limits:?}");
+            assert!(
+                client.may_write(due_at, priority, writes as f64),
+                "{context}"
+            );
+            client.enqueue(priority, write(1, writes));
+            assert_eq!(dispatched_ids(&mut client, due_at), [1], "{context}");
+        }
+    }
+}
--- a/crates/model/src/settings/file.rs
+++ b/crates/model/src/settings/file.rs
@@ -11,8 +11,8 @@
 
 /// Number of sockets that a controller may open if the file sets no quota.
 const DEFAULT_MAX_SOCKETS: usize = 1000;
-/// A transaction needs at least a condition and a write.
-const MIN_TXN_OPS: usize = 2;
+/// A change of leadership writes two records, and the archiving of a job as many.
+pub(super) const MIN_TXN_OPS: usize = 2;
 /// Smallest limit on the size of a value with which records still fit.
 const MIN_VALUE_KB: f64 = 1.0;
 const BYTES_PER_KB: f64 = 1024.0;
--- a/crates/model/src/settings/mod.rs
+++ b/crates/model/src/settings/mod.rs
@@ -58,7 +58,7 @@
 pub struct StateLimits {
     /// Requests per second (`rps`).
     pub requests_per_s: f64,
-    /// Transactions per second (`write_rps`).
+    /// Puts and deletes per second (`write_rps`).
     pub writes_per_s: f64,
     /// Largest value in bytes (`value_kb`).
     pub max_value_bytes: usize,
@@ -66,6 +66,19 @@
     pub max_txn_ops: usize,
 }
 
+/// Seconds' worth of the service's write rate that one transaction takes at most. A controller must be able
+/// to save that up while others write too.
+const MAX_TXN_WRITE_SECONDS: f64 = 0.4;
+
+impl StateLimits {
+    /// Maximum number of puts and deletes in one transaction, so that neither the limit on its operations nor
+    /// the write rate refuses it for ever.
+    pub fn max_txn_writes(&self) -> usize {
+        let granted_by_rate = (self.writes_per_s * MAX_TXN_WRITE_SECONDS) as usize;
+        self.max_txn_ops.min(granted_by_rate.max(file::MIN_TXN_OPS))
+    }
+}
+
 /// Validated settings of a controller.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
--- /dev/null
+++ b/crates/simulator/tests/finished_jobs.rs
@@ -0,0 +1,61 @@
+//! Jobs that are done or cancelled stay known, and their final states reach the archive, whatever the limits of the
+//! state service are and however many jobs have finished.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use simulator::{for_seeds, Fault, Plan, StateServiceLimits, World};
+
+/// Time after the last submission within which all jobs have ended and their final states are archived.
+const ARCHIVED_WITHIN_MS: u64 = 120_000;
+
+fn plan(seed: u64, submit_until_ms: u64, faults: Vec<(u64, Fault)>) -> Plan {
+    Plan {
+        seed,
+        duration_ms: submit_until_ms + ARCHIVED_WITHIN_MS,
+        faults,
+        mutation: None,
+        submit_until_ms,
+        size: 1,
+    }
+}
+
+/// Limits with which one write of a full transaction needs more than the burst that a controller may send less the
+/// reserve for more important writes.
+fn large_transactions() -> StateServiceLimits {
+    StateServiceLimits {
+        requests_per_s: 120.0,
+        writes_per_s: 40.0,
+        value_kb: 32.0,
+        txn_ops: 24,
+    }
+}
+
+fn random_limits(seed: u64) -> StateServiceLimits {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0xf1);
+    StateServiceLimits {
+        requests_per_s: rng.random_range(45.0..400.0),
+        writes_per_s: rng.random_range(6.0..80.0),
+        value_kb: rng.random_range(1.0..32.0),
+        txn_ops: rng.random_range(2..64),
+    }
+}
+
+fn run_and_check(plan: Plan, limits: StateServiceLimits) {
+    let context = format!("seed {}, {limits:?}", plan.seed);
+    let mut world = World::with_state_limits(plan, limits);
+    world.run();
+    assert_eq!(world.rules.violations, [], "{context}");
+    assert_eq!(world.oversized_transactions(), 0, "{context}");
+    assert!(world.rules.done_confirmed.len() > 10, "{context}");
+    assert_eq!(world.unarchived_jobs(), Vec::<String>::new(), "{context}");
+}
+
+/// Guards against an archiver that waits for more writes than its budget ever grants, and against one that leaves the
+/// last few jobs of a partition for ever.
+#[test]
+fn all_final_states_are_archived_whatever_the_limits() {
+    run_and_check(plan(1, 60_000, Vec::new()), large_transactions());
+    for_seeds(16, |seed| {
+        run_and_check(plan(seed, 60_000, Vec::new()), random_limits(seed));
+    });
+}
