Keep the terminal states of jobs that are not archived, whatever a full cache drops

Seen by callers: with more than 200,000 finished jobs 404 for one in ten of them at each controller, for jobs that were just called done too; a repeated submission got 503.

Cause: terminal states read from the pages s/e stood in a cache that drops a tenth when it is full, as if all could be read again under f/. What is not archived could not.

Change: the state cache answers for all jobs on pages of terminal jobs, for as long as a page lists them. The cache that drops holds archived states only (100,000), which a page hands over when it drops an archived job. A full read no longer sends an event for each finished job.

Evidence: finished_jobs::jobs_stay_known_when_more_have_finished_than_the_cache_holds (300,000 stored jobs, a crash) failed before with 404 and passes.

--- a/crates/controller/src/controller/admission.rs
+++ b/crates/controller/src/controller/admission.rs
@@ -249,7 +249,7 @@
             let Some(next) = self.admission.pending.pop_front() else {
                 break;
             };
-            if self.cache.jobs.contains_key(&next.id) || self.job_status.is_terminal(next.id) {
+            if self.cache.jobs.contains_key(&next.id) || self.terminal_state(next.id).is_some() {
                 self.reads.enqueue(next.into_resubmission());
                 continue;
             }
--- a/crates/controller/src/controller/job_archiver.rs
+++ b/crates/controller/src/controller/job_archiver.rs
@@ -192,9 +192,9 @@
     }
 
     /// Applies a job's terminal state that has been recorded.
-    pub(super) fn handle_terminal_job(&mut self, id: JobId, state: JobState) {
+    pub(super) fn handle_terminal_job(&mut self, id: JobId) {
         let now = self.now;
-        self.job_status.record_terminal_state(id, state);
+        self.job_status.forget_progress(id);
         for leadership in self.leaderships.values_mut() {
             leadership.forget_job(id, now);
         }
--- a/crates/controller/src/controller/linearizable_reads.rs
+++ b/crates/controller/src/controller/linearizable_reads.rs
@@ -216,7 +216,7 @@
     /// be written, and a request for a job that is not registered waits for a check for its terminal state.
     pub(super) fn reply_from_cache(&mut self, request: PendingRequest) {
         let id = request.id;
-        if let Some(state) = self.job_status.terminal_state(id) {
+        if let Some(state) = self.terminal_state(id) {
             let status = status_without_counts(id, state);
             self.reply_user(request.ticket, UserReply::Status(status));
             return;
@@ -251,7 +251,7 @@
         request: PendingRequest,
         reply: StateReply,
     ) {
-        if self.job_status.is_terminal(request.id) || self.cache.jobs.contains_key(&request.id) {
+        if self.terminal_state(request.id).is_some() || self.cache.jobs.contains_key(&request.id) {
             // The job was accepted or reached a terminal state during the read: the state cache is newer
             // than the reply.
             self.reply_from_cache(request);
@@ -261,7 +261,7 @@
             StateReply::Item(item) => match TerminalStateRecord::deserialize(&item.value) {
                 Ok(record) => {
                     self.job_status
-                        .record_terminal_state(request.id, record.state);
+                        .record_archived_state(request.id, record.state);
                     let status = status_without_counts(request.id, record.state);
                     self.reply_user(request.ticket, UserReply::Status(status));
                 }
--- a/crates/controller/src/controller/state_sync.rs
+++ b/crates/controller/src/controller/state_sync.rs
@@ -144,7 +144,10 @@
         for event in events {
             match event {
                 CacheEvent::Job(id) => self.handle_job_record(id),
-                CacheEvent::JobTerminated(id, state) => self.handle_terminal_job(id, state),
+                CacheEvent::JobTerminated(id) => self.handle_terminal_job(id),
+                CacheEvent::JobArchived(id, state) => {
+                    self.job_status.record_archived_state(id, state);
+                }
                 CacheEvent::Demand(id, record) => self.handle_demand_record(id, record),
                 CacheEvent::Partition(id) => self.handle_partition_record(id),
                 CacheEvent::Machine(name) => self.handle_machine_record(&name),
--- a/crates/controller/src/controller/user_requests.rs
+++ b/crates/controller/src/controller/user_requests.rs
@@ -67,10 +67,18 @@
         self.reply_user(ticket, UserReply::Busy { retry_after_s });
     }
 
+    /// The terminal state of a job, if it is known. It is durable, so it may be reported to users: it is on a
+    /// page of terminal jobs or in the archive.
+    pub(super) fn terminal_state(&self, id: JobId) -> Option<JobState> {
+        self.cache
+            .listed_terminal_state(id)
+            .or_else(|| self.job_status.archived_state(id))
+    }
+
     /// Replies at once if the job is known to be in a terminal state, and otherwise after a read of
     /// changes.
     fn read_then_reply(&mut self, ticket: Ticket, id: JobId, kind: RequestKind) {
-        if let Some(state) = self.job_status.terminal_state(id) {
+        if let Some(state) = self.terminal_state(id) {
             let status = status_without_counts(id, state);
             self.reply_user(ticket, UserReply::Status(status));
             return;
@@ -100,7 +108,7 @@
             self.reply_busy(ticket, RETRY_AFTER_S);
             return;
         }
-        if self.job_status.is_terminal(id) || self.cache.jobs.contains_key(&id) {
+        if self.terminal_state(id).is_some() || self.cache.jobs.contains_key(&id) {
             self.read_then_reply(ticket, id, RequestKind::Resubmit { rejection: None });
             return;
         }
--- a/crates/controller/src/job_status_cache.rs
+++ b/crates/controller/src/job_status_cache.rs
@@ -1,10 +1,10 @@
-//! Terminal states of jobs and the progress that peers report, kept in memory for replies to users.
+//! Archived terminal states of jobs and the progress that peers report, kept in memory for replies to users.
 
 use model::{JobId, JobState};
 use std::collections::HashMap;
 
-/// Maximum number of terminal states that are kept.
-const MAX_TERMINAL_STATES: usize = 200_000;
+/// Maximum number of archived terminal states that are kept.
+const MAX_ARCHIVED_STATES: usize = 100_000;
 
 /// Numbers of a job's tasks that are done and running. They are for display only.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -13,43 +13,39 @@
     pub running: u64,
 }
 
-/// Terminal states of jobs, and the progress of jobs in other controllers' partitions.
+/// Archived terminal states of jobs, and the progress of jobs in other controllers' partitions. A job of which
+/// this cache has no state may have one in the archive, or be on a page of terminal jobs.
 #[derive(Debug, Default)]
 pub struct JobStatusCache {
-    terminal_states: HashMap<JobId, JobState>,
+    archived_states: HashMap<JobId, JobState>,
     progress: HashMap<JobId, TaskCounts>,
 }
 
 impl JobStatusCache {
-    /// The terminal state of a job, if it is known. It is durable, so it may be reported to users.
-    pub fn terminal_state(&self, id: JobId) -> Option<JobState> {
-        self.terminal_states.get(&id).copied()
+    /// The archived terminal state of a job, if it is cached.
+    pub fn archived_state(&self, id: JobId) -> Option<JobState> {
+        self.archived_states.get(&id).copied()
     }
 
-    /// Whether a job is known to be in a terminal state.
-    pub fn is_terminal(&self, id: JobId) -> bool {
-        self.terminal_states.contains_key(&id)
-    }
-
-    /// Records a terminal state that is durable. If the cache is full, an arbitrary tenth of the entries is
-    /// evicted first: each of them can be read again from the state service.
-    pub fn record_terminal_state(&mut self, id: JobId, state: JobState) {
-        if self.terminal_states.len() >= MAX_TERMINAL_STATES {
+    /// Records a terminal state that is archived. If the cache is full, an arbitrary tenth of the entries is
+    /// evicted first: each of them can be read again from the archive.
+    pub fn record_archived_state(&mut self, id: JobId, state: JobState) {
+        if self.archived_states.len() >= MAX_ARCHIVED_STATES {
             self.evict_tenth();
         }
-        self.terminal_states.insert(id, state);
+        self.archived_states.insert(id, state);
         self.progress.remove(&id);
     }
 
     fn evict_tenth(&mut self) {
         let evicted: Vec<JobId> = self
-            .terminal_states
+            .archived_states
             .keys()
-            .take(MAX_TERMINAL_STATES / 10)
+            .take(MAX_ARCHIVED_STATES / 10)
             .copied()
             .collect();
         for id in evicted {
-            self.terminal_states.remove(&id);
+            self.archived_states.remove(&id);
         }
     }
 
--- a/crates/controller/src/state_cache/apply.rs
+++ b/crates/controller/src/state_cache/apply.rs
@@ -248,11 +248,18 @@
                 CacheEvent::Machine(name.clone()),
             )
         }));
-        changed.extend(
-            old.jobs
-                .keys()
-                .filter_map(|id| unless_kept(self.jobs.contains_key(id), CacheEvent::Job(*id))),
-        );
+        changed.extend(old.jobs.keys().filter_map(|id| {
+            let event = match self.listed_terminal_state(*id) {
+                Some(_) => CacheEvent::JobTerminated(*id),
+                None => CacheEvent::Job(*id),
+            };
+            unless_kept(self.jobs.contains_key(id), event)
+        }));
+        let unlisted = old
+            .terminal
+            .iter()
+            .filter(|(id, _)| self.listed_terminal_state(*id).is_none());
+        changed.extend(unlisted.map(|(id, state)| CacheEvent::JobArchived(id, state)));
         self.revision = Revision(revision);
         changed
     }
--- a/crates/controller/src/state_cache/mod.rs
+++ b/crates/controller/src/state_cache/mod.rs
@@ -4,6 +4,7 @@
 //! are counted as rejected, and the records cached before stay.
 
 mod apply;
+mod listed_terminal_jobs;
 mod pages;
 mod reference_counts;
 
@@ -11,6 +12,7 @@
     packed_bytes, DemandRecord, IncarnationRecord, MachineRecord, PackedJob, PartitionRecord,
     ReclaimRecord, TerminalJobsPage, TokenCounterRecord,
 };
+use listed_terminal_jobs::ListedTerminalJobs;
 use model::{
     ControllerName, JobId, JobSpec, JobState, MachineName, PartitionId, Revision, Version,
 };
@@ -65,8 +67,10 @@
 pub enum CacheEvent {
     /// A job was accepted or cancelled, or a full read no longer contains it.
     Job(JobId),
-    /// A job is in a terminal state.
-    JobTerminated(JobId, JobState),
+    /// An open job has reached a terminal state.
+    JobTerminated(JobId),
+    /// No page of terminal jobs lists the job any more, since this terminal state is archived.
+    JobArchived(JobId, JobState),
     Partition(PartitionId),
     /// A leader has written the unmet demand of its partition.
     Demand(PartitionId, DemandRecord),
@@ -90,9 +94,9 @@
     pub cancellations: BTreeMap<ControllerName, Versioned<BTreeSet<JobId>>>,
     /// Pages of terminal jobs, by partition and page number.
     pub terminal_job_pages: BTreeMap<(PartitionId, u32), Versioned<TerminalJobsPage>>,
-    /// Jobs on pages of terminal jobs. These counts and `registered` are updated as pages change, since
+    /// Jobs on pages of terminal jobs. These and `registered` are updated as pages change, since
     /// collecting the jobs from all pages whenever a job completes is expensive with a thousand machines.
-    terminal: ReferenceCounts,
+    terminal: ListedTerminalJobs,
     /// Jobs on pages of accepted jobs, whether in a terminal state or not.
     registered: ReferenceCounts,
     pub partitions: BTreeMap<PartitionId, Versioned<PartitionRecord>>,
@@ -141,7 +145,15 @@
     /// Whether a job is on a page of accepted jobs in a form that cannot be read and not known to be in a
     /// terminal state, so that its state is unknown.
     pub fn is_unreadable(&self, id: JobId) -> bool {
-        self.registered.contains(id) && !self.jobs.contains_key(&id) && !self.terminal.contains(id)
+        self.registered.contains(id)
+            && !self.jobs.contains_key(&id)
+            && self.listed_terminal_state(id).is_none()
+    }
+
+    /// The terminal state of a job that is on a page of terminal jobs. Every job in a terminal state that is
+    /// not archived is on one.
+    pub fn listed_terminal_state(&self, id: JobId) -> Option<JobState> {
+        self.terminal.state(id)
     }
 
     /// The entries that a page of accepted jobs keeps when it is rewritten: open jobs, and entries that
--- a/crates/controller/src/state_cache/pages.rs
+++ b/crates/controller/src/state_cache/pages.rs
@@ -34,7 +34,7 @@
             ids.push(id);
             // Two controllers may have accepted the same job, and a terminal job stays on its page
             // until the page is rewritten.
-            if self.jobs.contains_key(&id) || self.terminal.contains(id) {
+            if self.jobs.contains_key(&id) || self.terminal.state(id).is_some() {
                 continue;
             }
             let Some(job) = self.decode_job(key, &entry) else {
@@ -101,17 +101,18 @@
             return;
         };
         for (id, state) in record.jobs() {
-            if self.terminal.add(id) {
-                self.jobs.remove(&id);
-                changed.push(CacheEvent::JobTerminated(id, state));
+            if self.terminal.add(id, state) && self.jobs.remove(&id).is_some() {
+                changed.push(CacheEvent::JobTerminated(id));
             }
         }
-        // A page drops a job only once no page of accepted jobs lists it any more.
+        // A page drops a job only once it is archived and no page of accepted jobs lists it any more.
         let old = self
             .terminal_job_pages
             .insert(partition_and_page, Versioned { record, version });
-        for (id, _) in old.iter().flat_map(|page| page.record.jobs()) {
-            self.terminal.remove(id);
+        for (id, state) in old.iter().flat_map(|page| page.record.jobs()) {
+            if self.terminal.remove(id) {
+                changed.push(CacheEvent::JobArchived(id, state));
+            }
         }
     }
 
--- a/crates/simulator/tests/finished_jobs.rs
+++ b/crates/simulator/tests/finished_jobs.rs
@@ -59,3 +59,17 @@
         run_and_check(plan(seed, 60_000, Vec::new()), random_limits(seed));
     });
 }
+/// Guards against 404 for jobs that a full cache has dropped although they can be read nowhere else.
+#[test]
+fn jobs_stay_known_when_more_have_finished_than_the_cache_holds() {
+    let crash = Fault::CrashController {
+        controller: 1,
+        restart_after_ms: 4_000,
+    };
+    let faults = vec![(45_000, crash)];
+    let mut world = World::with_state_limits(plan(3, 60_000, faults), large_transactions());
+    world.store_finished_jobs(300_000);
+    world.run();
+    assert_eq!(world.rules.violations, []);
+    assert!(world.rules.done_confirmed.len() > 10 + 60);
+}
