Look a job up before its repeated submission is rejected as too long

Seen by callers: 400 for the repeated submission of a job that was accepted while values could be larger, which counts as forgotten.

Cause: the length was checked against the present limit of a value, before anything was read, unlike the checks of teams and machine types.

Change: a description that is too long takes the way of a job that can never run: it is rejected after a read and a look into the archive (Rejection::TooLong).

Evidence: repeated_submission_of_a_finished_job_that_is_too_long_now_gets_its_state failed before with 400 and passes. rejected_messages, stale_cache, user_histories pass.

--- a/crates/controller/src/controller/admission.rs
+++ b/crates/controller/src/controller/admission.rs
@@ -3,7 +3,8 @@
 
 use super::call_kind::JobCall;
 use super::linearizable_reads::{CONDITIONS_PER_CHANGE, RETRY_AFTER_S};
-use super::{CallKind, Controller, PendingRequest, RequestKind, Ticket, UserReply};
+use super::user_requests::Rejection;
+use super::{CallKind, Controller, PendingRequest, RequestKind, Ticket};
 use crate::records::{
     accepted_jobs_key, accepted_jobs_prefix, packed_bytes, page_capacity_bytes, terminal_state_key,
     AcceptedJobsPage, PackedJob,
@@ -90,20 +91,21 @@
 }
 
 impl Controller {
-    /// Queues a valid submission. It is refused as busy if too many are pending, and as invalid if it is
-    /// too large for a page.
+    /// Checks that a job's description fits on a page.
+    pub(super) fn check_length(&self, job: &JobRequest) -> Result<(), Rejection> {
+        let bytes = packed_bytes(&PackedJob::new(u64::MAX, job.clone()));
+        if bytes > page_capacity_bytes(self.settings.state_limits.max_value_bytes) {
+            return Err(Rejection::TooLong);
+        }
+        Ok(())
+    }
+
+    /// Queues a valid submission. It is refused as busy if too many are pending.
     pub(super) fn admit(&mut self, ticket: Ticket, id: JobId, job: JobRequest) {
         if self.admission.pending.len() >= MAX_PENDING_SUBMISSIONS {
             self.reply_busy(ticket, RETRY_AFTER_S);
             return;
         }
-        if packed_bytes(&PackedJob::new(u64::MAX, job.clone()))
-            > page_capacity_bytes(self.settings.state_limits.max_value_bytes)
-        {
-            let problem = "the job's description is too long".to_owned();
-            self.reply_user(ticket, UserReply::Invalid(problem));
-            return;
-        }
         let submitted_at_ms = self.logical_time_ms();
         let submission = PendingSubmission {
             ticket,
--- a/crates/controller/src/controller/linearizable_reads.rs
+++ b/crates/controller/src/controller/linearizable_reads.rs
@@ -272,10 +272,8 @@
             }
             StateReply::NotFound => match request.kind {
                 RequestKind::Resubmit {
-                    rejection: Some(reason),
-                } => {
-                    self.reply_user(request.ticket, UserReply::Rejected(reason));
-                }
+                    rejection: Some(rejection),
+                } => self.reply_user(request.ticket, rejection.into()),
                 RequestKind::Resubmit { rejection: None } | RequestKind::Accepted => {
                     self.reply_busy(request.ticket, RETRY_AFTER_S)
                 }
--- a/crates/controller/src/controller/user_requests.rs
+++ b/crates/controller/src/controller/user_requests.rs
@@ -34,12 +34,31 @@
     Resubmit {
         /// Why the job is rejected if it was not accepted before; without a reason the user is told to
         /// retry.
-        rejection: Option<RejectReason>,
+        rejection: Option<Rejection>,
     },
     /// A submission that this controller has accepted durably.
     Accepted,
 }
 
+/// Why a job that was not accepted before is rejected. The limits on which this depends may have been others
+/// when it was accepted.
+#[derive(Debug, Clone)]
+pub(crate) enum Rejection {
+    /// The job can never run.
+    Unschedulable(RejectReason),
+    /// The job's description does not fit on a page.
+    TooLong,
+}
+
+impl From<Rejection> for UserReply {
+    fn from(rejection: Rejection) -> Self {
+        match rejection {
+            Rejection::Unschedulable(reason) => UserReply::Rejected(reason),
+            Rejection::TooLong => UserReply::Invalid("the job's description is too long".into()),
+        }
+    }
+}
+
 /// Status of a job without task counts.
 pub(super) fn status_without_counts(id: JobId, state: JobState) -> JobStatus {
     JobStatus {
@@ -116,15 +135,13 @@
             self.reply_busy(ticket, RETRY_AFTER_S);
             return;
         };
-        if let Err(reason) = spec.check_feasibility(&self.settings, &types.record.types) {
+        let feasibility = spec
+            .check_feasibility(&self.settings, &types.record.types)
+            .map_err(Rejection::Unschedulable);
+        if let Err(rejection) = feasibility.and_then(|()| self.check_length(&job)) {
             // A job that was accepted before must not be rejected now, so a read of changes comes first.
-            self.read_then_reply(
-                ticket,
-                id,
-                RequestKind::Resubmit {
-                    rejection: Some(reason),
-                },
-            );
+            let rejection = Some(rejection);
+            self.read_then_reply(ticket, id, RequestKind::Resubmit { rejection });
             return;
         }
         if !self.has_recent_state_read(MAX_READ_AGE_FOR_SUBMISSIONS) {
--- a/crates/simulator/tests/finished_jobs.rs
+++ b/crates/simulator/tests/finished_jobs.rs
@@ -1,9 +1,14 @@
 //! Jobs that are done or cancelled stay known, and their final states reach the archive, whatever the limits of the
 //! state service are and however many jobs have finished.
 
+use controller::{UserReply, UserRequest};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use simulator::{for_seeds, Fault, Plan, StateServiceLimits, World};
+use serde_json::json;
+use simulator::{
+    for_seeds, single_controller, Fault, Plan, SingleController, StateServiceLimits, World,
+};
+use wire::users::{JobKind, JobState};
 
 /// Time after the last submission within which all jobs have ended and their final states are archived.
 const ARCHIVED_WITHIN_MS: u64 = 120_000;
@@ -73,3 +78,32 @@
     assert_eq!(world.rules.violations, []);
     assert!(world.rules.done_confirmed.len() > 10 + 60);
 }
+
+/// Guards against 400 for a job that was accepted when values could be larger than now.
+#[test]
+fn repeated_submission_of_a_finished_job_that_is_too_long_now_gets_its_state() {
+    let mut single_controller = SingleController::new(2);
+    single_controller.put_state_value("f/j-000005", json!({ "state": "done" }));
+    let reply_to_submission = |single_controller: &mut SingleController, number| {
+        let mut request = single_controller::job(number, JobKind::Array, 2);
+        let other_types = (0..60).map(|n| format!("{n}-{}", "x".repeat(150)));
+        request.allowed_machine_types =
+            Some(["m4".into()].into_iter().chain(other_types).collect());
+        single_controller.take_user_replies();
+        single_controller.send_user_request(UserRequest::Submit(Box::new(request)));
+        for _ in 0..20 {
+            single_controller.tick(100);
+        }
+        single_controller.take_user_replies()
+    };
+    let replies = reply_to_submission(&mut single_controller, 5);
+    assert!(
+        matches!(replies.as_slice(), [UserReply::Status(status)] if status.state == JobState::Done),
+        "{replies:?}"
+    );
+    let replies = reply_to_submission(&mut single_controller, 6);
+    assert!(
+        matches!(replies.as_slice(), [UserReply::Invalid(_)]),
+        "{replies:?}"
+    );
+}
