Answer no 404 while a page of jobs cannot be read

Seen by callers: 404 for a job on a page of accepted or terminal jobs, or in an entry, that this version cannot read.

Cause: the cache rejects such a record and goes on without it; that a job is missing there was taken as proof that nobody submitted it.

Change: the cache remembers the keys of pages with unknown jobs; while there are any, a request for a job that is found nowhere gets 503 and no submission is rejected. The watch of SingleController returns changes of put_state_value, which it used to skip.

--- a/crates/controller/src/controller/linearizable_reads.rs
+++ b/crates/controller/src/controller/linearizable_reads.rs
@@ -267,7 +267,9 @@
                 }
                 Err(_) => self.reply_busy(request.ticket, UNREADABLE_STATE_RETRY_AFTER_S),
             },
-            StateReply::NotFound if self.cache.is_unreadable(request.id) => {
+            StateReply::NotFound
+                if self.cache.is_unreadable(request.id) || self.cache.may_miss_jobs() =>
+            {
                 self.reply_busy(request.ticket, UNREADABLE_STATE_RETRY_AFTER_S);
             }
             StateReply::NotFound => match request.kind {
--- a/crates/controller/src/state_cache/mod.rs
+++ b/crates/controller/src/state_cache/mod.rs
@@ -90,6 +90,9 @@
     /// Entries of pages of accepted jobs that cannot be read, by the page's key. They are kept unchanged
     /// in the state service, since another version may have written them.
     unreadable_jobs: BTreeMap<String, Vec<Value>>,
+    /// Keys of pages of accepted or terminal jobs of which some jobs are unknown: the page or the id of an
+    /// entry could not be read.
+    incomplete_pages: BTreeSet<String>,
     /// Cancelled jobs, by the controller that accepted their cancellation.
     pub cancellations: BTreeMap<ControllerName, Versioned<BTreeSet<JobId>>>,
     /// Pages of terminal jobs, by partition and page number.
@@ -150,6 +153,12 @@
             && self.listed_terminal_state(id).is_none()
     }
 
+    /// Whether the pages of accepted and terminal jobs might list a job that the cache does not know, so that
+    /// its absence from the cache proves nothing.
+    pub fn may_miss_jobs(&self) -> bool {
+        !self.incomplete_pages.is_empty()
+    }
+
     /// The terminal state of a job that is on a page of terminal jobs. Every job in a terminal state that is
     /// not archived is on one.
     pub fn listed_terminal_state(&self, id: JobId) -> Option<JobState> {
--- a/crates/controller/src/state_cache/pages.rs
+++ b/crates/controller/src/state_cache/pages.rs
@@ -22,12 +22,17 @@
             .rsplit_once('/')
             .and_then(|(_, page)| parse_page_number(page));
         let decoded = self.decode_numbered::<_, AcceptedJobsPage>(key, number, value);
-        let Some((_, page)) = decoded else { return };
+        let Some((_, page)) = decoded else {
+            self.incomplete_pages.insert(key.to_owned());
+            return;
+        };
+        self.incomplete_pages.remove(key);
         let mut ids = Vec::new();
         let mut unreadable = Vec::new();
         for entry in page.jobs {
             let Some(id) = entry.get(1).and_then(Value::as_str).and_then(JobId::parse) else {
                 self.reject(key, &"entry without a valid job id");
+                self.incomplete_pages.insert(key.to_owned());
                 unreadable.push(entry);
                 continue;
             };
@@ -98,8 +103,10 @@
         });
         let decoded = self.decode_numbered::<_, TerminalJobsPage>(key, partition_and_page, value);
         let Some((partition_and_page, record)) = decoded else {
+            self.incomplete_pages.insert(key.to_owned());
             return;
         };
+        self.incomplete_pages.remove(key);
         for (id, state) in record.jobs() {
             if self.terminal.add(id, state) && self.jobs.remove(&id).is_some() {
                 changed.push(CacheEvent::JobTerminated(id));
--- a/crates/simulator/src/single_controller.rs
+++ b/crates/simulator/src/single_controller.rs
@@ -254,8 +254,9 @@
         self.now += ms;
         let cost = self.handle_event(Event::Tick);
         // A watch that has found no change times out.
-        if let Some((call, ..)) = self.pending_watch.take() {
-            let reply = self.state.no_changes();
+        if let Some((call, prefix, after)) = self.pending_watch.take() {
+            let changes = self.state.changes(&prefix, after);
+            let reply = changes.unwrap_or_else(|| self.state.no_changes());
             self.handle_event(Event::State { call, reply });
         }
         cost
--- a/crates/simulator/tests/unreadable_records.rs
+++ b/crates/simulator/tests/unreadable_records.rs
@@ -91,3 +91,50 @@
         .expect("the second page");
     assert_eq!(second_page["jobs"][0][1], "j-000005");
 }
+
+/// The replies to a status request and a cancellation of a job that no readable record lists.
+fn replies_for_unlisted_job(single_controller: &mut SingleController) -> Vec<UserReply> {
+    single_controller.take_user_replies();
+    for request in [
+        UserRequest::Get(JobId(UNREADABLE_JOB)),
+        UserRequest::Cancel(JobId(UNREADABLE_JOB)),
+    ] {
+        single_controller.send_user_request(request);
+        run(single_controller);
+    }
+    single_controller.take_user_replies()
+}
+
+/// Guards against 404 for a job that may be on a page or in an entry that cannot be read.
+#[test]
+fn no_job_is_missing_while_a_page_of_jobs_cannot_be_read() {
+    let unreadable_values = [
+        ("s/e/0/0000", json!({ "d": "another form" })),
+        (PAGE_KEY, json!({ "jobs": "another form" })),
+        (PAGE_KEY, json!({ "jobs": [{ "id": "unknown" }] })),
+    ];
+    for (key, value) in unreadable_values {
+        let mut single_controller = SingleController::new(2);
+        single_controller.put_state_value(key, value);
+        for restarts in 0..2 {
+            run(&mut single_controller);
+            let replies = replies_for_unlisted_job(&mut single_controller);
+            assert!(
+                matches!(
+                    replies.as_slice(),
+                    [UserReply::Busy { .. }, UserReply::Busy { .. }]
+                ),
+                "{key}, {restarts} restarts: {replies:?}"
+            );
+            single_controller.restart();
+        }
+        single_controller.put_state_value(key, json!({ "d": [], "c": [], "jobs": [] }));
+        run(&mut single_controller);
+        let replies = replies_for_unlisted_job(&mut single_controller);
+        assert_eq!(
+            replies,
+            [UserReply::NotFound, UserReply::NotFound],
+            "{key}, once it is readable"
+        );
+    }
+}
