Placement log: a commit fits into a transaction and always carries a change

Found by the test of this: where every page of a commit has less room than the next change needs but is not nearly full, commits without any change are written again and again, so that no placement becomes durable until a task ends.

Cause: pages were limited each, not together; a page was left only if three quarters of it were full, and a chunk of 64 placed tasks takes more than the rest of 4 KiB.

Change: pages of a commit take 60 KiB together; the last page of a commit that would carry no change is a new one.

--- a/crates/controller/src/placement_log/commit.rs
+++ b/crates/controller/src/placement_log/commit.rs
@@ -109,6 +109,8 @@
     changes: VecDeque<(ChunkKey, TaskChunk)>,
     /// Keys of the changes that are on a page of the commit.
     written_keys: BTreeSet<ChunkKey>,
+    /// Estimated size of the pages of the commit.
+    estimated_bytes: usize,
     /// Number of pages of the log, including those that the commit adds.
     page_count: usize,
     commit_number: u64,
@@ -133,17 +135,21 @@
             commit,
             changes: VecDeque::from(changes),
             written_keys: BTreeSet::new(),
+            estimated_bytes: 0,
             page_count: log.pages.len(),
             commit_number: log.commit_number,
         }
     }
 
-    /// Adds the page that is `step` pages after the cursor, or a new one if that is nearly full. Returns
+    /// Adds the page that is `step` pages after the cursor, or a new one if that is nearly full. The last page
+    /// is a new one also if no change fits on any page of the commit, which would be written in vain. Returns
     /// false if the commit already writes the page.
-    pub(super) fn add_page(&mut self, log: &PlacementLog, step: usize) -> bool {
+    pub(super) fn add_page(&mut self, log: &PlacementLog, step: usize, is_last: bool) -> bool {
         let mut page = (log.cursor + step) % self.page_count;
         let mut draft = PageDraft::new(log.kept_entries(page, &self.written_keys));
-        if draft.is_nearly_full(log.page_capacity_bytes) && !self.changes.is_empty() {
+        let is_too_full = draft.is_nearly_full(log.page_capacity_bytes)
+            || is_last && self.written_keys.is_empty() && !self.next_change_fits(log, &draft);
+        if is_too_full && !self.changes.is_empty() {
             page = self.page_count;
             self.page_count += 1;
             draft = PageDraft::default();
@@ -154,10 +160,18 @@
         self.commit_number += 1;
         self.drop_empty_entries(log, &mut draft);
         self.fill(log, page, &mut draft);
+        self.estimated_bytes += draft.estimated_bytes;
         self.write_page(log, page, draft);
         true
     }
 
+    fn next_change_fits(&self, log: &PlacementLog, draft: &PageDraft) -> bool {
+        self.changes.front().is_none_or(|(key, chunk)| {
+            let content = SizedChunk::new(chunk.clone());
+            draft.has_room(key, &content, log.page_capacity_bytes)
+        })
+    }
+
     /// Drops the empty entries of which no page can hold an older copy.
     fn drop_empty_entries(&mut self, log: &PlacementLog, draft: &mut PageDraft) {
         let oldest_number = log.oldest_commit_number();
@@ -210,6 +224,11 @@
         });
     }
 
+    /// Estimated size of the pages of the commit, in bytes.
+    pub(super) fn estimated_bytes(&self) -> usize {
+        self.estimated_bytes
+    }
+
     /// Whether all changes are on pages of the commit.
     pub(super) fn is_complete(&self) -> bool {
         self.changes.is_empty()
--- a/crates/controller/src/placement_log/mod.rs
+++ b/crates/controller/src/placement_log/mod.rs
@@ -23,6 +23,9 @@
 const INITIAL_PAGES: usize = 4;
 /// Maximum number of pages that one commit writes.
 const MAX_PAGES_PER_COMMIT: usize = 4;
+/// Maximum bytes of the pages that one commit writes: 64 KiB, which the state service accepts in a transaction,
+/// less what conditions and keys take.
+const MAX_COMMIT_BYTES: usize = 60 * 1024;
 /// Operations of a commit for each page: a condition and a write.
 const TXN_OPS_PER_PAGE: usize = 2;
 /// Bytes of a page that are not available for entries.
@@ -98,7 +101,9 @@
     ) -> Self {
         let mut log = PlacementLog {
             partition,
-            page_capacity_bytes: value_bytes.saturating_sub(PAGE_OVERHEAD_BYTES),
+            page_capacity_bytes: value_bytes
+                .min(MAX_COMMIT_BYTES)
+                .saturating_sub(PAGE_OVERHEAD_BYTES),
             max_pages_per_commit: (txn_ops / TXN_OPS_PER_PAGE).clamp(1, MAX_PAGES_PER_COMMIT),
             pages: vec![Page::default(); INITIAL_PAGES],
             entries: BTreeMap::new(),
@@ -220,7 +225,10 @@
             if step > 0 && builder.is_complete() {
                 break;
             }
-            if !builder.add_page(self, step) {
+            // Whether another page may follow, if this one becomes full.
+            let bytes_after = builder.estimated_bytes() + 2 * self.page_capacity_bytes;
+            let is_last = step + 1 == self.max_pages_per_commit || bytes_after > MAX_COMMIT_BYTES;
+            if !builder.add_page(self, step, is_last) || is_last {
                 break;
             }
         }
