Settings: limits of the state service announced for later hold at once where lower

Seen: after the service lowers its limits writes beyond them get 400 or 429 for ever: archiving, and commits with it, ask for more than can be granted then.

Cause: state.next was ignored, and the limits change without notice.

Change: each limit is the lower of state and state.next from the start; check names the field of either that is invalid. The simulated service also refuses values beyond value_kb and transactions beyond 64 KiB, and can change its limits in a run.

--- a/crates/model/src/settings/file.rs
+++ b/crates/model/src/settings/file.rs
@@ -58,6 +58,17 @@
     write_rps: f64,
     value_kb: f64,
     txn_ops: usize,
+    /// Limits that replace these at some time while the controller runs, without notice.
+    next: Option<FileNextState>,
+}
+
+/// Later limits of the state service. A limit that is absent stays as it is.
+#[derive(Deserialize)]
+struct FileNextState {
+    rps: Option<f64>,
+    write_rps: Option<f64>,
+    value_kb: Option<f64>,
+    txn_ops: Option<usize>,
 }
 
 #[derive(Deserialize)]
@@ -193,23 +204,50 @@
     })
 }
 
-/// Checks the limits of the state service on transactions and values; returns the limit on a value, in
-/// bytes.
-fn check_transaction_limits(state: &FileState) -> Result<usize, SettingsError> {
+/// Checks the limits of the state service. Where the limits will change, the lower ones hold from the beginning:
+/// nobody is told when they change, and what is stored must fit then too.
+fn parse_state_limits(state: &FileState) -> Result<StateLimits, SettingsError> {
+    let limits = parse_limits("settings.state", state)?;
+    let Some(next) = &state.next else {
+        return Ok(limits);
+    };
+    let next = FileState {
+        rps: next.rps.unwrap_or(state.rps),
+        write_rps: next.write_rps.unwrap_or(state.write_rps),
+        value_kb: next.value_kb.unwrap_or(state.value_kb),
+        txn_ops: next.txn_ops.unwrap_or(state.txn_ops),
+        next: None,
+    };
+    let next = parse_limits("settings.state.next", &next)?;
+    Ok(StateLimits {
+        requests_per_s: limits.requests_per_s.min(next.requests_per_s),
+        writes_per_s: limits.writes_per_s.min(next.writes_per_s),
+        max_value_bytes: limits.max_value_bytes.min(next.max_value_bytes),
+        max_txn_ops: limits.max_txn_ops.min(next.max_txn_ops),
+    })
+}
+
+/// Checks one set of limits, whose fields begin with `prefix`.
+fn parse_limits(prefix: &str, state: &FileState) -> Result<StateLimits, SettingsError> {
     if state.txn_ops < MIN_TXN_OPS {
         return invalid_field(
-            "settings.state.txn_ops",
+            format!("{prefix}.txn_ops"),
             FieldProblem::BelowMinimum(MIN_TXN_OPS as f64),
         );
     }
-    let value_kb = require_positive("settings.state.value_kb", state.value_kb)?;
+    let value_kb = require_positive(&format!("{prefix}.value_kb"), state.value_kb)?;
     if value_kb < MIN_VALUE_KB {
         return invalid_field(
-            "settings.state.value_kb",
+            format!("{prefix}.value_kb"),
             FieldProblem::BelowMinimum(MIN_VALUE_KB),
         );
     }
-    Ok((value_kb * BYTES_PER_KB) as usize)
+    Ok(StateLimits {
+        requests_per_s: require_positive(&format!("{prefix}.rps"), state.rps)?,
+        writes_per_s: require_positive(&format!("{prefix}.write_rps"), state.write_rps)?,
+        max_value_bytes: (value_kb * BYTES_PER_KB) as usize,
+        max_txn_ops: state.txn_ops,
+    })
 }
 
 /// Collects the time within which jobs of each class should be finished.
@@ -248,7 +286,7 @@
         let peers = parse_peers(&file.peers)?;
         let teams = parse_teams(&platform_settings.teams)?;
         let workers = parse_worker_timings(&platform_settings.workers)?;
-        let max_value_bytes = check_transaction_limits(&platform_settings.state)?;
+        let state_limits = parse_state_limits(&platform_settings.state)?;
         let completion_objectives = parse_completion_objectives(&platform_settings.objectives)?;
         Ok(Settings {
             name: ControllerName::from(file.member.as_str()),
@@ -260,18 +298,7 @@
             state_address: parse_address("endpoints.state", &file.endpoints.state)?,
             teams,
             workers,
-            state_limits: StateLimits {
-                requests_per_s: require_positive(
-                    "settings.state.rps",
-                    platform_settings.state.rps,
-                )?,
-                writes_per_s: require_positive(
-                    "settings.state.write_rps",
-                    platform_settings.state.write_rps,
-                )?,
-                max_value_bytes,
-                max_txn_ops: platform_settings.state.txn_ops,
-            },
+            state_limits,
             cloud_requests_per_s: require_positive(
                 "settings.cloud.rps",
                 platform_settings.cloud.rps,
--- a/crates/model/tests/settings.rs
+++ b/crates/model/tests/settings.rs
@@ -64,3 +64,22 @@
     assert!(!large.fits_quota(&team(VALID).limit));
     assert!(!Resources::needed(0.25, 0.0, 1.0).fits_quota(&team(&guests).guarantee));
 }
+
+/// Guards against writes that the state service never accepts once its limits are lowered, of which it gives no notice.
+#[test]
+fn limits_announced_for_later_hold_at_once_where_they_are_lower() {
+    let next =
+        "[settings.state.next]\nrps = 400.0\nwrite_rps = 8.0\nvalue_kb = 2.0\n[settings.cloud]";
+    let settings = Settings::parse(&VALID.replace("[settings.cloud]", next)).expect("valid");
+    let limits = settings.state_limits;
+    assert_eq!(limits.requests_per_s, 100.0);
+    assert_eq!(limits.writes_per_s, 8.0);
+    assert_eq!(limits.max_value_bytes, 2_048);
+    assert_eq!(limits.max_txn_ops, 8);
+    // 0.4 s of 8 writes a second.
+    assert_eq!(limits.max_txn_writes(), 3);
+    let error = Settings::parse(&VALID.replace("[settings.cloud]", &next.replace("2.0", "0.5")))
+        .expect_err("too small a value")
+        .to_string();
+    assert!(error.contains("settings.state.next.value_kb"), "{error}");
+}
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -22,7 +22,8 @@
 pub use failovers::Failover;
 pub use rules::Violation;
 pub use single_controller::SingleController;
-pub use world::{Fault, FaultCoverage, Mutation, Plan, StateServiceLimits, World};
+pub use state::StateServiceLimits;
+pub use world::{Fault, FaultCoverage, Mutation, Plan, World};
 
 /// Runs a function for each seed from 1 to `seeds`, on all cores.
 pub fn for_seeds(seeds: u64, run: impl Fn(u64) + Sync) {
--- a/crates/simulator/src/state.rs
+++ b/crates/simulator/src/state.rs
@@ -3,6 +3,34 @@
 use std::collections::{BTreeMap, VecDeque};
 use wire::state::{Change, Changes, Item, ListPage, StateReply, StateRequest, Transaction, Write};
 
+/// Maximum size of a transaction in bytes.
+const MAX_TXN_BYTES: usize = 64 * 1024;
+const BYTES_PER_KB: f64 = 1024.0;
+
+/// Limits of the state service, as its clients' settings state them.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StateServiceLimits {
+    pub requests_per_s: f64,
+    /// Puts and deletes per second.
+    pub writes_per_s: f64,
+    /// Maximum size of a value in KiB.
+    pub value_kb: f64,
+    /// Maximum number of puts and deletes in a transaction.
+    pub txn_ops: usize,
+}
+
+impl Default for StateServiceLimits {
+    /// The limits of a small site.
+    fn default() -> Self {
+        StateServiceLimits {
+            requests_per_s: 400.0,
+            writes_per_s: 40.0,
+            value_kb: 1.0,
+            txn_ops: 6,
+        }
+    }
+}
+
 /// Conditions that a transaction may have for each of its permitted puts and deletes.
 const CONDITIONS_PER_OPERATION: usize = 4;
 
@@ -35,10 +63,8 @@
     /// Requests that may be executed now, at most one second's worth.
     request_budget: f64,
     requests_refilled_at: u64,
-    /// Rate limit: requests per second, if there is one.
-    request_rps: Option<f64>,
-    /// Maximum number of puts and deletes in a transaction, if there is one.
-    max_txn_ops: Option<usize>,
+    /// The limits other than that on puts and deletes per second; none are enforced if this is not set.
+    limits: Option<StateServiceLimits>,
     /// Number of puts and deletes that were accepted, and number of those that were refused because of the rate limit.
     pub accepted_writes: u64,
     pub refused_writes: u64,
@@ -59,22 +85,21 @@
         }
     }
 
-    /// An empty store with limits on requests and on puts and deletes per second, and on the puts and deletes
-    /// of a transaction. A transaction may have four times as many conditions.
-    pub fn with_limits(request_rps: f64, write_rps: f64, max_txn_ops: usize) -> Self {
-        StateService {
-            request_budget: request_rps,
-            request_rps: Some(request_rps),
-            max_txn_ops: Some(max_txn_ops),
-            ..StateService::new(write_rps)
+    /// Enforces these limits from now on.
+    pub fn set_limits(&mut self, limits: StateServiceLimits) {
+        self.write_rps = limits.writes_per_s;
+        if self.limits.is_none() {
+            self.request_budget = limits.requests_per_s;
         }
+        self.limits = Some(limits);
     }
 
     /// Takes a request from the budget; true if it exceeds it and is refused.
     pub fn throttle_request(&mut self, now: u64) -> bool {
-        let Some(request_rps) = self.request_rps else {
+        let Some(limits) = self.limits else {
             return false;
         };
+        let request_rps = limits.requests_per_s;
         let elapsed_s = now.saturating_sub(self.requests_refilled_at) as f64 / 1000.0;
         self.requests_refilled_at = now.max(self.requests_refilled_at);
         self.request_budget = (self.request_budget + elapsed_s * request_rps).min(request_rps);
@@ -87,11 +112,20 @@
 
     /// Why a transaction exceeds the limits whatever the load, if it does.
     fn limit_exceeded_by(&self, txn: &Transaction) -> Option<String> {
-        let max_txn_ops = self.max_txn_ops?;
+        let limits = self.limits?;
         let (writes, conditions) = (txn.writes.len(), txn.conditions.len());
-        let is_too_large =
-            writes > max_txn_ops || conditions > max_txn_ops * CONDITIONS_PER_OPERATION;
-        is_too_large.then(|| format!("{writes} changes and {conditions} conditions"))
+        if writes > limits.txn_ops || conditions > limits.txn_ops * CONDITIONS_PER_OPERATION {
+            return Some(format!("{writes} changes and {conditions} conditions"));
+        }
+        let value_bytes = |write: &Write| match write {
+            Write::Put { value, .. } => value.to_string().len(),
+            Write::Delete { .. } => 0,
+        };
+        let sizes: Vec<usize> = txn.writes.iter().map(value_bytes).collect();
+        let (largest, total) = (sizes.iter().max().copied()?, sizes.iter().sum::<usize>());
+        let max_value_bytes = (limits.value_kb * BYTES_PER_KB) as usize;
+        (largest > max_value_bytes || total > MAX_TXN_BYTES)
+            .then(|| format!("a value of {largest} bytes, {total} bytes in all"))
     }
 
     /// Keys that begin with a prefix.
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -29,13 +29,12 @@
 
 pub use coverage::FaultCoverage;
 pub use scenario::{Fault, Mutation, Plan};
-pub use site::StateServiceLimits;
 
 use crate::cloud::Cloud;
 use crate::failovers::FailoverTimeline;
 use crate::fingerprint::Recorder;
 use crate::rules::RuleChecker;
-use crate::state::StateService;
+use crate::state::{StateService, StateServiceLimits};
 use crate::worker::Worker;
 use controller::{Event, UserRequest};
 use crash_points::CrashPoints;
@@ -118,6 +117,28 @@
         World::with_parameters(plan, parameters)
     }
 
+    /// As [`World::with_state_limits`], but the settings announce other limits for a later time, see
+    /// [`World::change_state_limits`].
+    pub fn with_changing_state_limits(
+        plan: Plan,
+        state_limits: StateServiceLimits,
+        next_state_limits: StateServiceLimits,
+    ) -> Self {
+        let parameters = SiteParameters {
+            state_limits,
+            next_state_limits: Some(next_state_limits),
+            ..SiteParameters::of(plan.size)
+        };
+        World::with_parameters(plan, parameters)
+    }
+
+    /// Lets the limits that the settings announce hold from now on.
+    pub fn change_state_limits(&mut self) {
+        if let Some(limits) = self.parameters.next_state_limits {
+            self.state.set_limits(limits);
+        }
+    }
+
     fn with_parameters(plan: Plan, parameters: SiteParameters) -> Self {
         let last_fault_end = plan
             .faults
--- a/crates/simulator/src/world/site.rs
+++ b/crates/simulator/src/world/site.rs
@@ -1,43 +1,18 @@
 //! Parameters of a simulated site by its size, and the settings files of its controllers.
 
 use super::scenario::Mutation;
-use crate::state::StateService;
+use crate::state::{StateService, StateServiceLimits};
 
 /// Number of controllers, and of partitions.
 pub(super) const CONTROLLERS: usize = 3;
 
-/// Puts and deletes that the state service accepts per second, by the size of the site.
-const SMALL_SITE_WRITES_PER_SECOND: f64 = 40.0;
+/// Puts and deletes that the state service accepts per second on sites other than the smallest.
 const LARGE_SITE_WRITES_PER_SECOND: f64 = 20.0;
 const FLEET_WRITES_PER_SECOND: f64 = 70.0;
 
 /// Sites of at least this size have the rate limits and intervals of a fleet.
 pub(super) const FLEET_SIZE: u64 = 100;
 
-/// Limits of the state service, as its clients' settings state them.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct StateServiceLimits {
-    pub requests_per_s: f64,
-    /// Puts and deletes per second.
-    pub writes_per_s: f64,
-    /// Maximum size of a value in KiB.
-    pub value_kb: f64,
-    /// Maximum number of puts and deletes in a transaction.
-    pub txn_ops: usize,
-}
-
-impl Default for StateServiceLimits {
-    /// The limits of a small site.
-    fn default() -> Self {
-        StateServiceLimits {
-            requests_per_s: 400.0,
-            writes_per_s: SMALL_SITE_WRITES_PER_SECOND,
-            value_kb: 1.0,
-            txn_ops: 6,
-        }
-    }
-}
-
 /// Intervals and deadlines of workers, limits of the state service, and load of a site.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct SiteParameters {
@@ -45,6 +20,8 @@
     pub(super) lease_duration_ms: u64,
     pub(super) cancel_deadline_ms: u64,
     pub(super) state_limits: StateServiceLimits,
+    /// Limits that the settings announce for a later time.
+    pub(super) next_state_limits: Option<StateServiceLimits>,
     /// Interval at which workers and gangs advance.
     pub(super) step_ms: u64,
     /// Run time of an array task relative to a small site.
@@ -61,6 +38,7 @@
             lease_duration_ms: 10_000,
             cancel_deadline_ms: 30_000,
             state_limits: StateServiceLimits::default(),
+            next_state_limits: None,
             step_ms: 50,
             run_time_factor: 1,
             max_submission_rate_factor: 4,
@@ -87,6 +65,7 @@
                     value_kb: 4.0,
                     ..small.state_limits
                 },
+                next_state_limits: None,
                 step_ms: 200,
                 run_time_factor: 4,
                 max_submission_rate_factor: 8,
@@ -99,13 +78,9 @@
 impl SiteParameters {
     /// An empty state service with the limits of the site.
     pub(super) fn state_service(&self) -> StateService {
-        let StateServiceLimits {
-            requests_per_s,
-            writes_per_s,
-            txn_ops,
-            ..
-        } = self.state_limits;
-        StateService::with_limits(requests_per_s, writes_per_s, txn_ops)
+        let mut service = StateService::new(self.state_limits.writes_per_s);
+        service.set_limits(self.state_limits);
+        service
     }
 }
 
@@ -146,8 +121,15 @@
                 value_kb,
                 txn_ops,
             },
+        next_state_limits,
         ..
     } = *parameters;
+    let next = next_state_limits.map_or(String::new(), |next| {
+        format!(
+            "[settings.state.next]\nrps = {:.1}\nwrite_rps = {:.1}\nvalue_kb = {:.1}\ntxn_ops = {}\n",
+            next.requests_per_s, next.writes_per_s, next.value_kb, next.txn_ops
+        )
+    });
     let seconds = |ms: u64| ms as f64 / 1_000.0;
     let report_s = seconds(heartbeat_interval_ms);
     let lease_s = if mutation == Some(Mutation::ShortLease) {
@@ -166,7 +148,7 @@
          [endpoints]\ncloud = \"10.1.0.1:1\"\nstate = \"10.1.0.2:1\"\n\
          {teams}\n[settings.workers]\nreport_s = {report_s:.1}\nlease_s = {lease_s:.1}\n\
          gang_wait_s = 45.0\ngang_peer_s = 8.0\ncancel_s = {cancel_s:.1}\n\
-         [settings.state]\nrps = {requests_per_s:.1}\nwrite_rps = {writes_per_s:.1}\nvalue_kb = {value_kb:.1}\ntxn_ops = {txn_ops}\n\
+         [settings.state]\nrps = {requests_per_s:.1}\nwrite_rps = {writes_per_s:.1}\nvalue_kb = {value_kb:.1}\ntxn_ops = {txn_ops}\n{next}\
          [settings.cloud]\nrps = 10.0\nlist_lag_s = 6.0\n",
         zone(controller)
     )
--- a/crates/simulator/tests/finished_jobs.rs
+++ b/crates/simulator/tests/finished_jobs.rs
@@ -64,6 +64,28 @@
         run_and_check(plan(seed, 60_000, Vec::new()), random_limits(seed));
     });
 }
+/// Guards against writes that a service with lower limits never accepts: it lowers them while the controllers run.
+#[test]
+fn all_final_states_are_archived_after_the_limits_have_been_lowered() {
+    for_seeds(8, |seed| {
+        let first = random_limits(seed);
+        let next = StateServiceLimits {
+            requests_per_s: first.requests_per_s / 2.0,
+            writes_per_s: first.writes_per_s / 2.0,
+            value_kb: (first.value_kb / 4.0).max(1.0),
+            txn_ops: (first.txn_ops / 4).max(2),
+        };
+        let context = format!("seed {seed}, {first:?}, then {next:?}");
+        let mut world = World::with_changing_state_limits(plan(seed, 60_000, vec![]), first, next);
+        world.run_to(35_000);
+        world.change_state_limits();
+        world.run();
+        assert_eq!(world.rules.violations, [], "{context}");
+        assert_eq!(world.oversized_transactions(), 0, "{context}");
+        assert_eq!(world.unarchived_jobs(), Vec::<String>::new(), "{context}");
+    });
+}
+
 /// Guards against 404 for jobs that a full cache has dropped although they can be read nowhere else.
 #[test]
 fn jobs_stay_known_when_more_have_finished_than_the_cache_holds() {
