--- a/crates/controller/src/state_cache/apply.rs
+++ b/crates/controller/src/state_cache/apply.rs
@@ -94,43 +94,10 @@
         };
         match kind {
             "j" => self.apply_accepted_jobs_page(key, value, version, changed),
-            "x" => {
-                let Some(record) = self.decode::<CancellationsRecord>(key, value) else {
-                    return;
-                };
-                let record: BTreeSet<JobId> = record.jobs.into_iter().map(JobId).collect();
-                let name = ControllerName::from(name);
-                let previous = self.cancellations.get(&name).map(|known| &known.record);
-                let added = record
-                    .iter()
-                    .filter(|id| previous.is_none_or(|old| !old.contains(id)));
-                changed.extend(added.map(|id| CacheEvent::Job(*id)));
-                self.cancellations
-                    .insert(name, Versioned { record, version });
-            }
+            "x" => self.apply_cancellations(key, name, value, version, changed),
             "e" => self.apply_terminal_jobs_page(key, name, value, version, changed),
-            "p" => {
-                let decoded = self.decode_numbered(key, parse_partition(name), value);
-                let Some((partition, record)) = decoded else {
-                    return;
-                };
-                self.partitions
-                    .insert(partition, Versioned { record, version });
-                changed.push(CacheEvent::Partition(partition));
-            }
-            "w" => {
-                let decoded = self.decode_numbered(key, parse_partition(name), value);
-                if let Some((partition, record)) = decoded {
-                    self.reclaim_requests
-                        .insert(partition, Versioned { record, version });
-                }
-            }
-            "d" => {
-                let decoded = self.decode_numbered(key, parse_partition(name), value);
-                if let Some((partition, record)) = decoded {
-                    self.demand_versions.insert(partition, version);
-                    changed.push(CacheEvent::Demand(partition, record));
-                }
+            "p" | "w" | "d" => {
+                self.apply_partition_record(key, kind, name, value, version, changed)
             }
             "m" => {
                 let decoded = self.decode_numbered(key, parse_page_number(name), value);
@@ -139,33 +106,86 @@
                 }
             }
             "b" => {
-                let Some(record) = self.decode(key, value) else {
-                    return;
-                };
-                let name = ControllerName::from(name);
-                self.incarnations
-                    .insert(name.clone(), Versioned { record, version });
-                changed.push(CacheEvent::Incarnation(name));
+                if let Some(record) = self.decode(key, value) {
+                    let name = ControllerName::from(name);
+                    self.incarnations
+                        .insert(name.clone(), Versioned { record, version });
+                    changed.push(CacheEvent::Incarnation(name));
+                }
             }
             "t" => self.apply_token_counter(key, value, version),
             "k" => {
-                let Some(record) = self.decode(key, value) else {
-                    return;
-                };
-                self.machine_types = Some(Versioned { record, version });
-                changed.push(CacheEvent::MachineTypes);
+                if let Some(record) = self.decode(key, value) {
+                    self.machine_types = Some(Versioned { record, version });
+                    changed.push(CacheEvent::MachineTypes);
+                }
             }
             "c" => {
-                self.tuning = Some(Versioned {
-                    record: value.clone(),
-                    version,
-                });
+                let record = value.clone();
+                self.tuning = Some(Versioned { record, version });
                 changed.push(CacheEvent::Tuning);
             }
             _ => self.reject(key, &"unknown kind of record"),
         }
     }
 
+    /// Applies the cancellations that a controller has accepted.
+    fn apply_cancellations(
+        &mut self,
+        key: &str,
+        name: &str,
+        value: &Value,
+        version: Version,
+        changed: &mut Vec<CacheEvent>,
+    ) {
+        let Some(record) = self.decode::<CancellationsRecord>(key, value) else {
+            return;
+        };
+        let record: BTreeSet<JobId> = record.jobs.into_iter().map(JobId).collect();
+        let name = ControllerName::from(name);
+        let previous = self.cancellations.get(&name).map(|known| &known.record);
+        let added = record
+            .iter()
+            .filter(|id| previous.is_none_or(|old| !old.contains(id)));
+        changed.extend(added.map(|id| CacheEvent::Job(*id)));
+        self.cancellations
+            .insert(name, Versioned { record, version });
+    }
+
+    /// Applies a record of a partition: its leadership, a reclaim request or its unmet demand.
+    fn apply_partition_record(
+        &mut self,
+        key: &str,
+        kind: &str,
+        name: &str,
+        value: &Value,
+        version: Version,
+        changed: &mut Vec<CacheEvent>,
+    ) {
+        let partition = parse_partition(name);
+        match kind {
+            "p" => {
+                if let Some((partition, record)) = self.decode_numbered(key, partition, value) {
+                    self.partitions
+                        .insert(partition, Versioned { record, version });
+                    changed.push(CacheEvent::Partition(partition));
+                }
+            }
+            "w" => {
+                if let Some((partition, record)) = self.decode_numbered(key, partition, value) {
+                    self.reclaim_requests
+                        .insert(partition, Versioned { record, version });
+                }
+            }
+            _ => {
+                if let Some((partition, record)) = self.decode_numbered(key, partition, value) {
+                    self.demand_versions.insert(partition, version);
+                    changed.push(CacheEvent::Demand(partition, record));
+                }
+            }
+        }
+    }
+
     fn apply_delete(&mut self, key: &str, changed: &mut Vec<CacheEvent>) {
         let Some((kind, name)) = split_key(key) else {
             return;
--- a/crates/simulator/src/state.rs
+++ b/crates/simulator/src/state.rs
@@ -1,38 +1,12 @@
 //! A simulated state service: a versioned key-value store in memory with leases, transactions and watches.
 
-use std::collections::{BTreeMap, VecDeque};
-use wire::state::{Change, Changes, Item, ListPage, StateReply, StateRequest, Transaction, Write};
-
-/// Maximum size of a transaction in bytes.
-const MAX_TXN_BYTES: usize = 64 * 1024;
-const BYTES_PER_KB: f64 = 1024.0;
-
-/// Limits of the state service, as its clients' settings state them.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct StateServiceLimits {
-    pub requests_per_s: f64,
-    /// Puts and deletes per second.
-    pub writes_per_s: f64,
-    /// Maximum size of a value in KiB.
-    pub value_kb: f64,
-    /// Maximum number of puts and deletes in a transaction.
-    pub txn_ops: usize,
-}
+mod limits;
 
-impl Default for StateServiceLimits {
-    /// The limits of a small site.
-    fn default() -> Self {
-        StateServiceLimits {
-            requests_per_s: 400.0,
-            writes_per_s: 40.0,
-            value_kb: 1.0,
-            txn_ops: 6,
-        }
-    }
-}
+pub use limits::StateServiceLimits;
 
-/// Conditions that a transaction may have for each of its permitted puts and deletes.
-const CONDITIONS_PER_OPERATION: usize = 4;
+use limits::RateLimit;
+use std::collections::{BTreeMap, VecDeque};
+use wire::state::{Change, Changes, Item, ListPage, StateReply, StateRequest, Transaction, Write};
 
 #[derive(Debug, Clone)]
 struct StoredValue {
@@ -55,14 +29,10 @@
     changes: VecDeque<Change>,
     /// Revision of the latest change that is no longer kept.
     compacted_revision: u64,
-    /// Puts and deletes that may be executed now, at most one second's worth.
-    write_budget: f64,
-    budget_refilled_at: u64,
-    /// Rate limit: puts and deletes per second.
-    write_rps: f64,
-    /// Requests that may be executed now, at most one second's worth.
-    request_budget: f64,
-    requests_refilled_at: u64,
+    /// Puts and deletes that may be executed now.
+    write_rate: RateLimit,
+    /// Requests that may be executed now.
+    request_rate: RateLimit,
     /// The limits other than that on puts and deletes per second; none are enforced if this is not set.
     limits: Option<StateServiceLimits>,
     /// Number of puts and deletes that were accepted, and number of those that were refused because of the rate limit.
@@ -78,7 +48,7 @@
     /// An empty store that accepts `write_rps` puts and deletes per second.
     pub fn new(write_rps: f64) -> Self {
         StateService {
-            write_rps,
+            write_rate: RateLimit::new(write_rps, 0.0),
             max_kept_changes: 10_000,
             last_lease_id: 1,
             ..Default::default()
@@ -87,45 +57,17 @@
 
     /// Enforces these limits from now on.
     pub fn set_limits(&mut self, limits: StateServiceLimits) {
-        self.write_rps = limits.writes_per_s;
+        self.write_rate.per_s = limits.writes_per_s;
         if self.limits.is_none() {
-            self.request_budget = limits.requests_per_s;
+            self.request_rate.available = limits.requests_per_s;
         }
+        self.request_rate.per_s = limits.requests_per_s;
         self.limits = Some(limits);
     }
 
     /// Takes a request from the budget; true if it exceeds it and is refused.
     pub fn throttle_request(&mut self, now: u64) -> bool {
-        let Some(limits) = self.limits else {
-            return false;
-        };
-        let request_rps = limits.requests_per_s;
-        let elapsed_s = now.saturating_sub(self.requests_refilled_at) as f64 / 1000.0;
-        self.requests_refilled_at = now.max(self.requests_refilled_at);
-        self.request_budget = (self.request_budget + elapsed_s * request_rps).min(request_rps);
-        if self.request_budget < 1.0 {
-            return true;
-        }
-        self.request_budget -= 1.0;
-        false
-    }
-
-    /// Why a transaction exceeds the limits whatever the load, if it does.
-    fn limit_exceeded_by(&self, txn: &Transaction) -> Option<String> {
-        let limits = self.limits?;
-        let (writes, conditions) = (txn.writes.len(), txn.conditions.len());
-        if writes > limits.txn_ops || conditions > limits.txn_ops * CONDITIONS_PER_OPERATION {
-            return Some(format!("{writes} changes and {conditions} conditions"));
-        }
-        let value_bytes = |write: &Write| match write {
-            Write::Put { value, .. } => value.to_string().len(),
-            Write::Delete { .. } => 0,
-        };
-        let sizes: Vec<usize> = txn.writes.iter().map(value_bytes).collect();
-        let (largest, total) = (sizes.iter().max().copied()?, sizes.iter().sum::<usize>());
-        let max_value_bytes = (limits.value_kb * BYTES_PER_KB) as usize;
-        (largest > max_value_bytes || total > MAX_TXN_BYTES)
-            .then(|| format!("a value of {largest} bytes, {total} bytes in all"))
+        self.limits.is_some() && !self.request_rate.take(now, 1)
     }
 
     /// Keys that begin with a prefix.
@@ -219,21 +161,17 @@
 
     /// Takes a transaction's writes from the budget; true if they exceed it and are refused.
     fn throttle_writes(&mut self, now: u64, writes: usize) -> bool {
-        // A token bucket that holds one second's worth of writes.
-        let elapsed_s = now.saturating_sub(self.budget_refilled_at) as f64 / 1000.0;
-        self.budget_refilled_at = now.max(self.budget_refilled_at);
-        self.write_budget = (self.write_budget + elapsed_s * self.write_rps).min(self.write_rps);
-        if self.write_budget < writes as f64 {
+        let is_refused = !self.write_rate.take(now, writes);
+        if is_refused {
             self.refused_writes += writes as u64;
-            return true;
+        } else {
+            self.accepted_writes += writes as u64;
         }
-        self.accepted_writes += writes as u64;
-        self.write_budget -= writes as f64;
-        false
+        is_refused
     }
 
     fn execute_transaction(&mut self, now: u64, txn: &Transaction) -> StateReply {
-        if let Some(problem) = self.limit_exceeded_by(txn) {
+        if let Some(problem) = self.limits.and_then(|limits| limits.exceeded_by(txn)) {
             self.oversized_transactions += 1;
             return StateReply::Invalid(problem);
         }
