--- a/crates/simulator/src/world/stored_jobs.rs
+++ b/crates/simulator/src/world/stored_jobs.rs
@@ -59,17 +59,18 @@
         self.state.keys("f/").count()
     }
 
-    /// Jobs that users know to be done or cancelled and whose final states are not archived.
-    pub fn unarchived_jobs(&self) -> Vec<String> {
+    /// Jobs that users have known to be done or cancelled for at least `min_age_ms`, and whose final states are
+    /// not archived.
+    pub fn unarchived_jobs(&self, min_age_ms: u64) -> Vec<String> {
         let archived: BTreeSet<&str> = self.state.keys("f/").collect();
-        let confirmed = self.rules.done_confirmed.keys();
+        let is_archived = |id: &String| {
+            JobId::parse(id).is_some_and(|id| archived.contains(terminal_state_key(id).as_str()))
+        };
+        let confirmed = self.rules.done_confirmed.iter();
         confirmed
-            .chain(self.rules.cancel_confirmed.keys())
-            .filter(|id| {
-                JobId::parse(id)
-                    .is_some_and(|id| !archived.contains(terminal_state_key(id).as_str()))
-            })
-            .cloned()
+            .chain(&self.rules.cancel_confirmed)
+            .filter(|(id, at)| **at + min_age_ms <= self.now && !is_archived(id))
+            .map(|(id, _)| id.clone())
             .collect()
     }
 
--- a/crates/simulator/tests/end_of_run.rs
+++ b/crates/simulator/tests/end_of_run.rs
@@ -1,6 +1,6 @@
-//! Checks at the end of a run: every accepted job is known, no job has starved, and each kind of job, each team and the
-//! largest jobs are served. The faults are machines that can't be reached but send heartbeats, delayed duplicates of
-//! messages, isolated controllers and fast restarts.
+//! Checks at the end of a run: every accepted job is known, finished jobs are archived, no job has starved, and each kind
+//! of job, each team and the largest jobs are served. The faults are machines that can't be reached but send heartbeats,
+//! delayed duplicates of messages, isolated controllers and fast restarts.
 
 mod common;
 
@@ -9,6 +9,9 @@
 use rand::{Rng, SeedableRng};
 use simulator::{for_seeds, Fault, Mutation, Plan, World};
 
+/// Time within which the final state of a job is archived after its user has learnt it, once all faults have ended.
+const MAX_ARCHIVE_DELAY_MS: u64 = 60_000;
+
 /// Random faults, some of them overlapping. The number of machines that they affect grows with the size of the site.
 fn random_faults(seed: u64, count: usize, size: u64) -> Vec<(u64, Fault)> {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0xe0d);
@@ -64,6 +67,11 @@
         world.rules.task_starts
     );
     assert!(ratio >= 0.5, "{context}: {ratio:.2} of {class}");
+    assert_eq!(
+        world.unarchived_jobs(MAX_ARCHIVE_DELAY_MS),
+        Vec::<String>::new(),
+        "{context}"
+    );
     world
 }
 
--- a/crates/simulator/tests/finished_jobs.rs
+++ b/crates/simulator/tests/finished_jobs.rs
@@ -52,7 +52,7 @@
     assert_eq!(world.rules.violations, [], "{context}");
     assert_eq!(world.oversized_transactions(), 0, "{context}");
     assert!(world.rules.done_confirmed.len() > 10, "{context}");
-    assert_eq!(world.unarchived_jobs(), Vec::<String>::new(), "{context}");
+    assert_eq!(world.unarchived_jobs(0), Vec::<String>::new(), "{context}");
 }
 
 /// Guards against an archiver that waits for more writes than its budget ever grants, and against one that leaves the
@@ -82,7 +82,7 @@
         world.run();
         assert_eq!(world.rules.violations, [], "{context}");
         assert_eq!(world.oversized_transactions(), 0, "{context}");
-        assert_eq!(world.unarchived_jobs(), Vec::<String>::new(), "{context}");
+        assert_eq!(world.unarchived_jobs(0), Vec::<String>::new(), "{context}");
     });
 }
 
