--- a/crates/simulator/tests/finished_jobs.rs
+++ b/crates/simulator/tests/finished_jobs.rs
@@ -28,10 +28,10 @@
 /// reserve for more important writes.
 fn large_transactions() -> StateServiceLimits {
     StateServiceLimits {
-        requests_per_s: 120.0,
-        writes_per_s: 40.0,
-        value_kb: 32.0,
-        txn_ops: 24,
+        requests_per_s: 200.0,
+        writes_per_s: 30.0,
+        value_kb: 10.0,
+        txn_ops: 18,
     }
 }
 
