Bound the commands to a worker and the tasks in its heartbeat to 64 KiB

Callers saw: after the cancellation of an array with 1,000 tasks on one machine, each answer to its worker had a line of 67,912 bytes.

Cause: nobody bounded what grows with the tasks of a machine. commands_for collected all commands, for both routes; a machine got more tasks than its heartbeat can list (60 bytes each, the entry of an exited one 75 and more); and the simulated worker read messages of any length, so no test saw it.

Change: wire::limits knows the bound of each body. A message takes what fits: kills, stops, forgets, launches; stops go on after the last one sent. Commands left out follow by direct call every 0.5 s. Kills wait until the heartbeat that shows the exits has room, but not longer than leases may be renewed. A machine is not usable when its heartbeat has no room for one more task. Tokens are raised at once, not after 45 s, when retained exits take a quarter of the heartbeat or commands were left out. A written demand record is cut to the size of a value. Simulated workers refuse what is too long, which is a violation.

--- a/crates/controller/src/controller/admin.rs
+++ b/crates/controller/src/controller/admin.rs
@@ -19,6 +19,7 @@
     MetricsView, PartitionView, PartitionsView, QueueView, QueuesView, SettingsVersionView,
     SettingsView,
 };
+use wire::limits::truncate_error;
 use wire::state::{StateReply, StateRequest, Transaction, Write};
 
 // HTTP status codes of replies.
@@ -68,7 +69,7 @@
     }
 
     fn error(status: u16, error: impl Into<String>) -> Self {
-        let error = error.into();
+        let error = truncate_error(&error.into()).to_owned();
         AdminReply::new(status, ErrorView { error })
     }
 }
--- a/crates/controller/src/controller/heartbeats.rs
+++ b/crates/controller/src/controller/heartbeats.rs
@@ -12,6 +12,7 @@
 use model::{CallId, FencingToken, MachineName, PartitionId, TaskId, WorkerEpoch};
 use scheduler::{CommandRoute, StatusSource, TaskAttempt};
 use std::time::Duration;
+use wire::limits::commands_that_fit;
 use wire::workers::{Command, DirectCommands, Heartbeat, HeartbeatResponse, TaskState, TaskStatus};
 
 /// Timeout of a direct call with commands, and of a reachability probe.
@@ -166,12 +167,15 @@
         }
         let mut calls = Vec::new();
         if let Some(partition_state) = leadership.partition_state_mut() {
-            for name in partition_state.take_urgent_machines() {
+            let unsent = partition_state.machines_with_unsent_commands(now);
+            let mut names = partition_state.take_urgent_machines();
+            names.extend(unsent.iter().cloned());
+            for name in names {
                 let Some(target) = partition_state.direct_call_target(&name) else {
                     continue;
                 };
                 let commands = partition_state.commands_for(&name, CommandRoute::DirectCall, now);
-                if !commands.is_empty() {
+                if !commands.is_empty() || unsent.contains(&name) {
                     calls.push((name, target, commands));
                 }
             }
@@ -345,5 +349,6 @@
             grace_s: 0.0,
         })
     };
-    heartbeat.tasks.iter().filter_map(kill_command).collect()
+    // The next heartbeat lists the tasks whose commands do not fit, without those that have exited by then.
+    commands_that_fit(heartbeat.tasks.iter().filter_map(kill_command))
 }
--- a/crates/controller/src/controller/leadership/mod.rs
+++ b/crates/controller/src/controller/leadership/mod.rs
@@ -334,7 +334,8 @@
             machine.renew_lease(is_newer, now);
         }
         if !is_newer {
-            return HeartbeatOutcome::Stale(kill_commands());
+            let kills = partition_state.kills_that_fit(name, kill_commands(), now);
+            return HeartbeatOutcome::Stale(kills);
         }
         let mut commands = partition_state.commands_for(name, CommandRoute::HeartbeatResponse, now);
         if !may_launch {
--- a/crates/controller/src/controller/leadership/partition_status.rs
+++ b/crates/controller/src/controller/leadership/partition_status.rs
@@ -8,6 +8,7 @@
 use crate::request_budget::CallPriority;
 use model::{PartitionId, Timestamp};
 use std::time::Duration;
+use wire::limits::encoded_bytes;
 use wire::mesh::{MeshMessage, PartitionStatus};
 use wire::state::{StateRequest, Transaction, Write};
 
@@ -15,6 +16,8 @@
 const DEMAND_WRITE_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of demand shapes in a written demand record.
 const MAX_DEMAND_SHAPES: usize = 8;
+/// Maximum number of jobs in a message with progress, so that it fits into a frame of the mesh.
+const MAX_JOBS_PER_MESSAGE: usize = 32_000;
 /// A summary of each partition is logged once per period, in its first `SUMMARY_LOG_WINDOW_MS`.
 const SUMMARY_LOG_PERIOD_MS: u64 = 5_000;
 /// Equals the interval between status reports, so that one of them falls into the window.
@@ -74,12 +77,14 @@
     /// partition and of its demand, since a late write could carry demand that has been met meanwhile,
     /// or that of an earlier leader.
     fn demand_txn(&self, partition: PartitionId, status: PartitionStatus) -> Transaction {
-        let mut demand = status.demand;
-        demand.truncate(MAX_DEMAND_SHAPES);
-        let record = DemandRecord {
+        let mut record = DemandRecord {
             term: status.term,
-            demand,
+            demand: status.demand,
         };
+        record.demand.truncate(MAX_DEMAND_SHAPES);
+        while encoded_bytes(&record) > self.settings.state_limits.max_value_bytes
+            && record.demand.pop().is_some()
+        {}
         let value = serde_json::to_value(record).unwrap_or_default();
         let partition_version = self
             .leaderships
@@ -120,7 +125,8 @@
                     .flat_map(LoadedPartition::job_progress),
             );
         }
-        if !jobs.is_empty() {
+        for jobs in jobs.chunks(MAX_JOBS_PER_MESSAGE) {
+            let jobs = jobs.to_vec();
             self.broadcast(MeshMessage::JobProgress { jobs });
         }
         for status in statuses {
--- a/crates/scheduler/src/capacity_index/tests.rs
+++ b/crates/scheduler/src/capacity_index/tests.rs
@@ -2,12 +2,20 @@
 
 use super::*;
 use crate::job::Job;
-use model::{FencingToken, JobId, TaskId, Timestamp};
+use crate::placement::TaskAttempt;
+use model::{Attempt, FencingToken, JobId, TaskId, Timestamp};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use wire::cloud::MachineType;
 use wire::users::{JobKind, JobRequest, Priority};
 
+fn attempt_of(task: TaskId) -> TaskAttempt {
+    TaskAttempt {
+        task,
+        attempt: Attempt(1),
+    }
+}
+
 fn random_job(rng: &mut SmallRng) -> Job {
     let request = JobRequest {
         id: format!("j-{:06}", rng.random_range(1..999_999)),
@@ -116,7 +124,7 @@
                     let position = rng.random_range(0..placements.len());
                     let (name, task, spec) = placements.swap_remove(position);
                     let machine = machines.get_mut(&name).expect("the machine exists");
-                    machine.remove_task(task, &spec, Timestamp::from_millis(step));
+                    machine.remove_task(attempt_of(task), &spec, Timestamp::from_millis(step));
                     index.update(machine);
                 }
                 (4 | 5, Some(name)) => {
@@ -126,7 +134,7 @@
                         index: 0,
                     };
                     if job.spec.task_resources.fits(&machine.free()) {
-                        machine.add_task(task, &job.spec);
+                        machine.add_task(attempt_of(task), &job.spec);
                         index.update(machine);
                         index.touch_image(machine, &job.spec.image, job.spec.image_gb);
                         placements.push((name, task, job.spec.clone()));
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -1,11 +1,16 @@
 //! Commands to workers: launches, stops, and requests to forget exited tasks.
 
+use crate::command_batch::DueCommand;
 use crate::machine::{Machine, OrphanedTask};
 use crate::partition_state::PartitionState;
 use crate::placement::{DirectLaunch, LaunchState, Placement, TaskAttempt};
-use model::{FencingToken, MachineName, TaskId, Timestamp, WorkerEpoch};
+use model::{Attempt, FencingToken, MachineName, TaskId, Timestamp, WorkerEpoch};
+use std::time::Duration;
 use wire::workers::{Command, TaskState};
 
+/// Time from a message that could not carry all commands to the direct call with the next ones.
+const UNSENT_COMMANDS_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The route by which commands reach a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CommandRoute {
@@ -26,55 +31,129 @@
 
 impl PartitionState {
     /// The commands that are due for a machine: launches of durable placements, stops, and forget commands
-    /// for exited tasks whose outcome is durable. The launches are recorded as sent by `route`.
+    /// for exited tasks whose outcome is durable; as many of them as one message can carry. The launches are
+    /// recorded as sent by `route`.
     pub fn commands_for(
         &mut self,
         name: &MachineName,
         route: CommandRoute,
         now: Timestamp,
     ) -> Vec<Command> {
+        self.unsent_commands.remove(name);
+        let due = self.due_commands(name, route, now);
+        let Some(machine) = self.machines.get_mut(name) else {
+            return Vec::new();
+        };
+        let heartbeat_bytes = machine.heartbeat_size.free_bytes();
+        let batch = machine.stop_delivery.next_batch(due, heartbeat_bytes, now);
+        machine.has_unsent_commands = !batch.is_complete;
+        if !batch.is_complete || machine.heartbeat_size.is_exceeded() {
+            self.unsent_commands
+                .insert(name.clone(), now + UNSENT_COMMANDS_INTERVAL);
+        }
+        let launches: Vec<TaskAttempt> = batch
+            .commands
+            .iter()
+            .filter(|due| matches!(due.command, Command::Launch { .. }))
+            .map(|due| due.id)
+            .collect();
+        self.record_launches(name, &launches, route, now);
+        batch.commands.into_iter().map(|due| due.command).collect()
+    }
+
+    /// Of commands that kill tasks of cancelled jobs, those that may be sent to the machine now: the heartbeat that
+    /// shows the exits must not be too long.
+    pub fn kills_that_fit(
+        &mut self,
+        name: &MachineName,
+        kills: Vec<Command>,
+        now: Timestamp,
+    ) -> Vec<Command> {
+        let due = kills
+            .into_iter()
+            .filter_map(|command| self.due_kill(command, now))
+            .collect();
+        let Some(machine) = self.machines.get_mut(name) else {
+            return Vec::new();
+        };
+        let heartbeat_bytes = machine.heartbeat_size.free_bytes();
+        let batch = machine.stop_delivery.next_batch(due, heartbeat_bytes, now);
+        batch.commands.into_iter().map(|due| due.command).collect()
+    }
+
+    fn due_kill(&self, command: Command, now: Timestamp) -> Option<DueCommand> {
+        let Command::Stop { task, attempt, .. } = &command else {
+            return None;
+        };
+        let id = TaskAttempt {
+            task: TaskId::parse(task)?,
+            attempt: Attempt(*attempt),
+        };
+        let is_overdue = self.is_stop_overdue(id.task, now);
+        Some(DueCommand {
+            id,
+            command,
+            is_overdue,
+        })
+    }
+
+    /// All commands that are due for a machine, the launches last.
+    fn due_commands(
+        &self,
+        name: &MachineName,
+        route: CommandRoute,
+        now: Timestamp,
+    ) -> Vec<DueCommand> {
         let Some(machine) = self.machines.get(name) else {
             return Vec::new();
         };
-        let mut commands: Vec<Command> = machine
+        let mut commands: Vec<DueCommand> = machine
             .orphaned_tasks
             .iter()
-            .filter_map(|orphan| self.command_for_orphan(machine, orphan))
+            .filter_map(|orphan| self.command_for_orphan(machine, orphan, now))
             .collect();
-        let launch = DirectLaunch {
-            token: machine.token,
-            worker_epoch: machine.worker_epoch,
-        };
-        let tasks: Vec<TaskId> = machine.tasks.iter().copied().collect();
         let mut launches = Vec::new();
-        for task in tasks {
-            commands.extend(self.stop_command(task));
-            if self.should_launch(task, name, route) {
-                launches.extend(self.record_launch(task, route, launch));
+        for task in &machine.tasks {
+            commands.extend(self.stop_command(*task, now));
+            if self.should_launch(*task, name, route) {
+                launches.extend(self.launch_command(*task));
             }
         }
-        if let Some(machine) = self.machines.get_mut(name) {
-            machine.record_launches(&launches, route, launch, now);
-        }
-        commands.extend(launches.into_iter().map(|launched| Command::Launch {
-            task: launched.task.to_string(),
-            attempt: launched.attempt.0,
-        }));
+        commands.append(&mut launches);
         commands
     }
 
+    /// Whether a task must be stopped now whatever the size of its machine's heartbeat: its job is not known here, or
+    /// is cancelled and the time in which leases may be renewed although a task of it runs is over.
+    fn is_stop_overdue(&self, task: TaskId, now: Timestamp) -> bool {
+        self.jobs
+            .get(&task.job)
+            .is_none_or(|job| job.cancelled && now >= job.leases_renewable_until)
+    }
+
     /// The command for a task that the worker has although it is not placed there. Until it has exited, it is
     /// stopped. After that the worker is to forget it as soon as its outcome is durable and no launch of it can
     /// arrive any more.
-    fn command_for_orphan(&self, machine: &Machine, orphan: &OrphanedTask) -> Option<Command> {
+    fn command_for_orphan(
+        &self,
+        machine: &Machine,
+        orphan: &OrphanedTask,
+        now: Timestamp,
+    ) -> Option<DueCommand> {
         let task = orphan.id.task.to_string();
         let attempt = orphan.id.attempt.0;
+        let is_overdue = self.is_stop_overdue(orphan.id.task, now);
+        let due = |command| DueCommand {
+            id: orphan.id,
+            command,
+            is_overdue,
+        };
         if orphan.state != TaskState::Exited {
-            return Some(Command::Stop {
+            return Some(due(Command::Stop {
                 task,
                 attempt,
                 grace_s: 0.0,
-            });
+            }));
         }
         let may_forget = !self.uncommitted.has_outcome(&orphan.id)
             && machine.lost_launch_bound.is_none()
@@ -82,20 +161,37 @@
             // A worker that has forgotten the attempt would start it again if a late heartbeat response
             // brought the launch.
             && !machine.response_launches.contains(&orphan.id);
-        may_forget.then_some(Command::Forget { task, attempt })
+        may_forget.then(|| due(Command::Forget { task, attempt }))
     }
 
     /// The stop command for a task that is being stopped, if it has to be sent.
-    fn stop_command(&self, task: TaskId) -> Option<Command> {
+    fn stop_command(&self, task: TaskId, now: Timestamp) -> Option<DueCommand> {
         let placement = self.placement(task)?;
         let stop = placement.stop?;
         // A task that is saving a checkpoint has received its stop command. Another one is sent only without
         // a grace period, which kills the task.
         let is_saving = placement.last_status == Some(TaskState::Saving);
-        (!is_saving || stop.grace_ms == 0).then(|| Command::Stop {
-            task: task.to_string(),
-            attempt: placement.attempt.0,
-            grace_s: stop.grace_ms as f64 / 1000.0,
+        (!is_saving || stop.grace_ms == 0).then(|| DueCommand {
+            id: placement.id(task),
+            command: Command::Stop {
+                task: task.to_string(),
+                attempt: placement.attempt.0,
+                grace_s: stop.grace_ms as f64 / 1000.0,
+            },
+            is_overdue: self.is_stop_overdue(task, now),
+        })
+    }
+
+    /// The launch command for a placed task.
+    fn launch_command(&self, task: TaskId) -> Option<DueCommand> {
+        let placement = self.placement(task)?;
+        Some(DueCommand {
+            id: placement.id(task),
+            command: Command::Launch {
+                task: task.to_string(),
+                attempt: placement.attempt.0,
+            },
+            is_overdue: false,
         })
     }
 
@@ -119,22 +215,31 @@
         task_is_launchable && machine_accepts && allows_launch() && !is_pending_direct_launch
     }
 
-    /// Records on the task's placement that a launch is sent; returns the attempt that is launched.
-    fn record_launch(
+    /// Records that launches are sent to a machine.
+    fn record_launches(
         &mut self,
-        task: TaskId,
+        name: &MachineName,
+        launches: &[TaskAttempt],
         route: CommandRoute,
-        launch: DirectLaunch,
-    ) -> Option<TaskAttempt> {
-        let placement = self.placement_mut(task)?;
-        match route {
-            CommandRoute::DirectCall => placement.launch.record_direct_launch(launch),
-            CommandRoute::HeartbeatResponse => placement.launch.record_response_launch(),
+        now: Timestamp,
+    ) {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        let launch = DirectLaunch {
+            token: machine.token,
+            worker_epoch: machine.worker_epoch,
+        };
+        machine.record_launches(launches, route, launch, now);
+        for launched in launches {
+            let Some(placement) = self.placement_mut(launched.task) else {
+                continue;
+            };
+            match route {
+                CommandRoute::DirectCall => placement.launch.record_direct_launch(launch),
+                CommandRoute::HeartbeatResponse => placement.launch.record_response_launch(),
+            }
         }
-        Some(TaskAttempt {
-            task,
-            attempt: placement.attempt,
-        })
     }
 
     /// Records that a direct call was answered: the launches that it carried have been executed or refused, and
--- a/crates/scheduler/src/gangs.rs
+++ b/crates/scheduler/src/gangs.rs
@@ -93,7 +93,8 @@
             {
                 continue;
             }
-            let max_tasks = tasks_that_fit(job, machine, self.free_capacity_for(entry, machine));
+            let max_tasks = tasks_that_fit(job, machine, self.free_capacity_for(entry, machine))
+                .min(machine.heartbeat_size.free_entries());
             if max_tasks > 0 {
                 zones
                     .entry(&machine.zone)
--- a/crates/scheduler/src/machine.rs
+++ b/crates/scheduler/src/machine.rs
@@ -1,6 +1,8 @@
 //! A machine of the partition: its capacity, the tasks placed on it, what its newest status shows, and
 //! the launches that were sent to it.
 
+use crate::command_batch::StopDelivery;
+use crate::heartbeat_size::HeartbeatSize;
 use crate::placement::{DirectLaunch, TaskAttempt};
 use model::DurationExt;
 use model::{
@@ -23,6 +25,8 @@
     pub id: TaskAttempt,
     pub state: TaskState,
     pub exit_cause: Option<ExitCause>,
+    /// Length of its entry in the status, in bytes.
+    pub(crate) entry_bytes: usize,
 }
 
 /// A machine that is to be transferred to another partition.
@@ -154,12 +158,19 @@
     /// The highest token and the highest worker epoch of all lost direct launches. Until the worker has
     /// superseded this bound, it may execute one of them.
     pub lost_launch_bound: Option<DirectLaunch>,
+    /// Size of its next heartbeat.
+    pub(crate) heartbeat_size: HeartbeatSize,
+    /// Stop commands that were sent to it.
+    pub(crate) stop_delivery: StopDelivery,
+    /// Whether the last message to it could not carry all commands that were due.
+    pub(crate) has_unsent_commands: bool,
 }
 
 impl Machine {
     /// Adds a placed task and counts it.
-    pub fn add_task(&mut self, task: TaskId, spec: &JobSpec) {
-        if self.tasks.insert(task) {
+    pub fn add_task(&mut self, id: TaskAttempt, spec: &JobSpec) {
+        if self.tasks.insert(id.task) {
+            self.heartbeat_size.add_placed(id);
             self.used += spec.task_resources;
             self.replica_count += u64::from(spec.kind == JobKind::Service);
             if spec.is_best_effort() {
@@ -175,8 +186,9 @@
     }
 
     /// Removes a task and no longer counts it.
-    pub fn remove_task(&mut self, task: TaskId, spec: &JobSpec, now: Timestamp) {
-        if self.tasks.remove(&task) {
+    pub fn remove_task(&mut self, id: TaskAttempt, spec: &JobSpec, now: Timestamp) {
+        if self.tasks.remove(&id.task) {
+            self.heartbeat_size.remove_placed(id);
             self.used -= spec.task_resources;
             self.replica_count -= u64::from(spec.kind == JobKind::Service);
             if spec.is_best_effort() {
@@ -246,6 +258,9 @@
             direct_launches: BTreeMap::new(),
             exited_retained_since: None,
             lost_launch_bound: None,
+            heartbeat_size: HeartbeatSize::default(),
+            stop_delivery: StopDelivery::default(),
+            has_unsent_commands: false,
         }
     }
 
@@ -283,6 +298,7 @@
             && self.suspected_since.is_none()
             && self.reclaim_at.is_none()
             && self.seen_token <= self.token
+            && self.can_list_another_task()
             && self
                 .last_heartbeat_at
                 .is_some_and(|at| now.duration_since(at) <= heartbeat_timeout)
@@ -318,11 +334,16 @@
     /// of tasks that are neither placed here nor listed by the newest status.
     pub(crate) fn update_exited_tasks(&mut self, now: Timestamp) {
         let orphaned_tasks = std::mem::take(&mut self.orphaned_tasks);
-        let has_retained = orphaned_tasks
+        let retained_bytes: usize = orphaned_tasks
             .iter()
-            .any(|orphan| orphan.state == TaskState::Exited && !self.may_forget(orphan));
+            .filter(|orphan| orphan.state == TaskState::Exited && !self.may_forget(orphan))
+            .map(|orphan| orphan.entry_bytes)
+            .sum();
+        let orphaned_bytes = orphaned_tasks.iter().map(|orphan| orphan.entry_bytes).sum();
+        self.heartbeat_size
+            .set_orphaned(orphaned_bytes, retained_bytes);
         self.exited_retained_since =
-            has_retained.then(|| self.exited_retained_since.unwrap_or(now));
+            (retained_bytes > 0).then(|| self.exited_retained_since.unwrap_or(now));
         let tasks = &self.tasks;
         self.direct_launches.retain(|launched, _| {
             tasks.contains(&launched.task)
@@ -337,12 +358,13 @@
         self.lost_launch_bound.is_some() && self.seen_token >= self.token
     }
 
-    /// Whether its worker has had to keep exited tasks for so long that all machines of the partition
-    /// should get a higher token.
+    /// Whether its worker has had to keep exited tasks for so long, or so many of them, that all machines of the
+    /// partition should get a higher token.
     pub fn exited_tasks_need_higher_token(&self, now: Timestamp) -> bool {
+        let needs_room = self.heartbeat_size.has_many_retained() || self.has_unsent_commands;
         let is_due = self
             .exited_retained_since
-            .is_some_and(|since| now.duration_since(since) >= EXITED_TASK_RETENTION);
+            .is_some_and(|since| needs_room || now.duration_since(since) >= EXITED_TASK_RETENTION);
         is_due && self.seen_token >= self.token
     }
 
--- a/crates/scheduler/src/partition_state.rs
+++ b/crates/scheduler/src/partition_state.rs
@@ -72,6 +72,9 @@
     pub(crate) finished: Vec<JobId>,
     /// Machines to which commands are to be sent by a direct call, before their next heartbeat.
     pub(crate) urgent_machines: BTreeSet<MachineName>,
+    /// Machines for which more commands are due than the last message could carry, with the time of the next
+    /// direct call.
+    pub(crate) unsent_commands: BTreeMap<MachineName, Timestamp>,
     /// Free capacity that is reserved for queue entries while tasks are being preempted for them.
     pub(crate) reservations: HashMap<EntryKey, Reservation>,
     /// Index of the machines that accept tasks, by free capacity and by cached image.
@@ -126,6 +129,7 @@
             uncommitted: UncommittedProgress::default(),
             finished: Vec::new(),
             urgent_machines: BTreeSet::new(),
+            unsent_commands: BTreeMap::new(),
             reservations: HashMap::new(),
             capacity_index: CapacityIndex::default(),
             capacity_index_refreshed_at: Timestamp::default(),
@@ -197,6 +201,7 @@
             self.drop_placement(task, now, true);
         }
         self.cancel_reservations_on_machine(name);
+        self.unsent_commands.remove(name);
         if let Some(mut machine) = self.machines.remove(name) {
             self.capacity_index.remove(&mut machine);
         }
@@ -207,6 +212,16 @@
         std::mem::take(&mut self.urgent_machines)
     }
 
+    /// Machines whose next direct call with commands that the last message could not carry is due. A call without
+    /// commands is due too: its response shows whether tasks have exited and may be forgotten.
+    pub fn machines_with_unsent_commands(&self, now: Timestamp) -> Vec<MachineName> {
+        self.unsent_commands
+            .iter()
+            .filter(|(_, due_at)| now >= **due_at)
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
     /// Addresses of at most `limit` machines that are not about to be reclaimed, those with the most
     /// recent status first.
     pub fn addresses(&self, limit: usize) -> Vec<(MachineName, String)> {
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -143,6 +143,14 @@
         }
     }
 
+    /// The attempt that this is at running `task`.
+    pub(crate) fn id(&self, task: TaskId) -> TaskAttempt {
+        TaskAttempt {
+            task,
+            attempt: self.attempt,
+        }
+    }
+
     /// A durable placement of a previous leader, which may have launched the task.
     pub fn inherited(machine: MachineName, attempt: Attempt, now: Timestamp) -> Self {
         Placement {
--- a/crates/scheduler/src/placements.rs
+++ b/crates/scheduler/src/placements.rs
@@ -48,7 +48,7 @@
     pub(crate) fn add_to_counts(&mut self, task: TaskId, spec: &JobSpec, placement: &Placement) {
         self.teams.charge(spec);
         if let Some(machine) = self.machines.get_mut(&placement.machine) {
-            machine.add_task(task, spec);
+            machine.add_task(placement.id(task), spec);
             self.capacity_index.update(machine);
         }
         self.preemption_candidates.add(task, spec, placement);
@@ -67,7 +67,7 @@
     ) {
         self.teams.release(spec);
         if let Some(machine) = self.machines.get_mut(&placement.machine) {
-            machine.remove_task(task, spec, now);
+            machine.remove_task(placement.id(task), spec, now);
             self.capacity_index.update(machine);
         }
         self.preemption_candidates
--- a/crates/scheduler/src/reconciliation.rs
+++ b/crates/scheduler/src/reconciliation.rs
@@ -13,6 +13,7 @@
     Attempt, FencingToken, JobKind, MachineName, SequenceNumber, TaskId, Timestamp, WorkerEpoch,
 };
 use std::time::Duration;
+use wire::limits::listed_task_bytes;
 use wire::workers::{ExitCause, Heartbeat, TaskState, TaskStatus};
 
 /// How long before a machine is reclaimed its tasks are stopped, in addition to the time that saving a
@@ -114,6 +115,12 @@
             if machine.usable(now, timeout) {
                 self.capacity_index.add_or_update(machine);
             }
+            if machine.heartbeat_size.is_exceeded() {
+                // Its heartbeats are rejected, so the commands to forget tasks have to reach it directly.
+                self.unsent_commands
+                    .entry(status.machine.clone())
+                    .or_insert(now);
+            }
         }
         let is_usable_again = source == StatusSource::Heartbeat && !was_usable;
         if is_first || is_reachable_again || is_usable_again {
@@ -277,6 +284,7 @@
                 id: listed.id,
                 state: listed.status.state,
                 exit_cause: listed.status.exit_cause,
+                entry_bytes: listed_task_bytes(listed.status),
             })
             .collect();
         if let Some(machine) = self.machines.get_mut(&status.machine) {
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod failovers;
 pub mod fingerprint;
 pub mod history;
+pub mod message_size;
 pub mod rules;
 pub mod single_controller;
 pub mod starvation;
--- a/crates/simulator/src/world/coverage.rs
+++ b/crates/simulator/src/world/coverage.rs
@@ -6,6 +6,8 @@
 /// Counts of the effects of injected faults.
 #[derive(Debug, Clone, Default)]
 pub struct FaultCoverage {
+    /// Heartbeats of more than 64 KiB, which controllers refuse.
+    pub oversized_heartbeats: u64,
     /// Delayed transactions that were applied; those of them that were applied after newer ones of the same
     /// controller, and those of incarnations that had crashed.
     pub delayed_writes: u64,
--- a/crates/simulator/src/world/faults.rs
+++ b/crates/simulator/src/world/faults.rs
@@ -131,6 +131,7 @@
         | Fault::RefuseMachineConnections { .. }
         | Fault::JobBurst { .. }
         | Fault::GuestJobs { .. }
+        | Fault::SmallTasks { .. }
         | Fault::CancelAllJobs { .. }
         | Fault::CancelRunningJobs { .. } => return None,
     })
@@ -176,6 +177,7 @@
             Fault::ChangeBootBehavior { behavior, .. } => self.cloud.boot_behavior = behavior,
             Fault::JobBurst { jobs } => (0..jobs).for_each(|_| self.submit_random_job()),
             Fault::GuestJobs { jobs } => (0..jobs).for_each(|_| self.submit_guest_job()),
+            Fault::SmallTasks { tasks } => self.submit_small_tasks(tasks),
             Fault::CancelAllJobs { controller } => self.cancel_all_jobs(controller),
             Fault::CancelRunningJobs { count, hang_ms } => self.cancel_running_jobs(count, hang_ms),
             Fault::UnusualRequests { .. } => {
--- a/crates/simulator/src/world/machines.rs
+++ b/crates/simulator/src/world/machines.rs
@@ -5,6 +5,7 @@
 use super::scenario::Mutation;
 use super::site::CONTROLLERS;
 use super::World;
+use crate::message_size::LimitedMessage;
 use crate::worker::{TaskTransition, Worker};
 use controller::HeartbeatReply;
 use rand::Rng;
@@ -48,6 +49,14 @@
             return;
         }
         worker.check_lease(now, self.parameters.lease_duration_ms);
+        let reply = match reply {
+            HeartbeatReply::Response(response) if response.is_too_long() => {
+                let details = format!("a response to {machine} has a line of more than 64 KiB");
+                self.rules.record_violation("too_long", details, now);
+                HeartbeatReply::Malformed
+            }
+            other => other,
+        };
         match reply {
             // `Worker::handle_heartbeat_response` takes the heartbeat out of flight.
             HeartbeatReply::Response(mut response) => {
@@ -198,6 +207,11 @@
             worker.next_heartbeat_at = now + HEARTBEAT_RETRY_DELAY_MS;
             return;
         }
+        if heartbeat.is_too_long() {
+            self.coverage.oversized_heartbeats += 1;
+            self.handle_heartbeat_reply(name, number, controller, HeartbeatReply::Malformed);
+            return;
+        }
         let message = Message::Heartbeat {
             controller,
             machine: name.to_owned(),
--- a/crates/simulator/src/world/scenario.rs
+++ b/crates/simulator/src/world/scenario.rs
@@ -60,6 +60,8 @@
     StatusRequestStorm { duration_ms: u64 },
     /// The guest team, which has neither a guarantee nor a limit, submits this many arrays of low priority.
     GuestJobs { jobs: u64 },
+    /// One team submits an array of this many tasks, so small that up to 1,333 of them fit on one machine.
+    SmallTasks { tasks: u64 },
     /// On average, one team submits ten times as many jobs as each of the others.
     SkewedLoad { duration_ms: u64 },
     /// Users submit this many jobs at once.
@@ -282,6 +284,7 @@
             Fault::CrashMachine { .. }
             | Fault::FailTasksOnMachine { .. }
             | Fault::GuestJobs { .. }
+            | Fault::SmallTasks { .. }
             | Fault::JobBurst { .. }
             | Fault::CrashMachines { .. }
             | Fault::FailTasksOnMachines { .. }
--- a/crates/simulator/src/world/transport.rs
+++ b/crates/simulator/src/world/transport.rs
@@ -7,6 +7,7 @@
 use super::scenario::Mutation;
 use super::site::CONTROLLERS;
 use super::World;
+use crate::message_size::LimitedMessage;
 use controller::controller::DirectReply;
 use controller::Event;
 use model::{CallId, ControllerName};
@@ -375,6 +376,11 @@
         let now = self.now;
         let from = self.machine_endpoint(&machine);
         self.record_direct_call(&machine);
+        if body.is_too_long() {
+            let details = format!("a direct call to {machine} has more than 64 KiB");
+            self.rules.record_violation("too_long", details, now);
+            return;
+        }
         let Some(worker) = self.workers.get_mut(&machine) else {
             return;
         };
--- a/crates/simulator/src/world/users.rs
+++ b/crates/simulator/src/world/users.rs
@@ -170,6 +170,19 @@
         self.submit_job(job);
     }
 
+    /// Submits an array of tasks of 0.003 CPUs.
+    pub(super) fn submit_small_tasks(&mut self, tasks: u64) {
+        let job = JobRequest {
+            class: "small".into(),
+            cpus: 0.003,
+            memory_gb: 0.01,
+            image: "img-small".into(),
+            image_gb: 0.2,
+            ..self.new_array("t0".into(), tasks)
+        };
+        self.submit_job(job);
+    }
+
     /// Sends a request to a random controller among those that users can reach. If there is none, the user tries
     /// again after 1 s.
     pub(super) fn send_request(&mut self, request: UserRequest, id: String, attempts: u32) {
--- a/crates/simulator/src/world/views.rs
+++ b/crates/simulator/src/world/views.rs
@@ -115,6 +115,33 @@
         tasks.filter(|((task, _), _)| is_cancelled(task)).count()
     }
 
+    pub fn probe(&self) -> Vec<String> {
+        self.workers
+            .values()
+            .filter(|w| !w.dead)
+            .map(|w| {
+                let mut counts = BTreeMap::new();
+                for t in w.tasks.values() {
+                    *counts
+                        .entry(format!("{:?}/{:?}", t.state, t.exit_cause))
+                        .or_insert(0) += 1;
+                }
+                format!(
+                    "{} token {} epoch {} {:?}",
+                    w.name, w.token, w.epoch, counts
+                )
+            })
+            .collect()
+    }
+
+    /// Number of tasks that workers have killed because their leases had expired.
+    pub fn tasks_killed_by_leases(&self) -> u64 {
+        self.workers
+            .values()
+            .map(|worker| worker.tasks_killed_by_lease)
+            .sum()
+    }
+
     /// Number of machines that are up.
     pub fn machines_up(&self) -> usize {
         self.workers.values().filter(|w| !w.dead).count()
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cloud;
 pub mod http;
 pub mod json;
+pub mod limits;
 pub mod mesh;
 pub mod state;
 pub mod users;
