Load test: workers refuse messages of more than 64 KiB and count them

Cause: they read responses and commands of any length, so a run could not show a line that is too long. A response of more than 64 KiB is dropped like an unreadable one, commands get status 400; the report has their number.

--- a/crates/loadtest/src/workers.rs
+++ b/crates/loadtest/src/workers.rs
@@ -9,6 +9,7 @@
 use crate::run_layout::{controller_number, job_number, machine_number, Clock, LoopbackNet};
 use hyper::Method;
 use rand::Rng;
+use simulator::message_size::MAX_MESSAGE_BYTES;
 use simulator::worker::{TaskTransition, Worker};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
@@ -63,7 +64,12 @@
     let traffic = process.traffic_totals.borrow().clone();
     let tasks = std::mem::take(&mut *process.task_events.borrow_mut());
     let expired_leases = process.expired_leases.get() as f64;
-    let figures = [("leases that lapsed".to_owned(), expired_leases)].into();
+    let long_messages = process.long_messages.get() as f64;
+    let figures = [
+        ("leases that lapsed".to_owned(), expired_leases),
+        ("messages over 64 KiB".to_owned(), long_messages),
+    ]
+    .into();
     Ok(RoleReport {
         traffic,
         tasks,
@@ -158,6 +164,8 @@
     task_events: RefCell<Vec<TaskEvent>>,
     workers: RefCell<HashMap<String, Rc<SimulatedWorker>>>,
     expired_leases: Cell<u64>,
+    /// Responses and commands that the workers refused because they were too long.
+    long_messages: Cell<u64>,
 }
 
 impl WorkerProcess {
@@ -173,9 +181,15 @@
             task_events: RefCell::default(),
             workers: RefCell::default(),
             expired_leases: Cell::default(),
+            long_messages: Cell::default(),
         }
     }
 
+    /// Counts a message of a controller that is longer than the protocol allows.
+    fn record_long_message(&self) {
+        self.long_messages.set(self.long_messages.get() + 1);
+    }
+
     /// Adds the requests of the jobs whose tasks the commands launch.
     fn add_jobs(&self, commands: &[Command]) {
         let mut jobs = self.job_requests.borrow_mut();
@@ -486,6 +500,10 @@
             return;
         }
         match response {
+            Some((200, body, _)) if body.len() > MAX_MESSAGE_BYTES => {
+                self.process.record_long_message();
+                self.switch_controller(controller + 1, NEXT_CONTROLLER_DELAY_MS);
+            }
             Some((200, body, client)) => {
                 self.state.borrow_mut().connection = Some(client);
                 match serde_json::from_slice::<HeartbeatResponse>(&body) {
@@ -558,6 +576,10 @@
     }
 
     fn execute_commands(&self, body: &[u8]) -> HttpResponse {
+        if body.len() > MAX_MESSAGE_BYTES {
+            self.process.record_long_message();
+            return HttpResponse::error("commands", 400, "the body is too large");
+        }
         let Ok(direct) = serde_json::from_slice::<DirectCommands>(body) else {
             return HttpResponse::error("commands", 400, "baton or shift is missing");
         };
