Bound error responses, admin responses, requests and mesh frames where they are sent

Cause: errors repeated what the user had sent, /admin put a whole fleet on one line, and an oversized mesh frame closed the connection, and again after each reconnection.

Test: error_response_does_not_repeat_a_long_request, and the crates' tests passed.

--- a/crates/trackcrank/src/clients.rs
+++ b/crates/trackcrank/src/clients.rs
@@ -15,6 +15,7 @@
 use wire::cloud::{CloudReply, CloudRequest, MachineNames};
 use wire::http::{HttpMethod, HttpRequest};
 use wire::json::from_object;
+use wire::limits::MAX_MESSAGE_BYTES;
 use wire::state::{LeaseResponse, StateReply, StateRequest, TransactionResponse};
 use wire::workers::{DirectCommands, Heartbeat};
 
@@ -90,13 +91,20 @@
         tokio::time::timeout(timeout, exchange).await.ok().flatten()
     }
 
-    /// Sends a request that a protocol of the `wire` crate defines.
+    /// Sends a request that a protocol of the `wire` crate defines. One whose body is too long is not sent: its
+    /// receiver would reject it.
     async fn send_call(
         &self,
         address: &str,
         call: HttpRequest,
         timeout: Duration,
     ) -> Option<(StatusCode, Bytes)> {
+        let body_bytes = call.body.as_ref().map_or(0, Vec::len);
+        if body_bytes > MAX_MESSAGE_BYTES {
+            tracing::error!(path = call.path, body_bytes, "oversized request not sent");
+            let error = Bytes::from_static(b"the body is too large");
+            return Some((StatusCode::BAD_REQUEST, error));
+        }
         let method = match call.method {
             HttpMethod::Get => Method::GET,
             HttpMethod::Post => Method::POST,
--- a/crates/trackcrank/src/mesh.rs
+++ b/crates/trackcrank/src/mesh.rs
@@ -57,7 +57,7 @@
                     from: own_name.to_string(),
                     message,
                 };
-                let Ok(bytes) = rmp_serde::to_vec(&frame) else {
+                let Some(bytes) = encode(&frame) else {
                     continue;
                 };
                 let sent = tokio::time::timeout(IO_TIMEOUT, frames.send(Bytes::from(bytes))).await;
@@ -74,6 +74,16 @@
     sender
 }
 
+/// Encodes a frame. One that is too long is dropped: the peer would close the connection.
+fn encode(frame: &Frame) -> Option<Vec<u8>> {
+    let bytes = rmp_serde::to_vec(frame).ok()?;
+    if bytes.len() > MAX_FRAME_BYTES {
+        tracing::error!(bytes = bytes.len(), "oversized mesh frame dropped");
+        return None;
+    }
+    Some(bytes)
+}
+
 /// Binds the mesh listener and spawns a task that accepts connections of peers until the process exits.
 /// Each connection is read in a detached task of its own, which ends with the connection.
 pub async fn listen(
--- a/crates/trackcrank/src/server.rs
+++ b/crates/trackcrank/src/server.rs
@@ -16,11 +16,10 @@
 use std::sync::atomic::Ordering;
 use tokio::sync::oneshot;
 use wire::json::from_object;
+use wire::limits::{longest_line_bytes, truncate_error, MAX_MESSAGE_BYTES};
 use wire::users::{ErrorBody, JobRequest};
 use wire::workers::{Heartbeat, Redirect};
 
-/// Largest request body that is read.
-const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Time after which a client should retry if the event loop cannot take its request.
 const RETRY_AFTER_S: u64 = 1;
 
@@ -63,7 +62,7 @@
         context.metrics.rejected_messages().add(source, fault);
         error_response(StatusCode::BAD_REQUEST, error)
     };
-    let bytes = match body.into_bytes_limit(MAX_BODY_BYTES).await {
+    let bytes = match body.into_bytes_limit(MAX_MESSAGE_BYTES).await {
         Ok(bytes) => bytes,
         Err(ReadBodyError::PayloadTooLarge) => {
             return Err(reject(
@@ -76,25 +75,34 @@
     from_object(&bytes).map_err(|error| reject(MessageFault::Malformed, error.to_string()))
 }
 
+/// Encodes a response body in lines that are not too long: in a single line if it fits, otherwise with a line for
+/// each value.
+fn encode_body<T: Serialize>(body: &T) -> Option<Vec<u8>> {
+    let is_short = |bytes: &Vec<u8>| {
+        bytes.len() <= MAX_MESSAGE_BYTES || longest_line_bytes(bytes) <= MAX_MESSAGE_BYTES
+    };
+    let compact = serde_json::to_vec(body).ok().filter(is_short);
+    compact.or_else(|| serde_json::to_vec_pretty(body).ok().filter(is_short))
+}
+
 fn json_response<T: Serialize>(status: StatusCode, body: &T) -> Response {
-    match serde_json::to_vec(body) {
-        Ok(bytes) => Response::builder()
+    match encode_body(body) {
+        Some(bytes) => Response::builder()
             .status(status)
             .content_type("application/json")
             .body(bytes),
-        Err(_) => Response::builder()
-            .status(StatusCode::INTERNAL_SERVER_ERROR)
-            .finish(),
+        None => {
+            tracing::error!(%status, "response cannot be encoded within the limit of a line");
+            Response::builder()
+                .status(StatusCode::INTERNAL_SERVER_ERROR)
+                .finish()
+        }
     }
 }
 
 fn error_response(status: StatusCode, error: impl Into<String>) -> Response {
-    json_response(
-        status,
-        &ErrorBody {
-            error: error.into(),
-        },
-    )
+    let error = truncate_error(&error.into()).to_owned();
+    json_response(status, &ErrorBody { error })
 }
 
 /// Response with status 503, which tells the client to retry after `retry_after_s` seconds.
--- a/crates/trackcrank/tests/http_requests.rs
+++ b/crates/trackcrank/tests/http_requests.rs
@@ -255,6 +255,17 @@
     assert_eq!(server.rejected_count("user", "malformed").await, 0);
 }
 
+/// Guards against an error response with a line of more than 64 KiB, which repeats what the user has sent.
+#[tokio::test]
+async fn error_response_does_not_repeat_a_long_request() {
+    let server = TestServer::new();
+    let body = with_field(valid_job(), "shape", json!("\u{1}".repeat(10_000)));
+    assert!(body.len() < 64 * 1024);
+    let (status, error) = server.send(Method::POST, "/v1/jobs", body.into()).await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+    assert!(error.len() < 4 * 1024, "{} bytes", error.len());
+}
+
 /// Before it has read the records and the machine types, a controller can neither accept nor reject a job.
 #[tokio::test]
 async fn well_formed_submissions_get_status_503_until_the_controller_has_synced() {
