Scheduler: no import circle; rejections and zones are modules of their own

colocation, cycle, partition_state and suitability imported each other. The reasons of a rejection move to the lower module rejection, zone_allowed to zones.

--- a/crates/scheduler/src/cycle.rs
+++ b/crates/scheduler/src/cycle.rs
@@ -8,7 +8,8 @@
 use crate::machine::Machine;
 use crate::partition_state::PartitionState;
 use crate::queue_entry::EntryKey;
-use crate::suitability::{MachineRejection, MachineSearch};
+use crate::rejection::MachineRejection;
+use crate::suitability::MachineSearch;
 use model::DurationExt;
 use model::{JobId, JobKind, TaskId, Timestamp, ZoneName};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -272,18 +273,6 @@
     }
 }
 
-/// Whether the job's `one_zone` and `spread_over_zones` allow one more of its tasks in a zone.
-pub(crate) fn zone_allowed(
-    job: &Job,
-    zone: &ZoneName,
-    tasks_by_zone: &BTreeMap<ZoneName, u32>,
-) -> bool {
-    let one_zone_allows = !job.spec.one_zone || tasks_by_zone.keys().all(|used| used == zone);
-    let spread_allows = !job.spec.spread_over_zones
-        || tasks_by_zone.get(zone).copied().unwrap_or(0) < job.spec.max_tasks_per_zone();
-    one_zone_allows && spread_allows
-}
-
 /// How long the machine would take to fetch the job's image; zero if the image is cached.
 pub(crate) fn fetch_time(job: &Job, machine: &Machine) -> Duration {
     if machine.has_image(&job.spec.image) {
--- a/crates/scheduler/src/demand_estimate.rs
+++ b/crates/scheduler/src/demand_estimate.rs
@@ -2,11 +2,11 @@
 //! none are demand.
 
 use crate::colocation::tasks_that_fit;
-use crate::cycle::zone_allowed;
 use crate::job::Job;
 use crate::machine::Machine;
 use crate::partition_state::PartitionState;
 use crate::preempt::PreemptionScope;
+use crate::zones::zone_allowed;
 use model::{DurationExt, JobKind, Priority, Resources, TeamName, Timestamp, ZoneName};
 use std::collections::{BTreeMap, HashMap};
 use wire::mesh::DemandShape;
--- a/crates/scheduler/src/preemption_search.rs
+++ b/crates/scheduler/src/preemption_search.rs
@@ -1,13 +1,14 @@
 //! Searches for the tasks whose preemption costs least.
 
 use crate::colocation::is_colocated;
-use crate::cycle::{fetch_time, zone_allowed, PlacementFailure};
+use crate::cycle::{fetch_time, PlacementFailure};
 use crate::job::Job;
 use crate::machine::Machine;
 use crate::partition_state::PartitionState;
 use crate::placement::Placement;
 use crate::preempt::{PreemptionPlan, PreemptionScope};
 use crate::queue_entry::EntryKey;
+use crate::zones::zone_allowed;
 use model::{DurationExt, MachineName, Resources, TaskId, TeamName, Timestamp, ZoneName};
 use std::collections::{BTreeMap, HashSet};
 
