Message size tests: the cancelled tasks run when they are cancelled

Change: the fault applies to small tasks too; the test asserts that all tasks run before the cancellation and none is left after it, with 1,000 tasks, whose kills exceed 64 KiB while a heartbeat can list them, and with 1,300. A debug view of the simulated workers is removed.

--- a/crates/simulator/src/world/users.rs
+++ b/crates/simulator/src/world/users.rs
@@ -39,11 +39,7 @@
     pub(super) fn submit_random_job(&mut self) {
         let mut job = self.random_job();
         let id = job.id.clone();
-        let factor = self.network.find_active(|fault| match fault {
-            ActiveFault::LongTasks(factor) => Some(*factor),
-            _ => None,
-        });
-        if let Some(factor) = factor {
+        if let Some(factor) = self.long_tasks_factor() {
             self.jobs.set_run_time_factor(id.clone(), factor);
             job.estimated_run_time_s *= factor as f64;
             if job.kind != JobKind::Service && self.jobs.count().is_multiple_of(2) {
@@ -170,6 +166,14 @@
         self.submit_job(job);
     }
 
+    /// Factor by which the tasks of jobs that are submitted now run longer, if that fault is active.
+    fn long_tasks_factor(&self) -> Option<u64> {
+        self.network.find_active(|fault| match fault {
+            ActiveFault::LongTasks(factor) => Some(*factor),
+            _ => None,
+        })
+    }
+
     /// Submits an array of tasks of 0.003 CPUs.
     pub(super) fn submit_small_tasks(&mut self, tasks: u64) {
         let job = JobRequest {
@@ -180,6 +184,9 @@
             image_gb: 0.2,
             ..self.new_array("t0".into(), tasks)
         };
+        if let Some(factor) = self.long_tasks_factor() {
+            self.jobs.set_run_time_factor(job.id.clone(), factor);
+        }
         self.submit_job(job);
     }
 
--- a/crates/simulator/src/world/views.rs
+++ b/crates/simulator/src/world/views.rs
@@ -115,23 +115,16 @@
         tasks.filter(|((task, _), _)| is_cancelled(task)).count()
     }
 
-    pub fn probe(&self) -> Vec<String> {
-        self.workers
-            .values()
-            .filter(|w| !w.dead)
-            .map(|w| {
-                let mut counts = BTreeMap::new();
-                for t in w.tasks.values() {
-                    *counts
-                        .entry(format!("{:?}/{:?}", t.state, t.exit_cause))
-                        .or_insert(0) += 1;
-                }
-                format!(
-                    "{} token {} epoch {} {:?}",
-                    w.name, w.token, w.epoch, counts
-                )
-            })
-            .collect()
+    /// Number of tasks of each job that are on machines.
+    pub fn present_tasks(&self) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        for worker in self.workers.values().filter(|worker| !worker.dead) {
+            for ((task, _), _) in worker.tasks.iter().filter(|(_, task)| task.is_present()) {
+                let id = task.split('/').next().unwrap_or_default();
+                *counts.entry(id.to_owned()).or_default() += 1;
+            }
+        }
+        counts
     }
 
     /// Number of tasks that workers have killed because their leases had expired.
--- a/crates/simulator/tests/message_sizes.rs
+++ b/crates/simulator/tests/message_sizes.rs
@@ -36,19 +36,21 @@
     world
 }
 
-/// Tasks of a job that run long, on one machine or two.
-fn long_small_tasks() -> Vec<(u64, Fault)> {
-    let factor = 30;
-    let duration_ms = 10_000;
+/// Tasks whose stop commands take more than 64 KiB, though a heartbeat can list them.
+const LISTABLE_TASKS: u64 = 1_000;
+/// Factor of the run times of tasks that are to run until they are cancelled.
+const LONG_RUN_FACTOR: u64 = 30;
+
+/// An array of many small tasks that run long, and its cancellation.
+fn cancelled_array(tasks: u64) -> Vec<(u64, Fault)> {
+    let long_tasks = Fault::LongTasks {
+        factor: LONG_RUN_FACTOR,
+        duration_ms: 10_000,
+    };
     vec![
-        (
-            SUBMITTED_AT_MS - 1_000,
-            Fault::LongTasks {
-                factor,
-                duration_ms,
-            },
-        ),
-        (SUBMITTED_AT_MS, Fault::SmallTasks { tasks: TASKS }),
+        (SUBMITTED_AT_MS - 1_000, long_tasks),
+        (SUBMITTED_AT_MS, Fault::SmallTasks { tasks }),
+        (CANCELLED_AT_MS, Fault::CancelAllJobs { controller: 0 }),
     ]
 }
 
@@ -57,10 +59,19 @@
 #[test]
 fn cancelled_tasks_of_full_machine_are_stopped_in_messages_within_limit() {
     for_seeds(6, |seed| {
-        let mut faults = long_small_tasks();
-        faults.push((CANCELLED_AT_MS, Fault::CancelAllJobs { controller: 0 }));
-        let world = run_and_check(plan(seed, faults));
-        assert_eq!(world.coverage.oversized_heartbeats, 0, "seed {seed}");
+        for tasks in [LISTABLE_TASKS, TASKS] {
+            let plan = plan(seed, cancelled_array(tasks));
+            let mut world = World::with_state_limits(plan.clone(), state_limits());
+            world.run_to(CANCELLED_AT_MS - 1);
+            let running = world.present_tasks().into_values().max();
+            assert_eq!(running, Some(tasks as usize), "seed {seed}, {tasks} tasks");
+            let world = run_and_check(plan);
+            assert_eq!(
+                world.coverage.oversized_heartbeats, 0,
+                "seed {seed}, {tasks} tasks"
+            );
+            assert_eq!(world.present_tasks().len(), 0, "seed {seed}, {tasks} tasks");
+        }
     });
 }
 
