--- a/crates/scheduler/tests/partition_state/commands.rs
+++ b/crates/scheduler/tests/partition_state/commands.rs
@@ -4,7 +4,7 @@
 use model::{FencingToken, MachineName, Timestamp};
 use scheduler::{CommandRoute, PartitionState, StatusSource, TaskAttempt};
 use wire::users::{JobKind, Priority};
-use wire::workers::{Command, ExitCause, Heartbeat, TaskState};
+use wire::workers::{Command, ExitCause, Heartbeat, TaskState, TaskStatus};
 
 #[test]
 fn tasks_are_launched_once_durable_and_within_limit() {
@@ -298,3 +298,86 @@
     );
     assert_eq!(forget_count(&mut partition, 32_000), 1);
 }
+
+/// A partition whose machine 1 runs a task that was launched by a direct call and answered; its status, and the id
+/// of the task.
+fn partition_with_directly_launched_task() -> (PartitionState, TaskStatus, TaskAttempt) {
+    let mut partition = new_partition();
+    let name = MachineName::from("host-000001");
+    let now = Timestamp::from_millis(100);
+    partition.reconcile(
+        &heartbeat(1, None, Vec::new()),
+        StatusSource::Heartbeat,
+        now,
+    );
+    let spec = job(1, "t", JobKind::Service, Priority::High, 1);
+    partition.add_job(spec, 1, &[], now);
+    partition.run_cycles(now, 100);
+    make_durable(&mut partition);
+    let launches = partition.commands_for(&name, CommandRoute::DirectCall, now);
+    let Some(Command::Launch { task, attempt }) = launches.first() else {
+        panic!("{launches:?}")
+    };
+    let id = TaskAttempt {
+        task: model::TaskId::parse(task).expect("a valid task id"),
+        attempt: model::Attempt(*attempt),
+    };
+    let running = task_status(task, *attempt, TaskState::Running, None);
+    partition.record_direct_response(&name, &[id]);
+    let status = heartbeat(2, None, vec![running.clone()]);
+    partition.reconcile(&status, StatusSource::DirectResponse, now);
+    (partition, running, id)
+}
+
+/// Guards against a task that runs twice: a worker that restarted in its epoch had lost the task, which was placed
+/// elsewhere at once, and a late copy of the launch started it again.
+#[test]
+fn lost_task_keeps_its_placement_until_copies_of_its_launch_are_superseded() {
+    let (mut partition, _, id) = partition_with_directly_launched_task();
+    let lost = heartbeat(3, None, Vec::new());
+    let now = Timestamp::from_millis(1_000);
+    partition.reconcile(&lost, StatusSource::Heartbeat, now);
+    let placed = |partition: &PartitionState| {
+        partition.jobs[&id.task.job]
+            .placed
+            .get(&id.task.index)
+            .cloned()
+    };
+    assert_eq!(
+        placed(&partition).map(|placement| placement.attempt),
+        Some(id.attempt)
+    );
+    let name = MachineName::from("host-000001");
+    assert!(partition.machines[&name].lost_launch_needs_higher_token());
+    let with_higher_token = Heartbeat {
+        token: 6,
+        ..heartbeat(4, None, Vec::new())
+    };
+    partition.reconcile(&with_higher_token, StatusSource::Heartbeat, now);
+    assert_eq!(placed(&partition), None);
+}
+
+/// Guards against the same for an exited task: the worker no longer lists it, though it was not told to forget it.
+#[test]
+fn exited_task_that_vanishes_makes_a_higher_token_necessary() {
+    let (mut partition, running, _) = partition_with_directly_launched_task();
+    let exited = TaskStatus {
+        state: TaskState::Exited,
+        exit_cause: Some(ExitCause::Stopped),
+        ..running
+    };
+    let now = Timestamp::from_millis(1_000);
+    partition.reconcile(
+        &heartbeat(3, None, vec![exited]),
+        StatusSource::Heartbeat,
+        now,
+    );
+    let name = MachineName::from("host-000001");
+    assert!(!partition.machines[&name].lost_launch_needs_higher_token());
+    partition.reconcile(
+        &heartbeat(4, None, Vec::new()),
+        StatusSource::Heartbeat,
+        now,
+    );
+    assert!(partition.machines[&name].lost_launch_needs_higher_token());
+}
