Command batches: stops without effect give way to others

Cause: a repeated stop counted as newly on its way. Where the heartbeat had room for ten exits, the same ten kills were sent again and again if they had no effect, and no other was, until the cancellation was overdue.

--- a/crates/scheduler/src/command_batch.rs
+++ b/crates/scheduler/src/command_batch.rs
@@ -69,7 +69,7 @@
 /// What is known of the stop commands that were sent to a machine.
 #[derive(Debug, Default)]
 pub(crate) struct StopDelivery {
-    /// Stops that may be on their way, with the time when each was sent last. No heartbeat has shown the exit.
+    /// Stops that may be on their way, with the time when each was first sent. No heartbeat has shown the exit.
     in_flight: BTreeMap<TaskAttempt, Timestamp>,
     /// The last stop of the last batch that was not complete.
     last_sent: Option<TaskAttempt>,
@@ -96,8 +96,10 @@
         } else {
             self.select(due, &mut space)
         };
-        let stops = batch.commands.iter().filter(|due| due.is_stop());
-        self.in_flight.extend(stops.map(|stop| (stop.id, now)));
+        for stop in batch.commands.iter().filter(|due| due.is_stop()) {
+            // A repeated stop does not count anew: one without effect gives way to others after a while.
+            self.in_flight.entry(stop.id).or_insert(now);
+        }
         batch
     }
 
--- a/crates/scheduler/src/command_batch/tests.rs
+++ b/crates/scheduler/src/command_batch/tests.rs
@@ -79,3 +79,20 @@
     let third = delivery.next_batch(overdue.collect(), room, now);
     assert_eq!(third.commands.len(), 30);
 }
+
+/// Guards against kills that wait for ever because those before them are sent again and again in vain.
+#[test]
+fn kills_without_effect_give_way_to_others() {
+    let room = 10 * KILLED_ENTRY_GROWTH_BYTES;
+    let mut delivery = StopDelivery::default();
+    let mut sent = BTreeSet::new();
+    for round in 0..40 {
+        let now = Timestamp::from_millis(round * 500);
+        sent.extend(ids(&delivery.next_batch(
+            (0..30).map(kill).collect(),
+            room,
+            now,
+        )));
+    }
+    assert_eq!(sent.len(), 30);
+}
