Launch copies test: copies arrive after a restart, with each history

Found in a review of: the test counted copies of any time, also those without a restart between the launch and the copy, and took attempts lost by a restart for forgotten ones. It asserts now, for each return, copies of answered, moved, cancelled and forgotten launches and for machines in another partition after a restart in between; a further test shows that unfenced copies are detected.

--- a/crates/simulator/src/worker.rs
+++ b/crates/simulator/src/worker.rs
@@ -96,6 +96,11 @@
     gang_start_timeout_ms: u64,
     /// Number of tasks that it has killed because its lease had expired.
     pub tasks_killed_by_lease: u64,
+    /// When it was last restarted.
+    pub restarted_at: Option<u64>,
+    /// Attempts that it was told to launch, and those that it was told to forget.
+    pub launched_attempts: BTreeSet<TaskKey>,
+    pub forgotten_attempts: BTreeSet<TaskKey>,
     /// Since when each task of a gang has been waiting for the other tasks of the gang.
     gang_waits_since: BTreeMap<TaskKey, u64>,
 }
@@ -127,12 +132,16 @@
             ignores_stops: false,
             gang_start_timeout_ms: 45_000,
             tasks_killed_by_lease: 0,
+            restarted_at: None,
+            launched_attempts: BTreeSet::new(),
+            forgotten_attempts: BTreeSet::new(),
             gang_waits_since: BTreeMap::new(),
         }
     }
 
     /// Restarts the worker, which sends its next heartbeat at `up_at`. Returns the number of tasks that it lost.
     pub fn restart(&mut self, memory: MachineMemory, up_at: u64) -> u64 {
+        self.restarted_at = Some(up_at);
         self.in_flight = None;
         self.next_heartbeat_at = up_at;
         if memory == MachineMemory::All {
@@ -284,6 +293,7 @@
                     .is_some_and(|h| h.state == TaskState::Exited)
                 {
                     self.tasks.remove(&key);
+                    self.forgotten_attempts.insert(key);
                 }
             }
         }
@@ -301,6 +311,7 @@
             return;
         }
         self.status_changed = true;
+        self.launched_attempts.insert(key.clone());
         let id = task.split('/').next().unwrap_or_default();
         let exited = |cause| WorkerTask {
             state: TaskState::Exited,
--- a/crates/simulator/src/world/coverage.rs
+++ b/crates/simulator/src/world/coverage.rs
@@ -3,12 +3,12 @@
 
 use std::collections::BTreeSet;
 
-/// Counts of copies of launches that arrived.
+/// Counts of copies of launches that arrived after a restart of their machine or of the controller that sent them.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct LaunchCopyCounts {
-    /// The worker still knew the attempt.
-    pub known: u64,
-    /// The worker had forgotten the attempt.
+    /// The worker had executed the launch before.
+    pub answered: u64,
+    /// The worker had been told to forget the attempt.
     pub forgotten: u64,
     /// The task was on another machine.
     pub moved: u64,
@@ -23,7 +23,7 @@
 pub struct FaultCoverage {
     /// Tasks that ran on machines when these restarted without them.
     pub tasks_lost_by_restarts: u64,
-    /// Copies of launches that arrived, by what had become of the launched task.
+    /// Copies of launches that arrived after a restart, by what had become of the launched task.
     pub launch_copies: LaunchCopyCounts,
     /// Heartbeats of more than 64 KiB, which controllers refuse.
     pub oversized_heartbeats: u64,
--- a/crates/simulator/src/world/events.rs
+++ b/crates/simulator/src/world/events.rs
@@ -116,9 +116,10 @@
     },
     /// A delayed call with direct commands is delivered.
     DeliverDelayedCommand(Box<Message>),
-    /// Delivers a copy of a direct call with launches; the machine was in this partition then.
+    /// Delivers a copy of a direct call with launches; the machine was in this partition when the call was made.
     DeliverLaunchCopy {
         message: Box<Message>,
+        sent_at: u64,
         partition: Option<u64>,
     },
     /// A heartbeat that was held back is delivered to the new leader.
--- a/crates/simulator/src/world/interceptor.rs
+++ b/crates/simulator/src/world/interceptor.rs
@@ -6,7 +6,7 @@
 use super::scenario::Mutation;
 use super::site::CONTROLLERS;
 use super::World;
-use crate::worker::{TaskKey, WorkerTask};
+use crate::worker::{TaskKey, Worker, WorkerTask};
 use controller::Event;
 use rand::Rng;
 use std::collections::BTreeSet;
@@ -101,6 +101,7 @@
             let delay_ms = self.rng.random_range(MIN_COPY_DELAY_MS..MAX_COPY_DELAY_MS);
             let copy = ScheduledEvent::DeliverLaunchCopy {
                 message: Box::new(message.clone()),
+                sent_at: self.now,
                 partition,
             };
             self.schedule(self.now + delay_ms, copy);
@@ -114,37 +115,54 @@
             .as_u64()
     }
 
-    /// Delivers a copy of a direct call with launches; `partition` was the machine's when the call was made.
-    pub(super) fn deliver_launch_copy(&mut self, message: Message, partition: Option<u64>) {
-        if let Message::DirectCall { machine, body, .. } = &message {
-            let moved = self.recorded_partition(machine) != partition;
-            self.coverage.launch_copies.other_partition += u64::from(moved);
-            for command in &body.commands {
-                self.record_launch_copy(machine, command);
+    /// Counts the launches in a copy of a direct call if the machine or the controller has restarted since the call.
+    pub(super) fn record_launch_copy(
+        &mut self,
+        message: &Message,
+        sent_at: u64,
+        partition: Option<u64>,
+    ) {
+        let Message::DirectCall {
+            controller,
+            incarnation,
+            machine,
+            body,
+            ..
+        } = message
+        else {
+            return;
+        };
+        let Some(worker) = self.workers.get(machine).filter(|w| !w.dead) else {
+            return;
+        };
+        let machine_restarted = worker.restarted_at.is_some_and(|at| at > sent_at);
+        if !machine_restarted && self.is_running(*controller, *incarnation) {
+            return;
+        }
+        let changed_partition = self.recorded_partition(machine) != partition;
+        self.coverage.launch_copies.other_partition += u64::from(changed_partition);
+        for command in &body.commands {
+            if let Command::Launch { task, attempt } = command {
+                self.record_copied_launch(machine, (task.clone(), *attempt));
             }
         }
-        self.deliver_delayed_command(message);
     }
 
-    fn record_launch_copy(&mut self, machine: &str, command: &Command) {
-        let Command::Launch { task, attempt } = command else {
+    fn record_copied_launch(&mut self, machine: &str, key: TaskKey) {
+        let Some(worker) = self.workers.get(machine) else {
             return;
         };
-        let Some(worker) = self.workers.get(machine).filter(|w| !w.dead) else {
-            return;
-        };
-        let key = (task.clone(), *attempt);
-        let is_known = worker.tasks.contains_key(&key);
-        let is_on_other_machine = self.workers.values().any(|other| {
-            let has_task =
-                |((name, _), status): (&TaskKey, &WorkerTask)| name == task && status.is_present();
+        let is_present_on = |other: &Worker| {
+            let has_task = |((name, _), status): (&TaskKey, &WorkerTask)| {
+                *name == key.0 && status.is_present()
+            };
             other.name != machine && other.tasks.iter().any(has_task)
-        });
-        let id = task.split('/').next().unwrap_or_default();
+        };
+        let id = key.0.split('/').next().unwrap_or_default();
         let counts = &mut self.coverage.launch_copies;
-        counts.known += u64::from(is_known);
-        counts.forgotten += u64::from(!is_known);
-        counts.moved += u64::from(is_on_other_machine);
+        counts.answered += u64::from(worker.launched_attempts.contains(&key));
+        counts.forgotten += u64::from(worker.forgotten_attempts.contains(&key));
+        counts.moved += u64::from(self.workers.values().any(is_present_on));
         counts.cancelled += u64::from(self.rules.cancel_confirmed.contains_key(id));
     }
 
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -269,8 +269,13 @@
             ScheduledEvent::DeliverDelayedCommand(message) => {
                 self.deliver_delayed_command(*message)
             }
-            ScheduledEvent::DeliverLaunchCopy { message, partition } => {
-                self.deliver_launch_copy(*message, partition)
+            ScheduledEvent::DeliverLaunchCopy {
+                message,
+                sent_at,
+                partition,
+            } => {
+                self.record_launch_copy(&message, sent_at, partition);
+                self.deliver_delayed_command(*message);
             }
             ScheduledEvent::DeliverHeldHeartbeat(message) => self.deliver_held_heartbeat(*message),
             ScheduledEvent::DeliverMeshDuplicate { to, event } => {
--- a/crates/simulator/tests/launch_copies.rs
+++ b/crates/simulator/tests/launch_copies.rs
@@ -1,6 +1,6 @@
 //! Late copies of launches start nothing again, also when a machine or a controller has restarted in between.
 
-use simulator::{for_seeds, Fault, FaultCoverage, MachineMemory, Plan, World};
+use simulator::{for_seeds, Fault, FaultCoverage, MachineMemory, Mutation, Plan, World};
 use std::sync::Mutex;
 
 const FAULTS_UNTIL_MS: u64 = 200_000;
@@ -40,7 +40,7 @@
     }
 }
 
-/// Runs the seeds; every kind of copy has arrived in some of them.
+/// Runs the seeds; copies with every history have arrived after a restart in some of them.
 fn run_and_check(seeds: u64, restart: impl Fn(u64) -> Fault + Sync) {
     let all = Mutex::new(Vec::<FaultCoverage>::new());
     for_seeds(seeds, |seed| {
@@ -51,7 +51,7 @@
     });
     let all = all.into_inner().expect("no panic");
     let sum = |count: fn(&FaultCoverage) -> u64| all.iter().map(count).sum::<u64>();
-    assert!(sum(|coverage| coverage.launch_copies.known) > 0);
+    assert!(sum(|coverage| coverage.launch_copies.answered) > 0);
     assert!(sum(|coverage| coverage.launch_copies.forgotten) > 0);
     assert!(sum(|coverage| coverage.launch_copies.moved) > 0);
     assert!(sum(|coverage| coverage.launch_copies.cancelled) > 0);
@@ -74,8 +74,8 @@
     run_and_check(16, restart_machines(MachineMemory::NextEpoch));
 }
 
-/// Guards against tasks that are lost with a restart in the same worker epoch: nothing is copied here, since the
-/// protocol lets a worker forget an attempt of its epoch only when it is told to.
+/// Tasks that are lost with a restart in the same worker epoch. Nothing is copied here, since the protocol lets a
+/// worker forget an attempt of its epoch only when it is told to.
 #[test]
 fn restart_without_tasks_breaks_no_rule() {
     for_seeds(16, |seed| {
@@ -97,3 +97,15 @@
         restart_after_ms: 300,
     });
 }
+
+/// The checks detect copies that workers execute whatever their fencing token and epoch.
+#[test]
+fn unfenced_copies_are_detected() {
+    for_seeds(4, |seed| {
+        let mut plan = plan(seed, restart_machines(MachineMemory::NextEpoch));
+        plan.mutation = Some(Mutation::DelayedCommandsUnfenced);
+        let mut world = World::new(plan);
+        world.run();
+        assert!(!world.rules.violations.is_empty(), "seed {seed}");
+    });
+}
