Show that two old reports make a new leader start a task twice

A status that lists an inherited placement makes the leader forget that an earlier leader may launch it after that status, so a second old status without the task drops the placement.

--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -2,7 +2,8 @@
 
 use crate::record::Record;
 use crate::site::{Plan, Site, RILA, SOFIA};
-use crate::worker::Job;
+use crate::http::call;
+use crate::worker::{Job, Trouble, Worker};
 use crate::Outcome;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -15,6 +16,7 @@
         "sick" => sick_machine(has_trouble, record),
         "cached" => cached_image(has_trouble, record),
         "avoided" => avoided_machine(has_trouble, record),
+        "copies" => copied_reports(has_trouble, record),
         "gang" => gang_reservation(has_trouble, record),
         "parted" => parted_machines(has_trouble, record),
         _ => Outcome::CouldNotRun("no such case".into()),
@@ -312,3 +314,116 @@
     }
     watch_wait(&mut site, &other, MAX_WAIT + Duration::from_secs(4))
 }
+
+/// Whether a report lists the task as running.
+fn lists(report: &serde_json::Value, task: &str) -> bool {
+    let pieces = report["pieces"].as_array().into_iter().flatten();
+    pieces.filter(|piece| piece["piece"] == task).any(|piece| piece["status"] == "running")
+}
+
+/// All controllers are away for longer than a lease, and a task is started again on its machine. Then the leader ends
+/// while that machine can't be reached, and old reports of the machine reach the controllers as a new leader begins.
+fn copied_reports(has_trouble: bool, record: Arc<Record>) -> Outcome {
+    let plan = Plan {
+        deployment: SOFIA,
+        capacity: vec![("vitosha", 1), ("plovdiv", 1)],
+        boot_s: 1.5,
+    };
+    let mut site = Site::start(&plan, record.clone());
+    if !site.wait_healthy(Duration::from_secs(15)) {
+        return Outcome::CouldNotRun("the controllers did not become healthy".into());
+    }
+    let task = "j-000101/0";
+    let mut long = array("j-000101", 1, "img-audit", 0.2, 90.0);
+    long.yard = None;
+    let mut gate = service("j-000102");
+    gate.bundle = "img-audit".into();
+    gate.yard = Some("plovdiv");
+    for job in [&long, &gate] {
+        if !site.submit(job) || !wait_start(&site, &job.id, 20) {
+            return Outcome::CouldNotRun("the jobs did not start".into());
+        }
+    }
+    let worker_in = |site: &Site, zone: &str| {
+        site.workers().into_iter().find(|worker| worker.zone == zone)
+    };
+    let (Some(near), Some(far)) = (worker_in(&site, "vitosha"), worker_in(&site, "plovdiv")) else {
+        return Outcome::CouldNotRun("a machine is missing".into());
+    };
+    if !near.present().contains(&task.to_owned()) {
+        return Outcome::CouldNotRun("the task is on the other machine".into());
+    }
+    std::thread::sleep(Duration::from_secs(3));
+    if has_trouble {
+        if let Err(problem) = troubles_of_copied_reports(&mut site, &near, &far, task) {
+            return Outcome::CouldNotRun(problem);
+        }
+    }
+    // Watches the task from here on.
+    let until = Instant::now() + Duration::from_secs(20);
+    while Instant::now() < until {
+        let places: Vec<String> = [&near, &far]
+            .iter()
+            .filter(|worker| worker.present().contains(&task.to_owned()))
+            .map(|worker| worker.name.clone())
+            .collect();
+        if places.len() > 1 {
+            return Outcome::Broken(format!("{task} has started on one machine while it is on another: {places:?}"));
+        }
+        if site.any_controller_ended() {
+            return Outcome::CouldNotRun("a controller ended by itself".into());
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    Outcome::Held(format!("{task} was on one machine at a time"))
+}
+
+fn troubles_of_copied_reports(
+    site: &mut Site,
+    near: &Worker,
+    far: &Worker,
+    task: &str,
+) -> Result<(), String> {
+    let record = site.record.clone();
+    let Some(first) = near.reports().into_iter().rev().find(|report| lists(report, task)) else {
+        return Err("no report lists the task".into());
+    };
+    record.line("trouble: all controllers crash and are away for 12 s");
+    (0..3).for_each(|index| site.kill_controller(index));
+    std::thread::sleep(Duration::from_secs(12));
+    let sent_before = near.reports().len();
+    (0..3).for_each(|index| site.start_controller(index));
+    let is_back = |_: &Site| near.present().contains(&task.to_owned());
+    if !site.wait(Duration::from_secs(20), is_back) {
+        return Err("the task was not started again on its machine".into());
+    }
+    // A report of the new session, sent before the task was started again.
+    let later = near.reports().into_iter().skip(sent_before);
+    let is_empty = |report: &serde_json::Value| {
+        report["shift"].as_u64() > first["shift"].as_u64()
+            && report["pieces"].as_array().is_some_and(Vec::is_empty)
+    };
+    let Some(second) = later.filter(is_empty).last() else {
+        return Err("no report of the new session before the start".into());
+    };
+    // The leader answers the machine for a while.
+    std::thread::sleep(Duration::from_secs(4));
+    let Some(leader) = far.answered_by() else {
+        return Err("no leader is known".into());
+    };
+    record.line("trouble: the leader crashes while the machine has lost the network");
+    near.set_trouble(Trouble::Cut);
+    site.kill_controller(leader);
+    let is_succeeded = |_: &Site| far.answered_by().is_some_and(|node| node != leader);
+    if !site.wait(Duration::from_secs(9), is_succeeded) {
+        return Err("no new leader within the time".into());
+    }
+    record.line("trouble: copies of two old reports reach the controllers as the new leader begins");
+    for report in [&first, &second] {
+        for (name, address) in site.nodes.iter().filter(|(_, address)| *address != site.nodes[leader].1) {
+            let reply = call(*address, "POST", "/hello", Some(report), Duration::from_secs(2));
+            record.line(format!("copy -> {name}: POST /hello {report} -> {reply:?}"));
+        }
+    }
+    Ok(())
+}
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -86,6 +86,9 @@
     gone: bool,
     trouble: Trouble,
     hung_at: Option<Instant>,
+    /// The reports that it has sent, and the controller that last answered one with 200.
+    reports: Vec<Value>,
+    answered_by: Option<usize>,
 }
 
 /// What is wrong with a machine's connections.
@@ -134,6 +137,8 @@
             gone: false,
             trouble: Trouble::None,
             hung_at: None,
+            reports: Vec::new(),
+            answered_by: None,
         };
         let worker = Arc::new(Worker {
             name: name.to_owned(),
@@ -176,9 +181,14 @@
         }
     }
 
-    /// The controller that it reports to.
-    pub fn node(&self) -> usize {
-        self.inner.lock().unwrap().node
+    /// The reports that it has sent, the oldest first.
+    pub fn reports(&self) -> Vec<Value> {
+        self.inner.lock().unwrap().reports.clone()
+    }
+
+    /// The controller that last answered a report with 200.
+    pub fn answered_by(&self) -> Option<usize> {
+        self.inner.lock().unwrap().answered_by
     }
 
     /// The tasks that are on the machine now: they have started and not exited.
@@ -424,6 +434,7 @@
                 }
                 inner.changed = false;
                 let body = self.report_body(&mut inner);
+                inner.reports.push(body.clone());
                 (body, inner.node, inner.shift, Instant::now())
             };
             last = sent_at;
@@ -467,6 +478,7 @@
                 self.advance_inner(&mut inner);
                 let baton = body["baton"].as_u64().unwrap_or(0);
                 let is_valid = body["baton"].is_u64() && baton >= inner.baton && shift == inner.shift;
+                inner.answered_by = Some(node);
                 if is_valid && !inner.gone {
                     inner.changed |= baton > inner.baton;
                     inner.baton = baton;
