Drop the review case that an earlier one shows, and take the gang's up again

review/3 of the earlier review shows that a job waits beside room of another partition, so case 5 (the same fault) is dropped. The others move up by one; the gang's reservation is case 8 again. The stand-ins lose what no case uses.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -12,7 +12,7 @@
     rm -rf "$REVIEW_TMP"
 }
 trap 'finish; exit 2' INT TERM HUP
-timeout 118 target/review-2/release/review-2 avoided "$folder" &
+timeout 118 target/review-2/release/review-2 cached "$folder" &
 program=$!
 wait "$program"
 code=$?
--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -1,9 +1,9 @@
 //! The scenarios of the cases.
 
+use crate::http::call;
 use crate::record::Record;
 use crate::site::{Plan, Site, RILA, SOFIA};
-use crate::http::call;
-use crate::worker::{Job, Trouble, Worker};
+use crate::worker::{Job, Worker};
 use crate::Outcome;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -18,7 +18,6 @@
         "avoided" => avoided_machine(has_trouble, record),
         "copies" => copied_reports(has_trouble, record),
         "gang" => gang_reservation(has_trouble, record),
-        "parted" => parted_machines(has_trouble, record),
         _ => Outcome::CouldNotRun("no such case".into()),
     }
 }
@@ -54,7 +53,7 @@
 
 /// Waits until the job's first task has started.
 fn wait_start(site: &Site, id: &str, limit_s: u64) -> bool {
-    site.wait(Duration::from_secs(limit_s), |site| site.first_start(id).is_some())
+    site.wait(Duration::from_secs(limit_s), |site| site.has_started(id))
 }
 
 /// Waits until all tasks of the job are done.
@@ -62,7 +61,9 @@
     let prefix = format!("{}/", job.id);
     site.wait(Duration::from_secs(limit_s), |site| {
         let events = site.record.events();
-        let done = events.iter().filter(|event| event.task.starts_with(&prefix) && event.what == "exits done");
+        let done = events
+            .iter()
+            .filter(|event| event.task.starts_with(&prefix) && event.what == "exits done");
         done.count() as u64 >= job.pieces
     })
 }
@@ -87,9 +88,13 @@
         if events.iter().any(done) {
             return Outcome::Held(format!("{} ran", job.id));
         }
-        let last = events.iter().rev().find(|event| event.task.starts_with(&prefix));
+        let last = events
+            .iter()
+            .rev()
+            .find(|event| event.task.starts_with(&prefix));
         let is_running = last.is_some_and(|event| event.what.starts_with("starts"));
-        let has_room = |(cpus, ram): (f64, f64)| cpus + 1e-6 >= job.vcpus && ram + 1e-6 >= job.ram_gb;
+        let has_room =
+            |(cpus, ram): (f64, f64)| cpus + 1e-6 >= job.vcpus && ram + 1e-6 >= job.ram_gb;
         let any_room = site.workers().iter().any(|worker| has_room(worker.free()));
         if is_running || !any_room {
             since = Instant::now();
@@ -169,7 +174,11 @@
     site.wait(Duration::from_secs(5), |site| {
         site.workers().iter().any(|worker| worker.free().0 < 0.5)
     });
-    let near = |site: &Site| site.workers().into_iter().find(|worker| worker.zone == "vitosha");
+    let near = |site: &Site| {
+        site.workers()
+            .into_iter()
+            .find(|worker| worker.zone == "vitosha")
+    };
     if has_trouble {
         record.line("trouble: the machine fails every task that it starts");
         near(&site).unwrap().set_sick(true);
@@ -179,7 +188,7 @@
         return Outcome::CouldNotRun("the job was not accepted".into());
     }
     if has_trouble {
-        site.wait(Duration::from_secs(8), |site| site.first_start("j-000202").is_some());
+        site.wait(Duration::from_secs(8), |site| site.has_started("j-000202"));
         std::thread::sleep(Duration::from_secs(1));
         record.line("trouble over: the machine is sound again");
         near(&site).unwrap().set_sick(false);
@@ -276,49 +285,12 @@
     watch_wait(&mut site, &last, MAX_WAIT + Duration::from_secs(4))
 }
 
-/// A burst of one team's services takes all machines that the cloud has, the last one for a single replica. Afterwards
-/// another team submits a job within its guarantee.
-fn parted_machines(has_trouble: bool, record: Arc<Record>) -> Outcome {
-    let plan = Plan {
-        deployment: SOFIA,
-        capacity: vec![("vitosha", 1), ("plovdiv", 1)],
-        boot_s: 1.5,
-    };
-    let mut site = Site::start(&plan, record.clone());
-    if !site.wait_healthy(Duration::from_secs(15)) {
-        return Outcome::CouldNotRun("the controllers did not become healthy".into());
-    }
-    let count = if has_trouble { 5 } else { 1 };
-    let mut submitted_at = Instant::now();
-    for number in 0..count {
-        if number == 1 {
-            record.line("trouble: jobs of the class come 2.5 times as often");
-        }
-        if number > 1 {
-            // One in 2.9 s, which is 2.4 times the usual rate.
-            std::thread::sleep(Duration::from_millis(2_900).saturating_sub(submitted_at.elapsed()));
-        }
-        submitted_at = Instant::now();
-        let gate = service(&format!("j-00010{number}"));
-        if !site.submit(&gate) || !wait_start(&site, &gate.id, 20) {
-            return Outcome::CouldNotRun("a service did not start".into());
-        }
-    }
-    if has_trouble {
-        record.line("trouble over");
-    }
-    let mut other = array("j-000202", 1, "img-audit", 0.2, 3.0);
-    other.team = "platops-01".into();
-    if !site.submit(&other) {
-        return Outcome::CouldNotRun("the job was not accepted".into());
-    }
-    watch_wait(&mut site, &other, MAX_WAIT + Duration::from_secs(4))
-}
-
 /// Whether a report lists the task as running.
 fn lists(report: &serde_json::Value, task: &str) -> bool {
     let pieces = report["pieces"].as_array().into_iter().flatten();
-    pieces.filter(|piece| piece["piece"] == task).any(|piece| piece["status"] == "running")
+    pieces
+        .filter(|piece| piece["piece"] == task)
+        .any(|piece| piece["status"] == "running")
 }
 
 /// All controllers are away for longer than a lease, and a task is started again on its machine. Then the leader ends
@@ -345,7 +317,9 @@
         }
     }
     let worker_in = |site: &Site, zone: &str| {
-        site.workers().into_iter().find(|worker| worker.zone == zone)
+        site.workers()
+            .into_iter()
+            .find(|worker| worker.zone == zone)
     };
     let (Some(near), Some(far)) = (worker_in(&site, "vitosha"), worker_in(&site, "plovdiv")) else {
         return Outcome::CouldNotRun("a machine is missing".into());
@@ -368,7 +342,9 @@
             .map(|worker| worker.name.clone())
             .collect();
         if places.len() > 1 {
-            return Outcome::Broken(format!("{task} has started on one machine while it is on another: {places:?}"));
+            return Outcome::Broken(format!(
+                "{task} has started on one machine while it is on another: {places:?}"
+            ));
         }
         if site.any_controller_ended() {
             return Outcome::CouldNotRun("a controller ended by itself".into());
@@ -385,7 +361,12 @@
     task: &str,
 ) -> Result<(), String> {
     let record = site.record.clone();
-    let Some(first) = near.reports().into_iter().rev().find(|report| lists(report, task)) else {
+    let Some(first) = near
+        .reports()
+        .into_iter()
+        .rev()
+        .find(|report| lists(report, task))
+    else {
         return Err("no report lists the task".into());
     };
     record.line("trouble: all controllers crash and are away for 12 s");
@@ -403,7 +384,7 @@
         report["shift"].as_u64() > first["shift"].as_u64()
             && report["pieces"].as_array().is_some_and(Vec::is_empty)
     };
-    let Some(second) = later.filter(is_empty).last() else {
+    let Some(second) = later.filter(is_empty).next_back() else {
         return Err("no report of the new session before the start".into());
     };
     // The leader answers the machine for a while.
@@ -412,16 +393,27 @@
         return Err("no leader is known".into());
     };
     record.line("trouble: the leader crashes while the machine has lost the network");
-    near.set_trouble(Trouble::Cut);
+    near.cut();
     site.kill_controller(leader);
     let is_succeeded = |_: &Site| far.answered_by().is_some_and(|node| node != leader);
     if !site.wait(Duration::from_secs(9), is_succeeded) {
         return Err("no new leader within the time".into());
     }
-    record.line("trouble: copies of two old reports reach the controllers as the new leader begins");
+    record
+        .line("trouble: copies of two old reports reach the controllers as the new leader begins");
     for report in [&first, &second] {
-        for (name, address) in site.nodes.iter().filter(|(_, address)| *address != site.nodes[leader].1) {
-            let reply = call(*address, "POST", "/hello", Some(report), Duration::from_secs(2));
+        for (name, address) in site
+            .nodes
+            .iter()
+            .filter(|(_, address)| *address != site.nodes[leader].1)
+        {
+            let reply = call(
+                *address,
+                "POST",
+                "/hello",
+                Some(report),
+                Duration::from_secs(2),
+            );
             record.line(format!("copy -> {name}: POST /hello {report} -> {reply:?}"));
         }
     }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,7 +3,6 @@
 
 mod cases;
 mod http;
-mod proxy;
 mod record;
 mod site;
 mod state;
--- a/review/standins-2/src/record.rs
+++ b/review/standins-2/src/record.rs
@@ -7,8 +7,6 @@
 /// A change of a task on a machine.
 #[derive(Clone, Debug)]
 pub struct TaskEvent {
-    pub at_s: f64,
-    pub machine: String,
     pub task: String,
     /// `starts`, `exits done`, `exits error`, ...
     pub what: String,
@@ -41,8 +39,6 @@
     pub fn task(&self, machine: &str, task: &str, what: &str) {
         self.line(format!("{machine}: {task} {what}"));
         self.events.lock().unwrap().push(TaskEvent {
-            at_s: self.now_s(),
-            machine: machine.to_owned(),
             task: task.to_owned(),
             what: what.to_owned(),
         });
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -2,8 +2,7 @@
 
 use crate::http::{call, serve, Handler, Reply, Request};
 use crate::record::Record;
-use crate::proxy::Proxy;
-use crate::state::{Limits, Link, StateService};
+use crate::state::{Limits, StateService};
 use crate::worker::{Job, Shared, Worker};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, HashMap};
@@ -120,16 +119,11 @@
 pub struct Site {
     pub record: Arc<Record>,
     pub nodes: Vec<(String, SocketAddr)>,
-    pub shared: Arc<Shared>,
+    shared: Arc<Shared>,
     cloud: Arc<Mutex<Cloud>>,
     /// The processes, by the numbers of the controllers.
     children: Vec<Option<Child>>,
     folder: std::path::PathBuf,
-    pub state: Arc<StateService>,
-    /// The controllers' connections to the state service.
-    pub links: Vec<Arc<Link>>,
-    /// The connections from one controller to another, by their numbers.
-    pub mesh: HashMap<(usize, usize), Arc<Proxy>>,
 }
 
 /// A free loopback port for a controller. It is not one that the system gives to connections, since another process
@@ -149,8 +143,12 @@
 /// The program of the deploy file with its arguments.
 fn run_command() -> Vec<String> {
     let text = std::fs::read_to_string("deploy/service.toml").expect("read the deploy file");
-    let line = text.lines().find(|line| line.trim_start().starts_with("run"));
-    let value = line.and_then(|line| line.split('"').nth(1)).expect("a run command");
+    let line = text
+        .lines()
+        .find(|line| line.trim_start().starts_with("run"));
+    let value = line
+        .and_then(|line| line.split('"').nth(1))
+        .expect("a run command");
     value.split_whitespace().map(str::to_owned).collect()
 }
 
@@ -160,10 +158,12 @@
             std::env::var("REVIEW_TMP").expect("REVIEW_TMP names a temporary folder"),
         );
         let deployment = plan.deployment;
-        let state = StateService::start(deployment.limits);
+        let state_address = StateService::start(deployment.limits);
         let names: Vec<String> = (0..CONTROLLERS).map(|n| format!("rig-{n}")).collect();
-        let nodes: Vec<(String, SocketAddr)> =
-            names.iter().map(|name| (name.clone(), free_address())).collect();
+        let nodes: Vec<(String, SocketAddr)> = names
+            .iter()
+            .map(|name| (name.clone(), free_address()))
+            .collect();
         let mesh: Vec<SocketAddr> = names.iter().map(|_| free_address()).collect();
         let shared = Arc::new(Shared {
             record: record.clone(),
@@ -175,7 +175,10 @@
             cpus: deployment.cpus,
             ram_gb: deployment.ram_gb,
         });
-        let capacity = plan.capacity.iter().map(|(zone, count)| ((*zone).to_owned(), *count));
+        let capacity = plan
+            .capacity
+            .iter()
+            .map(|(zone, count)| ((*zone).to_owned(), *count));
         let cloud = Arc::new(Mutex::new(Cloud {
             machines: BTreeMap::new(),
             capacity: capacity.collect(),
@@ -192,9 +195,6 @@
             cloud,
             children: Vec::new(),
             folder,
-            state,
-            links: Vec::new(),
-            mesh: HashMap::new(),
         };
         for (index, name) in names.iter().enumerate() {
             let zone = zones[index % zones.len()];
@@ -202,16 +202,12 @@
                 "member = \"{name}\"\nzone = \"{zone}\"\nserve_on = \"{}\"\nmesh_addr = \"{}\"\n",
                 site.nodes[index].1, mesh[index]
             );
-            let (link, state_address) = site.state.serve_controller(index as u64 + 1);
-            site.links.push(link);
             for (peer, peer_name) in names.iter().enumerate().filter(|(peer, _)| *peer != index) {
-                let proxy = Proxy::start(mesh[peer]);
                 text += &format!(
                     "\n[[peers]]\nmember = \"{peer_name}\"\nzone = \"{}\"\nendpoint = \"{}\"\n",
                     zones[peer % zones.len()],
-                    proxy.address
+                    mesh[peer]
                 );
-                site.mesh.insert((index, peer), proxy);
             }
             text += &format!(
                 "\n[endpoints]\ncloud = \"{cloud_address}\"\nstate = \"{state_address}\"\n\n[settings]\n\
@@ -286,24 +282,6 @@
         }
     }
 
-    /// Sends a signal to a controller's process: `STOP` or `CONT`.
-    pub fn signal_controller(&self, index: usize, signal: &str) {
-        if let Some(child) = &self.children[index] {
-            let command = format!("kill -{signal} {}", child.id());
-            let _ = Command::new("sh").arg("-c").arg(command).status();
-            self.record.line(format!("{} gets SIG{signal}", self.nodes[index].0));
-        }
-    }
-
-    /// Cuts a controller from the other controllers, in both directions, or ends the cut.
-    pub fn cut_mesh(&self, index: usize, cut: bool) {
-        for ((from, to), proxy) in &self.mesh {
-            if *from == index || *to == index {
-                proxy.set_cut(cut);
-            }
-        }
-    }
-
     /// Waits until all controllers are healthy; false if they are not within the time.
     pub fn wait_healthy(&self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
@@ -326,7 +304,8 @@
         let mut ended = false;
         for child in self.children.iter_mut().flatten() {
             if let Ok(Some(status)) = child.try_wait() {
-                self.record.line(format!("a controller has ended: {status}"));
+                self.record
+                    .line(format!("a controller has ended: {status}"));
                 ended = true;
             }
         }
@@ -335,14 +314,25 @@
 
     /// Submits a job as a user does: repeated until it is accepted, for up to 60 s.
     pub fn submit(&self, job: &Job) -> bool {
-        self.shared.jobs.lock().unwrap().insert(job.id.clone(), job.clone());
+        self.shared
+            .jobs
+            .lock()
+            .unwrap()
+            .insert(job.id.clone(), job.clone());
         let until = Instant::now() + Duration::from_secs(60);
         let mut node = 0;
         while Instant::now() < until {
             let (name, address) = &self.nodes[node % self.nodes.len()];
             let body = job.body();
-            let reply = call(*address, "POST", "/v1/jobs", Some(&body), Duration::from_secs(5));
-            self.record.line(format!("user -> {name}: POST /v1/jobs {body} -> {reply:?}"));
+            let reply = call(
+                *address,
+                "POST",
+                "/v1/jobs",
+                Some(&body),
+                Duration::from_secs(5),
+            );
+            self.record
+                .line(format!("user -> {name}: POST /v1/jobs {body} -> {reply:?}"));
             if let Some((200 | 201, _)) = reply {
                 return true;
             }
@@ -352,45 +342,38 @@
         false
     }
 
-    pub fn cancel(&self, id: &str) -> Option<String> {
-        let until = Instant::now() + Duration::from_secs(60);
-        let mut node = 0;
-        while Instant::now() < until {
-            let (name, address) = &self.nodes[node % self.nodes.len()];
-            let path = format!("/v1/jobs/{id}/cancel");
-            let reply = call(*address, "POST", &path, None, Duration::from_secs(5));
-            self.record.line(format!("user -> {name}: POST {path} -> {reply:?}"));
-            if let Some((200, body)) = reply {
-                return body["status"].as_str().map(str::to_owned);
-            }
-            node += 1;
-            std::thread::sleep(Duration::from_secs(1));
-        }
-        None
-    }
-
     /// Polls a job once at a controller; the status, if there is an answer.
     pub fn poll(&self, id: &str, node: usize) -> Option<(u16, String)> {
         let (name, address) = &self.nodes[node % self.nodes.len()];
         let path = format!("/v1/jobs/{id}");
         let reply = call(*address, "GET", &path, None, Duration::from_secs(2));
-        self.record.line(format!("user -> {name}: GET {path} -> {reply:?}"));
-        reply.map(|(status, body)| (status, body["status"].as_str().unwrap_or_default().to_owned()))
+        self.record
+            .line(format!("user -> {name}: GET {path} -> {reply:?}"));
+        reply.map(|(status, body)| {
+            (
+                status,
+                body["status"].as_str().unwrap_or_default().to_owned(),
+            )
+        })
     }
 
     /// The workers of the machines that are up.
     pub fn workers(&self) -> Vec<Arc<Worker>> {
         let cloud = self.cloud.lock().unwrap();
-        cloud.machines.values().filter_map(|machine| machine.worker.clone()).collect()
+        cloud
+            .machines
+            .values()
+            .filter_map(|machine| machine.worker.clone())
+            .collect()
     }
 
-    /// Whether any task of the job is or was started, and when it first was.
-    pub fn first_start(&self, id: &str) -> Option<f64> {
+    /// Whether any task of the job has been started.
+    pub fn has_started(&self, id: &str) -> bool {
         let prefix = format!("{id}/");
         let is_start = |event: &crate::record::TaskEvent| {
             event.task.starts_with(&prefix) && event.what.starts_with("starts")
         };
-        self.record.events().iter().find(|event| is_start(event)).map(|event| event.at_s)
+        self.record.events().iter().any(is_start)
     }
 
     /// Waits until a condition holds; false if it does not within the time.
@@ -446,7 +429,9 @@
             match &machine.worker {
                 Some(worker) => worker.advance(),
                 None if machine.rented_at.elapsed().as_secs_f64() >= boot_s => {
-                    shared.record.line(format!("{name} is up in {}", machine.zone));
+                    shared
+                        .record
+                        .line(format!("{name} is up in {}", machine.zone));
                     let node = number % shared.nodes.len();
                     let worker = Worker::start(name, rig, &machine.zone, node, shared.clone());
                     machine.worker = Some(worker);
@@ -476,8 +461,17 @@
             }
             let zone = body["yard"].as_str().unwrap_or_default().to_owned();
             let wanted = body["how_many"].as_u64().unwrap_or(0) as usize;
-            let used = cloud.machines.values().filter(|machine| machine.zone == zone).count();
-            let left = cloud.capacity.get(&zone).copied().unwrap_or(0).saturating_sub(used);
+            let used = cloud
+                .machines
+                .values()
+                .filter(|machine| machine.zone == zone)
+                .count();
+            let left = cloud
+                .capacity
+                .get(&zone)
+                .copied()
+                .unwrap_or(0)
+                .saturating_sub(used);
             let count = wanted.min(left).min(50);
             if count == 0 || body["loaners"] == json!(true) {
                 return Reply::Json(503, json!({"error": "no capacity"}));
@@ -486,7 +480,9 @@
             for _ in 0..count {
                 cloud.last += 1;
                 let name = format!("host-{:06}", cloud.last);
-                shared.record.line(format!("cloud: {name} is rented in {zone}"));
+                shared
+                    .record
+                    .line(format!("cloud: {name} is rented in {zone}"));
                 let machine = Machine {
                     zone: zone.clone(),
                     rented_at: Instant::now(),
--- a/review/standins-2/src/state.rs
+++ b/review/standins-2/src/state.rs
@@ -1,6 +1,6 @@
 //! The state service: a key-value store with revisions, leases, transactions and watches.
 
-use crate::http::{serve, Handler, Reply, Request};
+use crate::http::{serve, Reply, Request};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -215,53 +215,14 @@
     }
 }
 
-/// What happens to the requests of one controller.
-#[derive(Clone, Copy, Default)]
-pub struct Fault {
-    /// They get 503; open watches wait.
-    pub refuses: bool,
-    /// They are lost without an answer.
-    pub cut: bool,
-    /// This share of the transactions is carried out at once, but the answer is lost.
-    pub lost_answers: f64,
-    /// This share of the transactions gets no answer and is carried out 2 to 12 s later.
-    pub late_writes: f64,
-    /// Time that each request takes longer, in seconds.
-    pub slower_s: f64,
-}
-
-/// The connection of one controller to the service.
-#[derive(Default)]
-pub struct Link {
-    fault: Mutex<Fault>,
-    random: Mutex<u64>,
-}
-
-impl Link {
-    pub fn set(&self, fault: Fault) {
-        *self.fault.lock().unwrap() = fault;
-    }
-
-    fn get(&self) -> Fault {
-        *self.fault.lock().unwrap()
-    }
-
-    /// A number from 0 to 1.
-    fn random(&self) -> f64 {
-        let mut state = self.random.lock().unwrap();
-        *state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (*state >> 40) as f64 / (1u64 << 24) as f64
-    }
-}
-
 pub struct StateService {
     store: Mutex<Store>,
     changed: Condvar,
 }
 
 impl StateService {
-    /// Starts the service.
-    pub fn start(limits: Limits) -> Arc<StateService> {
+    /// Starts the service on a free loopback port.
+    pub fn start(limits: Limits) -> SocketAddr {
         let store = Store {
             limits,
             items: BTreeMap::new(),
@@ -284,67 +245,7 @@
                 ticking.changed.notify_all();
             }
         });
-        service
-    }
-
-    /// Serves one controller on a loopback port of its own.
-    pub fn serve_controller(self: &Arc<Self>, seed: u64) -> (Arc<Link>, SocketAddr) {
-        let link = Arc::new(Link::default());
-        *link.random.lock().unwrap() = seed;
-        let (service, own) = (self.clone(), link.clone());
-        let handler: Handler = Arc::new(move |request| service.handle_over(&own, request));
-        (link, serve(handler))
-    }
-
-    fn handle_over(self: &Arc<Self>, link: &Link, request: Request) -> Reply {
-        let fault = link.get();
-        let no_answer = || {
-            std::thread::sleep(Duration::from_secs(5));
-            Reply::Silent
-        };
-        if fault.cut {
-            return no_answer();
-        }
-        std::thread::sleep(Duration::from_secs_f64(fault.slower_s));
-        if fault.refuses {
-            return Reply::Json(503, json!({"error": "unavailable"}));
-        }
-        if request.path == "/txn" {
-            let random = link.random();
-            if random < fault.lost_answers {
-                self.handle(request);
-                return no_answer();
-            }
-            if random < fault.lost_answers + fault.late_writes {
-                let delay = Duration::from_secs_f64(2.0 + 10.0 * link.random());
-                let service = self.clone();
-                std::thread::spawn(move || {
-                    std::thread::sleep(delay);
-                    service.handle(request);
-                });
-                return no_answer();
-            }
-        }
-        let is_watch = request.path == "/changes";
-        let reply = self.handle(request);
-        if is_watch {
-            // Open watches wait while the controller is refused; over a cut link the answer is lost.
-            while link.get().refuses {
-                std::thread::sleep(Duration::from_millis(50));
-            }
-            if link.get().cut {
-                return no_answer();
-            }
-        }
-        reply
-    }
-
-    /// An outage: every lease has its full time again once it ends.
-    pub fn renew_all_leases(&self) {
-        let mut store = self.store.lock().unwrap();
-        for lease in store.leases.values_mut() {
-            lease.ends_at = Instant::now() + lease.life;
-        }
+        serve(Arc::new(move |request| service.handle(request)))
     }
 
     fn handle(&self, request: Request) -> Reply {
@@ -412,7 +313,11 @@
 
     fn watch(&self, request: &Request) -> Reply {
         let prefix = request.query("prefix").unwrap_or_default().to_owned();
-        let number = |name| request.query(name).and_then(|text| text.parse::<u64>().ok());
+        let number = |name| {
+            request
+                .query(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         let after = number("after").unwrap_or(0);
         let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(60_000));
         let until = Instant::now() + wait;
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -84,27 +84,13 @@
     node: usize,
     sick: bool,
     gone: bool,
-    trouble: Trouble,
-    hung_at: Option<Instant>,
+    /// It has lost the network: nothing arrives from it or at it.
+    cut: bool,
     /// The reports that it has sent, and the controller that last answered one with 200.
     reports: Vec<Value>,
     answered_by: Option<usize>,
 }
 
-/// What is wrong with a machine's connections.
-#[derive(Clone, Copy, PartialEq, Debug)]
-pub enum Trouble {
-    None,
-    /// Its reports arrive; answers and direct commands to it are lost.
-    Deaf,
-    /// It reaches no controller, while direct commands reach it.
-    Mute,
-    /// Nothing arrives from it or at it.
-    Cut,
-    /// It hangs: no task goes on, and it neither sends nor answers anything.
-    Hangs,
-}
-
 pub struct Worker {
     pub name: String,
     pub zone: String,
@@ -135,8 +121,7 @@
             node,
             sick: false,
             gone: false,
-            trouble: Trouble::None,
-            hung_at: None,
+            cut: false,
             reports: Vec::new(),
             answered_by: None,
         };
@@ -158,7 +143,9 @@
 
     pub fn address(&self) -> String {
         let address = self.address.lock().unwrap();
-        address.map(|address| address.to_string()).unwrap_or_default()
+        address
+            .map(|address| address.to_string())
+            .unwrap_or_default()
     }
 
     /// From now on the machine fails every task that it starts, or no longer does.
@@ -166,19 +153,12 @@
         self.inner.lock().unwrap().sick = sick;
     }
 
-    /// Begins or ends a trouble.
-    pub fn set_trouble(&self, trouble: Trouble) {
-        let mut inner = self.inner.lock().unwrap();
-        self.shared.record.line(format!("{}: trouble {trouble:?}", self.name));
-        inner.trouble = trouble;
-        let now = Instant::now();
-        if trouble == Trouble::Hangs {
-            inner.hung_at = Some(now);
-        } else if let Some(hung_at) = inner.hung_at.take() {
-            for task in inner.tasks.values_mut() {
-                task.ends_at = task.ends_at.map(|at| at + (now - hung_at));
-            }
-        }
+    /// From now on the machine has no network.
+    pub fn cut(&self) {
+        self.shared
+            .record
+            .line(format!("{}: the network is lost", self.name));
+        self.inner.lock().unwrap().cut = true;
     }
 
     /// The reports that it has sent, the oldest first.
@@ -194,7 +174,10 @@
     /// The tasks that are on the machine now: they have started and not exited.
     pub fn present(&self) -> Vec<String> {
         let inner = self.inner.lock().unwrap();
-        let present = inner.tasks.iter().filter(|(_, task)| task.phase == Phase::Running);
+        let present = inner
+            .tasks
+            .iter()
+            .filter(|(_, task)| task.phase == Phase::Running);
         present.map(|((task, _), _)| task.clone()).collect()
     }
 
@@ -204,7 +187,9 @@
         inner.gone = true;
         for (id, task) in std::mem::take(&mut inner.tasks) {
             if task.phase != Phase::Exited {
-                self.shared.record.task(&self.name, &id.0, "is gone with its machine");
+                self.shared
+                    .record
+                    .task(&self.name, &id.0, "is gone with its machine");
             }
         }
     }
@@ -236,14 +221,16 @@
     }
 
     fn advance_inner(&self, inner: &mut Inner) {
-        if inner.gone || inner.trouble == Trouble::Hangs {
+        if inner.gone {
             return;
         }
         let now = Instant::now();
         if now > inner.lease_from + Duration::from_secs_f64(self.shared.lease_s) {
             for (id, task) in std::mem::take(&mut inner.tasks) {
                 if task.phase != Phase::Exited {
-                    self.shared.record.task(&self.name, &id.0, "is killed: the lease has ended");
+                    self.shared
+                        .record
+                        .task(&self.name, &id.0, "is killed: the lease has ended");
                 }
             }
             inner.shift += 1;
@@ -281,7 +268,9 @@
                 if !task.fails {
                     inner.done.insert(id.clone());
                 }
-                self.shared.record.task(&self.name, id, &format!("exits {}", task.cause));
+                self.shared
+                    .record
+                    .task(&self.name, id, &format!("exits {}", task.cause));
             }
         }
     }
@@ -316,7 +305,9 @@
             let verb = order["verb"].as_str().unwrap_or_default();
             let task = order["piece"].as_str().unwrap_or_default().to_owned();
             let key = (task.clone(), order["try"].as_u64().unwrap_or(0));
-            self.shared.record.line(format!("{}: {route} order {order}", self.name));
+            self.shared
+                .record
+                .line(format!("{}: {route} order {order}", self.name));
             match verb {
                 "launch" if !inner.tasks.contains_key(&key) => {
                     let state = self.launch(inner, &task);
@@ -355,8 +346,9 @@
         let Some(job) = job else {
             return exited("unknown");
         };
-        let is_here =
-            |(other, state): (&(String, u64), &Task)| other.0 == task && state.phase != Phase::Exited;
+        let is_here = |(other, state): (&(String, u64), &Task)| {
+            other.0 == task && state.phase != Phase::Exited
+        };
         if inner.tasks.iter().any(is_here) {
             return exited("busy");
         }
@@ -377,19 +369,9 @@
 
     /// Handles `/commands` and `/status`.
     fn handle(&self, request: Request) -> Reply {
-        let trouble = self.inner.lock().unwrap().trouble;
-        match trouble {
-            Trouble::Deaf | Trouble::Cut => {
-                std::thread::sleep(Duration::from_secs(4));
-                return Reply::Silent;
-            }
-            Trouble::Hangs => {
-                // A command that arrives meanwhile is executed when the machine goes on.
-                while self.inner.lock().unwrap().trouble == Trouble::Hangs {
-                    std::thread::sleep(Duration::from_millis(50));
-                }
-            }
-            Trouble::None | Trouble::Mute => {}
+        if self.inner.lock().unwrap().cut {
+            std::thread::sleep(Duration::from_secs(4));
+            return Reply::Silent;
         }
         let mut inner = self.inner.lock().unwrap();
         if inner.gone {
@@ -424,9 +406,6 @@
                     return;
                 }
                 self.advance_inner(&mut inner);
-                if inner.trouble == Trouble::Hangs {
-                    continue;
-                }
                 let is_due = last.elapsed() >= interval
                     || inner.changed && last.elapsed() >= MIN_REPORT_INTERVAL;
                 if !is_due {
@@ -439,45 +418,29 @@
             };
             last = sent_at;
             counter = counter.wrapping_add(1);
-            let spread = 0.75 + 0.5 * f64::from(counter.wrapping_mul(2_654_435_761) >> 16) / 65_536.0;
+            let spread =
+                0.75 + 0.5 * f64::from(counter.wrapping_mul(2_654_435_761) >> 16) / 65_536.0;
             interval = Duration::from_secs_f64(self.shared.report_s * spread);
             let address = self.shared.nodes[node].1;
-            let trouble = self.inner.lock().unwrap().trouble;
-            let reply = match trouble {
-                Trouble::None | Trouble::Hangs => {
-                    call(address, "POST", "/hello", Some(&body), REPORT_TIMEOUT)
-                }
-                Trouble::Deaf => {
-                    call(address, "POST", "/hello", Some(&body), REPORT_TIMEOUT);
-                    std::thread::sleep(REPORT_TIMEOUT.saturating_sub(sent_at.elapsed()));
-                    None
-                }
-                Trouble::Mute | Trouble::Cut => {
-                    std::thread::sleep(REPORT_TIMEOUT);
-                    None
-                }
+            let reply = if self.inner.lock().unwrap().cut {
+                std::thread::sleep(REPORT_TIMEOUT);
+                None
+            } else {
+                call(address, "POST", "/hello", Some(&body), REPORT_TIMEOUT)
             };
-            while self.inner.lock().unwrap().trouble == Trouble::Hangs {
-                std::thread::sleep(Duration::from_millis(20));
-            }
             self.handle_reply(reply, node, shift, sent_at);
         }
     }
 
-    fn handle_reply(
-        &self,
-        reply: Option<(u16, Value)>,
-        node: usize,
-        shift: u64,
-        sent_at: Instant,
-    ) {
+    fn handle_reply(&self, reply: Option<(u16, Value)>, node: usize, shift: u64, sent_at: Instant) {
         let count = self.shared.nodes.len();
         let pause = match reply {
             Some((200, body)) if sent_at.elapsed() <= REPORT_TIMEOUT => {
                 let mut inner = self.inner.lock().unwrap();
                 self.advance_inner(&mut inner);
                 let baton = body["baton"].as_u64().unwrap_or(0);
-                let is_valid = body["baton"].is_u64() && baton >= inner.baton && shift == inner.shift;
+                let is_valid =
+                    body["baton"].is_u64() && baton >= inner.baton && shift == inner.shift;
                 inner.answered_by = Some(node);
                 if is_valid && !inner.gone {
                     inner.changed |= baton > inner.baton;
@@ -490,7 +453,11 @@
             }
             Some((421, body)) => {
                 let foreman = body["foreman"].as_str().unwrap_or_default();
-                let position = self.shared.nodes.iter().position(|(name, _)| name == foreman);
+                let position = self
+                    .shared
+                    .nodes
+                    .iter()
+                    .position(|(name, _)| name == foreman);
                 match position.filter(|position| *position != node) {
                     Some(position) => {
                         let mut inner = self.inner.lock().unwrap();
