Judge a previous leader's placements only by statuses with the own token

Cause: the first status that a new leader receives of a machine may be any that its worker ever sent. `observe_placement` took an inherited placement as launched as soon as any status listed it, so the next status without it counted as proof that the task is gone; and it took an exit that any status showed as the attempt's end. Both statuses may be older than the previous leader's last launch of the same attempt. The absence alone was judged rightly before: only by the token.

Change: an inherited placement is judged only by a status that shows this leader's token. No message from before the leadership does, and from then on the worker executes no command of an earlier leader. Until then a status is only displayed. The wait ends with the worker's next status after it has seen the token: after the reply to its heartbeat, 0.5 s to 1.25 heartbeat intervals later, or with the answer to a probe, which now carries the token until the worker shows it.

Evidence: `inherited_placements` (scheduler).

--- a/crates/controller/src/controller/heartbeats.rs
+++ b/crates/controller/src/controller/heartbeats.rs
@@ -95,12 +95,8 @@
                     .add(MessageSource::Worker, MessageFault::Stale);
                 commands
             }
-            HeartbeatOutcome::Withheld => {
-                tracing::warn!(
-                    machine = %name,
-                    reason = "a launch of a cancelled task may still arrive",
-                    "heartbeat reply withheld"
-                );
+            HeartbeatOutcome::Withheld(reason) => {
+                tracing::warn!(machine = %name, %reason, "heartbeat reply withheld");
                 self.counters.replies_withheld += 1;
                 return HeartbeatReply::Unavailable;
             }
--- a/crates/controller/src/controller/leadership/mod.rs
+++ b/crates/controller/src/controller/leadership/mod.rs
@@ -23,7 +23,9 @@
 use crate::records::ControllerIncarnation;
 use loading::Loading;
 use model::{ControllerName, FencingToken, JobId, MachineName, Timestamp, Version};
-use scheduler::{CommandRoute, CommittedChanges, PartitionState, StatusSource};
+use scheduler::{
+    CommandRoute, CommittedChanges, LeaseRenewalBlocker, PartitionState, StatusSource,
+};
 use std::time::Duration;
 use token_raises::TokenRaise;
 use wire::workers::{Command, Heartbeat};
@@ -96,7 +98,7 @@
     /// with these commands.
     Stale(Vec<Command>),
     /// The heartbeat must not be answered.
-    Withheld,
+    Withheld(LeaseRenewalBlocker),
 }
 
 impl PartitionLeadership {
@@ -327,8 +329,8 @@
         };
         machine.token = machine.token.max(token);
         let is_newer = partition_state.reconcile(heartbeat, StatusSource::Heartbeat, now);
-        if !partition_state.may_renew_lease(name, now) {
-            return HeartbeatOutcome::Withheld;
+        if let Some(blocker) = partition_state.lease_renewal_blocker(name, now) {
+            return HeartbeatOutcome::Withheld(blocker);
         }
         if let Some(machine) = partition_state.machines.get_mut(name) {
             machine.renew_lease(is_newer, now);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -56,6 +56,7 @@
 
 pub use commands::{CommandRoute, DirectCallTarget};
 pub use job::Job;
+pub use leases::LeaseRenewalBlocker;
 pub use liveness::Probe;
 pub use machine::Machine;
 pub use partition_state::PartitionState;
--- a/crates/scheduler/src/liveness.rs
+++ b/crates/scheduler/src/liveness.rs
@@ -244,15 +244,22 @@
         is_due_as_suspect || now.duration_since(last_contact) >= probe_after
     }
 
-    /// A probe without a token or worker epoch, which every worker answers; none if no address is known.
+    /// A probe of a machine that has sent a status to this leader; none if no address is known. Until the worker has
+    /// seen this leader's token the probe carries it. Otherwise it carries neither a token nor a worker epoch, and
+    /// changes nothing. A worker answers in any case.
     fn probe(&mut self) -> Option<Probe> {
         let address = self.address.clone()?;
         self.probe_state.pending = true;
+        let (token, worker_epoch) = if self.seen_token < self.token {
+            (self.token, self.worker_epoch)
+        } else {
+            (FencingToken(0), WorkerEpoch(0))
+        };
         Some(Probe {
             machine: self.name.clone(),
             address,
-            token: FencingToken(0),
-            worker_epoch: WorkerEpoch(0),
+            token,
+            worker_epoch,
         })
     }
 }
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -37,9 +37,10 @@
 pub enum LaunchState {
     /// No launch was sent, or every launch is known to be lost.
     NotLaunched,
-    /// The placement was recorded by a previous leader, which may have launched it by any route.
+    /// The placement was recorded by a previous leader, which may have launched it by any route. Only a status that
+    /// shows this leader's token proves what has become of it.
     Inherited,
-    /// This leader has sent a launch, or a worker's status has shown the task.
+    /// This leader has sent a launch, or a worker's status has proved that the task is there.
     Launched {
         /// A launch was sent in the response to a heartbeat, and no status has shown yet whether it
         /// arrived. Only the next heartbeat proves that it was lost: the status in the response to a direct
--- a/crates/scheduler/src/reconciliation.rs
+++ b/crates/scheduler/src/reconciliation.rs
@@ -77,6 +77,12 @@
         machine.last_seen_at.is_none() || (self.worker_epoch, self.sequence_number) > known
     }
 
+    /// Whether the worker had seen this leader's token when it made the status. Every earlier status may be older
+    /// than anything that a previous leader did on the machine.
+    fn shows_token_of(&self, machine: &Machine) -> bool {
+        self.token >= machine.token
+    }
+
     fn find(&self, id: TaskAttempt) -> Option<&'a TaskStatus> {
         let listed = self.tasks.iter().find(|listed| listed.id == id)?;
         Some(listed.status)
@@ -144,10 +150,15 @@
         if launch.is_some_and(|launch| machine.has_superseded(&launch)) {
             placement.launch.settle_direct_launch();
         }
-        let attempt = placement.attempt;
-        let Some(listed) = status.find(TaskAttempt { task, attempt }) else {
-            let has_seen_token = status.token >= machine.token;
-            self.handle_absent_task(task, has_seen_token, status);
+        let listed = status.find(placement.id(task));
+        if placement.launch == LaunchState::Inherited && !status.shows_token_of(machine) {
+            // A previous leader may have launched the same attempt after this status, so whether it lists the task,
+            // omits it or shows it as exited proves nothing. It is only displayed.
+            placement.last_status = listed.map(|listed| listed.state);
+            return;
+        }
+        let Some(listed) = listed else {
+            self.handle_absent_task(task, status);
             return;
         };
         placement.last_status = Some(listed.state);
@@ -171,9 +182,9 @@
         }
     }
 
-    /// Handles a placed task that a newer status does not list. `has_seen_token`: the worker has seen this
+    /// Handles a placed task that a newer status does not list. If a previous leader placed it, the status shows this
     /// leader's token.
-    fn handle_absent_task(&mut self, task: TaskId, has_seen_token: bool, status: &Status<'_>) {
+    fn handle_absent_task(&mut self, task: TaskId, status: &Status<'_>) {
         let Some(machine) = self.machines.get_mut(&status.machine) else {
             return;
         };
@@ -195,10 +206,6 @@
         {
             return;
         }
-        // Until the worker has seen this leader's token, it may still execute a previous leader's launch.
-        if placement.launch == LaunchState::Inherited && !has_seen_token {
-            return;
-        }
         if let Some(launch) = machine.unsuperseded_launch(&placement.id(task)) {
             // The worker has lost a task that it was not told to forget. A late copy of the launch would start it
             // again, so it keeps its placement until the worker executes no such copy any more.
--- a/crates/scheduler/tests/partition_state/main.rs
+++ b/crates/scheduler/tests/partition_state/main.rs
@@ -6,6 +6,7 @@
 mod commands;
 mod explanations;
 mod failure_attribution;
+mod inherited_placements;
 mod leases;
 mod liveness;
 mod preemption;
