Let an answered direct call settle only the launch that it sent

What callers could see: a task on two machines.

Cause: a call to a worker knows its partition, not its term. Where a controller loses a partition and leads it again before the answer comes (2.5 s at most), the answer to the call of the earlier term settled a direct launch of the same attempt that was sent under the new one and may still arrive.

Change: a call keeps the token and the worker epoch under which it was made, and its answer settles only a launch that was sent under the same two.

Evidence: `answer_to_call_of_earlier_term_does_not_settle_launch` (scheduler), which fails with the comparison taken out.

--- a/crates/controller/src/controller/call_kind.rs
+++ b/crates/controller/src/controller/call_kind.rs
@@ -6,7 +6,7 @@
 use crate::state_client::Budget;
 use crate::state_sync::SyncCall;
 use model::{ControllerName, MachineName, PartitionId};
-use scheduler::TaskAttempt;
+use scheduler::{DirectLaunch, TaskAttempt};
 use wire::cloud::{ListedMachine, RentRequest};
 
 /// The purpose of a call, grouped by the component that handles the reply.
@@ -147,6 +147,8 @@
         partition: PartitionId,
         machine: MachineName,
         launches: Vec<TaskAttempt>,
+        /// The token and the worker epoch of the call.
+        sent_as: DirectLaunch,
     },
     /// A probe that tells whether this controller reaches a worker of a partition that it has resigned.
     ReachabilityProbe {
--- a/crates/controller/src/controller/heartbeats.rs
+++ b/crates/controller/src/controller/heartbeats.rs
@@ -192,6 +192,7 @@
                 partition,
                 machine,
                 launches,
+                sent_as: target.launch(),
             }));
             let body = DirectCommands {
                 token: target.token.0,
@@ -239,11 +240,7 @@
         reply: DirectReply,
     ) {
         let now = self.now;
-        let partition_state = self
-            .leaderships
-            .get_mut(&partition)
-            .and_then(|leadership| leadership.partition_state_mut());
-        let Some(partition_state) = partition_state else {
+        let Some(partition_state) = self.partition_state_of(partition) else {
             return;
         };
         match reply {
@@ -280,10 +277,17 @@
                 partition,
                 machine,
                 launches,
-            })) => {
-                let reply = self.validate_reply(&machine, reply);
-                self.handle_command_reply(partition, &machine, &launches, reply);
-            }
+                sent_as,
+            })) => match self.validate_reply(&machine, reply) {
+                DirectReply::Unknown => self.handle_unanswered_commands(partition, &machine),
+                DirectReply::Answered(heartbeat) => {
+                    let now = self.now;
+                    if let Some(partition_state) = self.partition_state_of(partition) {
+                        partition_state.record_direct_response(&machine, &launches, sent_as);
+                        partition_state.reconcile(&heartbeat, StatusSource::DirectResponse, now);
+                    }
+                }
+            },
             Some(CallKind::Worker(WorkerCall::ReachabilityProbe { partition, machine })) => {
                 let reply = self.validate_reply(&machine, reply);
                 self.handle_reachability_reply(
@@ -302,28 +306,11 @@
         }
     }
 
-    /// Handles the reply to commands that were sent directly to a machine.
-    fn handle_command_reply(
-        &mut self,
-        partition: PartitionId,
-        machine: &MachineName,
-        launches: &[TaskAttempt],
-        reply: DirectReply,
-    ) {
+    /// Handles the lack of a reply to commands that were sent directly to a machine.
+    fn handle_unanswered_commands(&mut self, partition: PartitionId, machine: &MachineName) {
         let now = self.now;
-        let Some(partition_state) = self
-            .leaderships
-            .get_mut(&partition)
-            .and_then(|leadership| leadership.partition_state_mut())
-        else {
-            return;
-        };
-        match reply {
-            DirectReply::Unknown => partition_state.record_unanswered_commands(machine, now),
-            DirectReply::Answered(heartbeat) => {
-                partition_state.record_direct_response(machine, launches);
-                partition_state.reconcile(&heartbeat, StatusSource::DirectResponse, now);
-            }
+        if let Some(partition_state) = self.partition_state_of(partition) {
+            partition_state.record_unanswered_commands(machine, now);
         }
     }
 }
--- a/crates/controller/src/controller/leadership/machine_transfers.rs
+++ b/crates/controller/src/controller/leadership/machine_transfers.rs
@@ -16,7 +16,11 @@
             .add(MessageSource::Peer, MessageFault::Malformed);
     }
 
-    fn partition_state_of(&mut self, partition: PartitionId) -> Option<&mut PartitionState> {
+    /// The state of a partition that this controller leads, once it is loaded.
+    pub(in crate::controller) fn partition_state_of(
+        &mut self,
+        partition: PartitionId,
+    ) -> Option<&mut PartitionState> {
         self.leaderships
             .get_mut(&partition)
             .and_then(PartitionLeadership::partition_state_mut)
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -29,6 +29,16 @@
     pub worker_epoch: WorkerEpoch,
 }
 
+impl DirectCallTarget {
+    /// The token and the worker epoch of a launch that is sent to this target.
+    pub fn launch(&self) -> DirectLaunch {
+        DirectLaunch {
+            token: self.token,
+            worker_epoch: self.worker_epoch,
+        }
+    }
+}
+
 impl PartitionState {
     /// The commands that are due for a machine: launches of durable placements, stops, and forget commands
     /// for exited tasks whose outcome is durable; as many of them as one message can carry. The launches are
@@ -243,13 +253,22 @@
     }
 
     /// Records that a direct call was answered: the launches that it carried have been executed or refused, and
-    /// will not be executed later.
-    pub fn record_direct_response(&mut self, name: &MachineName, sent: &[TaskAttempt]) {
+    /// will not be executed later. `sent_as` is the token and the worker epoch of the call. An answer to a call of an
+    /// earlier term settles no launch of this term, even of the same attempt.
+    pub fn record_direct_response(
+        &mut self,
+        name: &MachineName,
+        sent: &[TaskAttempt],
+        sent_as: DirectLaunch,
+    ) {
         for launched in sent {
             let Some(placement) = self.placement_mut(launched.task) else {
                 continue;
             };
-            if placement.attempt == launched.attempt && placement.machine == *name {
+            let is_same_launch = placement.attempt == launched.attempt
+                && placement.machine == *name
+                && placement.launch.unconfirmed_direct() == Some(sent_as);
+            if is_same_launch {
                 placement.launch.settle_direct_launch();
             }
         }
--- a/crates/scheduler/tests/partition_state/commands.rs
+++ b/crates/scheduler/tests/partition_state/commands.rs
@@ -2,7 +2,7 @@
 
 use crate::builders::{heartbeat, job, make_durable, new_partition, place_and_launch, task_status};
 use model::{FencingToken, MachineName, Timestamp};
-use scheduler::{CommandRoute, PartitionState, StatusSource, TaskAttempt};
+use scheduler::{CommandRoute, DirectLaunch, PartitionState, StatusSource, TaskAttempt};
 use wire::users::{JobKind, Priority};
 use wire::workers::{Command, ExitCause, Heartbeat, TaskState, TaskStatus};
 
@@ -247,6 +247,7 @@
             task: id,
             attempt: model::Attempt(attempt),
         }],
+        direct_launch(5),
     );
     partition.reconcile(
         &heartbeat(2, None, running),
@@ -299,6 +300,47 @@
     assert_eq!(forget_count(&mut partition, 32_000), 1);
 }
 
+/// A direct launch in the first epoch of a worker.
+fn direct_launch(token: u64) -> DirectLaunch {
+    DirectLaunch {
+        token: FencingToken(token),
+        worker_epoch: model::WorkerEpoch(1),
+    }
+}
+
+/// Guards against a launch that counts as settled though it may still arrive: the answer was to a call that this
+/// controller had made in an earlier term, with the same attempt.
+#[test]
+fn answer_to_call_of_earlier_term_does_not_settle_launch() {
+    let mut partition = new_partition();
+    let name = MachineName::from("host-000001");
+    let now = Timestamp::from_millis(100);
+    partition.reconcile(
+        &heartbeat(1, None, Vec::new()),
+        StatusSource::Heartbeat,
+        now,
+    );
+    let spec = job(1, "t", JobKind::Service, Priority::High, 1);
+    partition.add_job(spec, 1, &[], now);
+    partition.run_cycles(now, 100);
+    make_durable(&mut partition);
+    partition.commands_for(&name, CommandRoute::DirectCall, now);
+    let placement =
+        |partition: &PartitionState| partition.jobs[&model::JobId(1)].placed[&0].clone();
+    let launched = TaskAttempt {
+        task: model::TaskId {
+            job: model::JobId(1),
+            index: 0,
+        },
+        attempt: placement(&partition).attempt,
+    };
+    for (token, is_settled) in [(4, false), (5, true)] {
+        partition.record_direct_response(&name, &[launched], direct_launch(token));
+        let unconfirmed = placement(&partition).launch.unconfirmed_direct();
+        assert_eq!(unconfirmed.is_none(), is_settled, "token {token}");
+    }
+}
+
 /// A partition whose machine 1 runs a task that was launched by a direct call and answered; its status, and the id
 /// of the task.
 fn partition_with_directly_launched_task() -> (PartitionState, TaskStatus, TaskAttempt) {
@@ -323,7 +365,7 @@
         attempt: model::Attempt(*attempt),
     };
     let running = task_status(task, *attempt, TaskState::Running, None);
-    partition.record_direct_response(&name, &[id]);
+    partition.record_direct_response(&name, &[id], direct_launch(5));
     let status = heartbeat(2, None, vec![running.clone()]);
     partition.reconcile(&status, StatusSource::DirectResponse, now);
     (partition, running, id)
