Keep a machine's newest early heartbeat, not the one that came last

Cause: while a partition is loaded its leader keeps one heartbeat a machine, and a late copy of an older one replaced a newer one, which may already show the leader's token. The state then began from the older, which proves nothing of what a previous leader placed, so outcomes waited for a further heartbeat.

Change: the newest by worker epoch and sequence number is kept. The time of the last reply is kept too, from which the lease is counted.

Evidence: `late_copy_does_not_replace_newer_early_heartbeat` (controller), which fails without the comparison.

--- a/crates/controller/src/controller/leadership/loading.rs
+++ b/crates/controller/src/controller/leadership/loading.rs
@@ -27,8 +27,8 @@
 pub(in crate::controller) struct EarlyHeartbeat {
     /// The worker's status.
     pub heartbeat: Heartbeat,
-    /// When it was answered.
-    pub received_at: Timestamp,
+    /// When a heartbeat of the machine was last answered.
+    pub answered_at: Timestamp,
 }
 
 /// Progress of reading the placement log.
@@ -74,18 +74,25 @@
 }
 
 impl Loading {
-    /// Keeps a heartbeat until the partition's state is built.
+    /// Keeps a machine's newest heartbeat until the partition's state is built. A late copy of an older one does not
+    /// replace it, but is answered as well.
     pub(super) fn record_heartbeat(
         &mut self,
         machine: &MachineName,
         heartbeat: &Heartbeat,
         now: Timestamp,
     ) {
-        let early = EarlyHeartbeat {
-            heartbeat: heartbeat.clone(),
-            received_at: now,
-        };
-        self.heartbeats.insert(machine.clone(), early);
+        let order = |heartbeat: &Heartbeat| (heartbeat.worker_epoch, heartbeat.sequence_number);
+        match self.heartbeats.get_mut(machine) {
+            Some(early) if order(&early.heartbeat) > order(heartbeat) => early.answered_at = now,
+            _ => {
+                let early = EarlyHeartbeat {
+                    heartbeat: heartbeat.clone(),
+                    answered_at: now,
+                };
+                self.heartbeats.insert(machine.clone(), early);
+            }
+        }
     }
 }
 
@@ -204,3 +211,6 @@
         self.load_state = LoadState::Loaded(Box::new(loaded));
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/controller/src/controller/load_partition.rs
+++ b/crates/controller/src/controller/load_partition.rs
@@ -173,9 +173,9 @@
         let replicated_machines = self.apply_replica(partition, &mut partition_state);
         for (name, early) in leadership.take_early_heartbeats() {
             if let Some(machine) = partition_state.machines.get_mut(&name) {
-                machine.lease_renewed_at = early.received_at;
+                machine.lease_renewed_at = early.answered_at;
             }
-            partition_state.reconcile(&early.heartbeat, StatusSource::Heartbeat, early.received_at);
+            partition_state.reconcile(&early.heartbeat, StatusSource::Heartbeat, early.answered_at);
         }
         tracing::info!(
             %partition,
