Simulate old heartbeats that reach a new leader before any other status

`ReplayHeartbeats` gives all its copies to the next leader, and they come with the machines' own statuses. At a new leader any heartbeat that a worker ever sent may come first, in any order, while the worker cannot be reached.

Change: `Fault::DeliverOldHeartbeatsFirst` keeps heartbeats for four leases, whatever epochs and leaders they are from. At each change of a partition's leader and of a machine's partition it delivers one to four of them for each machine, and disconnects half of the machines.

--- a/crates/controller/src/controller/user_requests.rs
+++ b/crates/controller/src/controller/user_requests.rs
@@ -168,6 +168,16 @@
         }
     }
 
+    /// Number of tasks in the partitions led here that a previous leader has placed and of which no status has proved
+    /// yet what has become of them.
+    pub fn inherited_task_count(&self) -> usize {
+        self.leaderships
+            .values()
+            .filter_map(|leadership| leadership.partition_state())
+            .map(|partition_state| partition_state.inherited_task_count())
+            .sum()
+    }
+
     /// Status of a job that is not in a terminal state.
     pub(super) fn open_job_status(&self, id: JobId) -> JobStatus {
         let own_counts = self
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -78,6 +78,15 @@
         })
     }
 
+    /// Number of tasks that a previous leader has placed and of which no status has proved yet what has become of
+    /// them.
+    pub fn inherited_task_count(&self) -> usize {
+        let placements = self.jobs.values().flat_map(|job| job.placed.values());
+        placements
+            .filter(|placement| placement.launch == LaunchState::Inherited)
+            .count()
+    }
+
     /// Whether a launch of a cancelled job's task may still arrive at the machine and the time for renewals in spite
     /// of it is over.
     fn cancelled_launch_may_arrive(&self, machine: &Machine, now: Timestamp) -> bool {
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -25,7 +25,10 @@
 pub use single_controller::SingleController;
 pub use state::StateServiceLimits;
 pub use worker::MachineMemory;
-pub use world::{Fault, FaultCoverage, Mutation, Plan, World};
+pub use world::{
+    AttemptHistory, Fault, FaultCoverage, HeartbeatRecipient, Mutation, OldHeartbeatCase,
+    OldHeartbeatCounts, Plan, World,
+};
 
 /// Runs a function for each seed from 1 to `seeds`, on all cores.
 pub fn for_seeds(seeds: u64, run: impl Fn(u64) + Sync) {
--- a/crates/simulator/src/worker.rs
+++ b/crates/simulator/src/worker.rs
@@ -98,8 +98,10 @@
     pub tasks_killed_by_lease: u64,
     /// When it was last restarted.
     pub restarted_at: Option<u64>,
-    /// Attempts that it was told to launch, and those that it was told to forget.
-    pub launched_attempts: BTreeSet<TaskKey>,
+    /// How often it started each attempt.
+    pub launches: BTreeMap<TaskKey, u64>,
+    /// Attempts that it was told to stop, and those that it was told to forget.
+    pub stopped_attempts: BTreeSet<TaskKey>,
     pub forgotten_attempts: BTreeSet<TaskKey>,
     /// Since when each task of a gang has been waiting for the other tasks of the gang.
     gang_waits_since: BTreeMap<TaskKey, u64>,
@@ -133,7 +135,8 @@
             gang_start_timeout_ms: 45_000,
             tasks_killed_by_lease: 0,
             restarted_at: None,
-            launched_attempts: BTreeSet::new(),
+            launches: BTreeMap::new(),
+            stopped_attempts: BTreeSet::new(),
             forgotten_attempts: BTreeSet::new(),
             gang_waits_since: BTreeMap::new(),
         }
@@ -311,7 +314,7 @@
             return;
         }
         self.status_changed = true;
-        self.launched_attempts.insert(key.clone());
+        *self.launches.entry(key.clone()).or_default() += 1;
         let id = task.split('/').next().unwrap_or_default();
         let exited = |cause| WorkerTask {
             state: TaskState::Exited,
@@ -373,7 +376,9 @@
         let save_s = job
             .filter(|j| j.checkpoint_interval_s > 0.0)
             .map(|j| j.checkpoint_save_time_s);
-        if let Some(status) = self.tasks.get_mut(&(task.to_owned(), attempt)) {
+        let key = (task.to_owned(), attempt);
+        if let Some(status) = self.tasks.get_mut(&key) {
+            self.stopped_attempts.insert(key);
             let save_in_grace_s = save_s.filter(|s| *s <= grace_s && grace_s > 0.0);
             match (status.state, save_in_grace_s) {
                 (TaskState::Exited, _) => {}
--- a/crates/simulator/src/world/controllers.rs
+++ b/crates/simulator/src/world/controllers.rs
@@ -7,7 +7,7 @@
 use super::site::{settings_toml, CONTROLLERS};
 use super::World;
 use controller::controller::DirectReply;
-use controller::{Controller, Effect, Event};
+use controller::{Controller, Effect, Event, HeartbeatReply};
 use model::{DurationExt, Settings, Timestamp};
 use rand::seq::SliceRandom;
 use rand::Rng;
@@ -159,6 +159,9 @@
                         ticket,
                     })
                 {
+                    if matches!(reply, HeartbeatReply::Response(_)) {
+                        self.record_status_received(&machine);
+                    }
                     let to = self.machine_endpoint(&machine);
                     let message = Message::HeartbeatResponse {
                         machine,
@@ -265,6 +268,7 @@
             next_tick_at: 0,
             paused: None,
         });
+        self.record_running_controllers();
         self.handle_event(controller, Event::Tick);
     }
 
--- a/crates/simulator/src/world/coverage.rs
+++ b/crates/simulator/src/world/coverage.rs
@@ -1,6 +1,7 @@
 //! Counts of the effects that injected faults have had. Tests check them, because a run whose faults had no
 //! effect proves nothing.
 
+use super::old_heartbeat_counts::OldHeartbeatCounts;
 use std::collections::BTreeSet;
 
 /// Counts of copies of launches that arrived after a restart of their machine or of the controller that sent them.
@@ -25,6 +26,8 @@
     pub tasks_lost_by_restarts: u64,
     /// Copies of launches that arrived after a restart, by what had become of the launched task.
     pub launch_copies: LaunchCopyCounts,
+    /// Old heartbeats that were the first that a new leader received of their machines.
+    pub old_heartbeats: OldHeartbeatCounts,
     /// Heartbeats of more than 64 KiB, which controllers refuse.
     pub oversized_heartbeats: u64,
     /// Delayed transactions that were applied; those of them that were applied after newer ones of the same
--- a/crates/simulator/src/world/events.rs
+++ b/crates/simulator/src/world/events.rs
@@ -1,6 +1,7 @@
 //! Scheduled events of a world, messages in transit, and the state of running controllers and open requests.
 
 use super::network::ActiveFault;
+use super::old_heartbeats::OldHeartbeatDelivery;
 use super::scenario::Fault;
 use crate::history::HistoryTime;
 use controller::{Controller, Effect, Event, HeartbeatReply, UserRequest};
@@ -124,6 +125,8 @@
     },
     /// A heartbeat that was held back is delivered to the new leader.
     DeliverHeldHeartbeat(Box<Message>),
+    /// An old heartbeat is delivered to a new leader.
+    DeliverOldHeartbeat(Box<OldHeartbeatDelivery>),
     /// A duplicate of a mesh message is delivered.
     DeliverMeshDuplicate {
         to: usize,
--- a/crates/simulator/src/world/faults.rs
+++ b/crates/simulator/src/world/faults.rs
@@ -87,6 +87,14 @@
             percent,
             duration_ms,
         } => (ActiveFault::ReplayedHeartbeats(percent), duration_ms),
+        Fault::DeliverOldHeartbeatsFirst {
+            percent,
+            cut_ms,
+            duration_ms,
+        } => (
+            ActiveFault::OldHeartbeatsFirst(percent, cut_ms),
+            duration_ms,
+        ),
         Fault::HoldHeartbeats {
             percent,
             duration_ms,
@@ -291,6 +299,7 @@
             };
             self.schedule(self.now + RETRY_AFTER_CRASH_MS, retry);
         }
+        self.record_running_controllers();
         let restart = ScheduledEvent::StartController { controller };
         self.schedule(self.now + restart_after_ms, restart);
     }
--- a/crates/simulator/src/world/interceptor.rs
+++ b/crates/simulator/src/world/interceptor.rs
@@ -6,7 +6,7 @@
 use super::scenario::Mutation;
 use super::site::CONTROLLERS;
 use super::World;
-use crate::worker::{TaskKey, Worker, WorkerTask};
+use crate::worker::TaskKey;
 use controller::Event;
 use rand::Rng;
 use std::collections::BTreeSet;
@@ -50,7 +50,10 @@
     pub(super) fn intercept(&mut self, message: Message) -> Option<Message> {
         let message = self.without_some_launches(message);
         match &message {
-            Message::Heartbeat { .. } => {
+            Message::Heartbeat {
+                machine, heartbeat, ..
+            } => {
+                self.keep_heartbeat(machine, heartbeat);
                 let replayed = |fault: &ActiveFault| match fault {
                     ActiveFault::ReplayedHeartbeats(percent) => Some(*percent),
                     _ => None,
@@ -152,17 +155,12 @@
         let Some(worker) = self.workers.get(machine) else {
             return;
         };
-        let is_present_on = |other: &Worker| {
-            let has_task = |((name, _), status): (&TaskKey, &WorkerTask)| {
-                *name == key.0 && status.is_present()
-            };
-            other.name != machine && other.tasks.iter().any(has_task)
-        };
+        let is_moved = self.is_on_other_machine(worker, &key);
         let id = key.0.split('/').next().unwrap_or_default();
         let counts = &mut self.coverage.launch_copies;
-        counts.answered += u64::from(worker.launched_attempts.contains(&key));
+        counts.answered += u64::from(worker.launches.contains_key(&key));
         counts.forgotten += u64::from(worker.forgotten_attempts.contains(&key));
-        counts.moved += u64::from(self.workers.values().any(is_present_on));
+        counts.moved += u64::from(is_moved);
         counts.cancelled += u64::from(self.rules.cancel_confirmed.contains_key(id));
     }
 
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -15,6 +15,8 @@
 mod machines;
 mod mutations;
 mod network;
+mod old_heartbeat_counts;
+mod old_heartbeats;
 mod open_requests;
 mod recording;
 mod scenario;
@@ -28,6 +30,9 @@
 mod views;
 
 pub use coverage::FaultCoverage;
+pub use old_heartbeat_counts::{
+    AttemptHistory, HeartbeatRecipient, OldHeartbeatCase, OldHeartbeatCounts,
+};
 pub use scenario::{Fault, Mutation, Plan};
 
 use crate::cloud::Cloud;
@@ -45,6 +50,7 @@
 use jobs::SubmittedJobs;
 use model::JobId;
 use network::Network;
+use old_heartbeats::HeartbeatArchive;
 use open_requests::{CallKey, OpenRequests};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -75,6 +81,7 @@
     workers: BTreeMap<String, Worker>,
     network: Network,
     interceptor: MessageInterceptor,
+    old_heartbeats: HeartbeatArchive,
     open_requests: OpenRequests,
     jobs: SubmittedJobs,
     follow_up_counts: FollowUpCounts,
@@ -159,6 +166,7 @@
             workers: BTreeMap::new(),
             network: Network::default(),
             interceptor: MessageInterceptor::default(),
+            old_heartbeats: HeartbeatArchive::default(),
             open_requests: OpenRequests::default(),
             jobs: SubmittedJobs::default(),
             follow_up_counts: FollowUpCounts::default(),
@@ -278,6 +286,7 @@
                 self.deliver_delayed_command(*message);
             }
             ScheduledEvent::DeliverHeldHeartbeat(message) => self.deliver_held_heartbeat(*message),
+            ScheduledEvent::DeliverOldHeartbeat(delivery) => self.deliver_old_heartbeat(*delivery),
             ScheduledEvent::DeliverMeshDuplicate { to, event } => {
                 self.coverage.mesh_duplicates += 1;
                 self.handle_event(to, event);
--- a/crates/simulator/src/world/network.rs
+++ b/crates/simulator/src/world/network.rs
@@ -29,6 +29,7 @@
     MachineConnectionsRefused(String),
     LostTransactionReplies(u64),
     ReplayedHeartbeats(u64),
+    OldHeartbeatsFirst(u64, u64),
     HeldHeartbeats(u64),
     DelayedCommands(u64),
     CopiedLaunches,
--- a/crates/simulator/src/world/scenario.rs
+++ b/crates/simulator/src/world/scenario.rs
@@ -127,6 +127,14 @@
     /// This percentage of the heartbeats is copied. The copies are replayed to every controller just after the
     /// next change of a partition's leadership.
     ReplayHeartbeats { percent: u64, duration_ms: u64 },
+    /// This percentage of the heartbeats is kept for four lease durations. At each change of a partition's leader, and
+    /// of a machine's partition, copies of one to four of them are delivered to the new leader of each machine
+    /// concerned, in any order and as soon as it acts. Every other such machine is disconnected for up to `cut_ms`.
+    DeliverOldHeartbeatsFirst {
+        percent: u64,
+        cut_ms: u64,
+        duration_ms: u64,
+    },
     /// This percentage of the heartbeats is held back until the next change of a partition's leadership, and
     /// delivered to the new leader 1 to 6 s later, when it has already acted.
     HoldHeartbeats { percent: u64, duration_ms: u64 },
@@ -280,6 +288,7 @@
             Fault::RefuseMachineConnections { duration_ms, .. }
             | Fault::DropTransactionReplies { duration_ms, .. }
             | Fault::ReplayHeartbeats { duration_ms, .. }
+            | Fault::DeliverOldHeartbeatsFirst { duration_ms, .. }
             | Fault::HoldHeartbeats { duration_ms, .. }
             | Fault::DelayCommands { duration_ms, .. }
             | Fault::OneWayMeshPartition { duration_ms, .. }
--- a/crates/simulator/src/world/state_service.rs
+++ b/crates/simulator/src/world/state_service.rs
@@ -210,6 +210,7 @@
             {
                 let machines_up = self.machines_up_of(partition);
                 self.schedule_heartbeats_for_new_leader(&machines_up, partition);
+                self.schedule_old_heartbeats_for_new_leader(partition);
                 self.failovers.record_acquisition(
                     partition,
                     previous_leader.as_deref(),
@@ -218,6 +219,7 @@
                     self.now,
                 );
             }
+            self.schedule_old_heartbeats_for_new_owners(request);
             if matches!(request, StateRequest::Transaction(_)) {
                 self.transactions_applied[controller] += 1;
             }
--- a/crates/simulator/src/world/transport.rs
+++ b/crates/simulator/src/world/transport.rs
@@ -86,6 +86,7 @@
             ActiveFault::MachineConnectionsRefused(_)
             | ActiveFault::LostTransactionReplies(_)
             | ActiveFault::ReplayedHeartbeats(_)
+            | ActiveFault::OldHeartbeatsFirst(..)
             | ActiveFault::HeldHeartbeats(_) => false,
             ActiveFault::DelayedCommands(_)
             | ActiveFault::CopiedLaunches
@@ -448,6 +449,14 @@
                 call,
             })
         }) {
+            if let Event::Worker {
+                reply: DirectReply::Answered(heartbeat),
+                ..
+            } = &event
+            {
+                let machine = heartbeat.machine.clone();
+                self.record_machine_answered(controller, &machine);
+            }
             self.handle_event(controller, event);
         }
     }
--- a/crates/simulator/src/world/views.rs
+++ b/crates/simulator/src/world/views.rs
@@ -135,6 +135,14 @@
             .sum()
     }
 
+    /// Number of tasks that previous leaders have placed and that no status has proved to be there or gone yet.
+    pub fn inherited_tasks(&self) -> usize {
+        let running = self.controllers.iter().flatten();
+        running
+            .map(|running| running.controller.inherited_task_count())
+            .sum()
+    }
+
     /// Number of machines that are up.
     pub fn machines_up(&self) -> usize {
         self.workers.values().filter(|w| !w.dead).count()
