Simulator: no import circle among events, network, users and follow-ups

Change: `ActiveFault` and the delivery of an old heartbeat are modules of their own, and the number of attempts stands with the pending request.

--- a/crates/simulator/src/world/cancellations.rs
+++ b/crates/simulator/src/world/cancellations.rs
@@ -1,8 +1,8 @@
 //! Cancellations at critical moments: of all jobs at once, of running jobs whose machines hang, and around the
 //! completion of a job's last task. Also records which cancellations users have requested.
 
+use super::active_fault::ActiveFault;
 use super::events::ScheduledEvent;
-use super::network::ActiveFault;
 use super::World;
 use crate::rules::RuleChecker;
 use controller::UserRequest;
--- a/crates/simulator/src/world/events.rs
+++ b/crates/simulator/src/world/events.rs
@@ -1,7 +1,7 @@
 //! Scheduled events of a world, messages in transit, and the state of running controllers and open requests.
 
-use super::network::ActiveFault;
-use super::old_heartbeats::OldHeartbeatDelivery;
+use super::active_fault::ActiveFault;
+use super::old_heartbeat_delivery::OldHeartbeatDelivery;
 use super::scenario::Fault;
 use crate::history::HistoryTime;
 use controller::{Controller, Effect, Event, HeartbeatReply, UserRequest};
@@ -184,6 +184,9 @@
     pub(super) queued_events: Vec<Event>,
 }
 
+/// Number of attempts after which users give up a request.
+pub(super) const MAX_ATTEMPTS: u32 = 60;
+
 /// A user's request that waits for a reply.
 #[derive(Debug, Clone)]
 pub(super) struct PendingRequest {
--- a/crates/simulator/src/world/faults.rs
+++ b/crates/simulator/src/world/faults.rs
@@ -1,7 +1,7 @@
 //! Injection of faults: what happens when a fault begins and when it ends.
 
+use super::active_fault::ActiveFault;
 use super::events::ScheduledEvent;
-use super::network::ActiveFault;
 use super::scenario::{Fault, Mutation};
 use super::World;
 use crate::cloud::BootBehavior;
--- a/crates/simulator/src/world/follow_ups.rs
+++ b/crates/simulator/src/world/follow_ups.rs
@@ -1,10 +1,9 @@
 //! Follow-up requests: after a reply that confirms something about a job, users send requests about it to every
 //! controller within milliseconds and over parallel connections, and some cancel it at once.
 
-use super::events::ScheduledEvent;
-use super::network::ActiveFault;
+use super::active_fault::ActiveFault;
+use super::events::{ScheduledEvent, MAX_ATTEMPTS};
 use super::site::CONTROLLERS;
-use super::users::MAX_ATTEMPTS;
 use super::World;
 use controller::UserRequest;
 use model::JobId;
--- a/crates/simulator/src/world/interceptor.rs
+++ b/crates/simulator/src/world/interceptor.rs
@@ -1,8 +1,8 @@
 //! Interception of messages by faults: messages that are delayed, duplicated, lost in one direction or left
 //! without a reply.
 
+use super::active_fault::ActiveFault;
 use super::events::{contains_launch, Endpoint, Message, ScheduledEvent};
-use super::network::ActiveFault;
 use super::scenario::Mutation;
 use super::site::CONTROLLERS;
 use super::World;
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -2,6 +2,7 @@
 //! [`controller::Controller`]s. [`World::run`] processes events in the order of simulated time and checks the
 //! rules after each.
 
+mod active_fault;
 mod cancellations;
 mod controllers;
 mod coverage;
@@ -16,6 +17,7 @@
 mod mutations;
 mod network;
 mod old_heartbeat_counts;
+mod old_heartbeat_delivery;
 mod old_heartbeats;
 mod open_requests;
 mod recording;
--- a/crates/simulator/src/world/old_heartbeats.rs
+++ b/crates/simulator/src/world/old_heartbeats.rs
@@ -4,9 +4,10 @@
 //! partition's leader, and of the partition of a machine, some of them are drawn for each machine concerned, and are
 //! delivered in any order. Some of the machines are disconnected meanwhile, so that they cannot be asked.
 
+use super::active_fault::ActiveFault;
 use super::events::{Message, ScheduledEvent};
-use super::network::ActiveFault;
 use super::old_heartbeat_counts::{AttemptHistory, HeartbeatRecipient, OldHeartbeatCase};
+use super::old_heartbeat_delivery::{Leadership, OldHeartbeatDelivery, SentHeartbeat};
 use super::World;
 use crate::worker::{TaskKey, Worker};
 use rand::seq::IndexedRandom;
@@ -26,30 +27,6 @@
 /// How long a heartbeat is delivered again.
 const MAX_REDELIVERY_MS: u64 = 4_000;
 
-/// A heartbeat as it was sent.
-#[derive(Debug, Clone)]
-pub(super) struct SentHeartbeat {
-    heartbeat: Box<Heartbeat>,
-    sent_at: u64,
-    /// The machine's partition at that time.
-    partition: Option<u32>,
-}
-
-/// A leadership of a partition.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct Leadership {
-    partition: u32,
-    term: u64,
-}
-
-/// The delivery of an old heartbeat to a new leader.
-#[derive(Debug, Clone)]
-pub(super) struct OldHeartbeatDelivery {
-    sent: SentHeartbeat,
-    to: Leadership,
-    until: u64,
-}
-
 /// What a machine has last sent to a leader of its partition.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct LastStatus {
--- a/crates/simulator/src/world/state_service.rs
+++ b/crates/simulator/src/world/state_service.rs
@@ -1,7 +1,7 @@
 //! Handling of requests to the state service, with delays, lost replies and injected defects.
 
+use super::active_fault::ActiveFault;
 use super::events::{Endpoint, Message, ScheduledEvent};
-use super::network::ActiveFault;
 use super::open_requests::CallKey;
 use super::scenario::Mutation;
 use super::World;
--- a/crates/simulator/src/world/transport.rs
+++ b/crates/simulator/src/world/transport.rs
@@ -1,8 +1,9 @@
 //! Transport of messages: sending with disconnections, losses, duplicates and delays, and delivery to the state
 //! service, the cloud, workers and controllers.
 
+use super::active_fault::ActiveFault;
 use super::events::{contains_launch, Endpoint, Message, ScheduledEvent};
-use super::network::{ActiveFault, HeldMessage};
+use super::network::HeldMessage;
 use super::open_requests::{CallKey, ReceivedHeartbeat, TicketKey};
 use super::scenario::Mutation;
 use super::site::CONTROLLERS;
--- a/crates/simulator/src/world/unusual_requests.rs
+++ b/crates/simulator/src/world/unusual_requests.rs
@@ -1,11 +1,10 @@
 //! Unusual requests: repeated submissions of unfinished jobs, cancellations of completed jobs, submissions of
 //! unschedulable jobs and of jobs that lack a field. Also submissions of many jobs of one task each.
 
-use super::events::{PendingRequest, ScheduledEvent};
-use super::network::ActiveFault;
+use super::active_fault::ActiveFault;
+use super::events::{PendingRequest, ScheduledEvent, MAX_ATTEMPTS};
 use super::scenario::Mutation;
 use super::site::CONTROLLERS;
-use super::users::MAX_ATTEMPTS;
 use super::World;
 use controller::{UserReply, UserRequest};
 use model::JobId;
--- a/crates/simulator/src/world/users.rs
+++ b/crates/simulator/src/world/users.rs
@@ -1,8 +1,8 @@
 //! Users: submissions, status requests, cancellations and retries, and the handling of replies.
 
-use super::events::{PendingRequest, ScheduledEvent};
+use super::active_fault::ActiveFault;
+use super::events::{PendingRequest, ScheduledEvent, MAX_ATTEMPTS};
 use super::follow_ups::Confirmation;
-use super::network::ActiveFault;
 use super::open_requests::TicketKey;
 use super::scenario::Mutation;
 use super::site::CONTROLLERS;
@@ -16,8 +16,6 @@
 
 /// A load balancer sends requests only to controllers that have been healthy for at least this time.
 const MIN_HEALTHY_MS: u64 = 3_000;
-/// Number of attempts after which users give up a request.
-pub(super) const MAX_ATTEMPTS: u32 = 60;
 
 impl World {
     /// Submits a random job and schedules the next one, until the end of submissions.
