--- a/crates/autoscaler/src/lib.rs
+++ b/crates/autoscaler/src/lib.rs
@@ -5,6 +5,7 @@
 //! returns.
 
 mod capacity;
+mod demand;
 mod machine;
 mod offers;
 mod pending;
--- a/crates/autoscaler/src/pending.rs
+++ b/crates/autoscaler/src/pending.rs
@@ -1,14 +1,9 @@
 //! Pending work, for which machines are planned: the waiting tasks of a partition, grouped by shape.
 
-use crate::machine::PartitionNeed;
-use crate::planner::Planner;
 use model::Resources;
 use wire::mesh::DemandShape;
 use wire::users::Priority;
 
-/// Minimum run time that is planned for a task.
-const MIN_TASK_MS: u64 = 1_000;
-
 /// A group of work by its precedence in a plan. Machines for earlier tiers are planned first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Tier {
@@ -24,7 +19,7 @@
     pub(crate) const ALL: [Tier; 3] = [Tier::Urgent, Tier::Regular, Tier::BestEffort];
 
     /// Number of waiting tasks of the shape that belong to this tier.
-    fn waiting_tasks(self, shape: &DemandShape) -> u64 {
+    pub(crate) fn waiting_tasks(self, shape: &DemandShape) -> u64 {
         let best_effort = shape.priority == Priority::Low && shape.estimated_run_time_ms > 0;
         match self {
             Tier::Urgent => shape.urgent_count,
@@ -37,7 +32,7 @@
 
 /// Waiting work of one shape in one partition.
 pub(crate) struct PendingWork<'a> {
-    /// Index of its partition in [`Planner::needs`].
+    /// Index of its partition in [`Planner::needs`](crate::planner::Planner::needs).
     pub(crate) need_index: usize,
     pub(crate) shape: &'a DemandShape,
     /// Resources of one task.
@@ -102,51 +97,3 @@
         memory_mb: shape.memory_mb,
     }
 }
-
-impl<'a> Planner<'a> {
-    /// The pending work of all partitions in a tier.
-    pub(crate) fn pending_work(&self, tier: Tier) -> Vec<PendingWork<'a>> {
-        let mut pending = Vec::new();
-        for (index, need) in self.needs.iter().enumerate() {
-            for shape in &need.demand {
-                pending.push(PendingWork {
-                    need_index: index,
-                    shape,
-                    task_size: task_size(shape),
-                    concurrent: shape.estimated_run_time_ms == 0
-                        || shape.gang_size > 0
-                        || (tier == Tier::Urgent && self.precedes_replicas(shape, need)),
-                    task_ms: shape.estimated_run_time_ms.max(MIN_TASK_MS),
-                    machine_types: self.machine_types_for(shape),
-                    zone: shape.zone.clone(),
-                    waiting: tier.waiting_tasks(shape),
-                    unavailable: false,
-                    no_idle_machine: false,
-                    no_best_effort_machine: tier == Tier::BestEffort,
-                });
-            }
-        }
-        pending
-    }
-
-    /// Whether guaranteed array work would take the machines that are rented for waiting replicas of
-    /// its partition, since it precedes them in the queue. If its tasks were planned one after another
-    /// within the horizon, the replicas would have to wait until they are done.
-    fn precedes_replicas(&self, shape: &DemandShape, need: &PartitionNeed) -> bool {
-        let types = self.machine_types_for(shape);
-        need.demand.iter().any(|replicas| {
-            let same_zone = match (&shape.zone, &replicas.zone) {
-                (Some(zone), Some(other)) => zone == other,
-                _ => true,
-            };
-            replicas.estimated_run_time_ms == 0
-                && replicas.urgent_count > 0
-                && replicas.priority <= shape.priority
-                && same_zone
-                && self
-                    .machine_types_for(replicas)
-                    .iter()
-                    .any(|name| types.contains(name))
-        })
-    }
-}
