Controller: pending requests are a module that imports no other part

Change: pending requests, their kinds, reasons for rejection and the pause before a retry are `pending_request`.

--- a/crates/controller/src/controller/admission.rs
+++ b/crates/controller/src/controller/admission.rs
@@ -2,8 +2,8 @@
 //! jobs, many jobs in one write.
 
 use super::call_kind::JobCall;
-use super::linearizable_reads::{CONDITIONS_PER_CHANGE, RETRY_AFTER_S};
-use super::user_requests::Rejection;
+use super::linearizable_reads::CONDITIONS_PER_CHANGE;
+use super::pending_request::{Rejection, RETRY_AFTER_S};
 use super::{CallKind, Controller, PendingRequest, RequestKind, Ticket};
 use crate::records::{
     accepted_jobs_key, accepted_jobs_prefix, packed_bytes, page_capacity_bytes, terminal_state_key,
--- a/crates/controller/src/controller/cancellations.rs
+++ b/crates/controller/src/controller/cancellations.rs
@@ -1,7 +1,7 @@
 //! Cancellations by users: pending ones are written together to this controller's cancellations record.
 
 use super::call_kind::JobCall;
-use super::linearizable_reads::RETRY_AFTER_S;
+use super::pending_request::RETRY_AFTER_S;
 use super::{CallKind, Controller, PendingRequest, RequestKind};
 use crate::records::{cancellations_key, CancellationsRecord};
 use crate::request_budget::CallPriority;
--- a/crates/controller/src/controller/linearizable_reads.rs
+++ b/crates/controller/src/controller/linearizable_reads.rs
@@ -6,7 +6,7 @@
 //! limited, so that users who poll often leave the request budget to submissions and placements.
 
 use super::call_kind::ReadCall;
-use super::user_requests::status_without_counts;
+use super::pending_request::{status_without_counts, RETRY_AFTER_S};
 use super::{CallKind, Controller, PendingRequest, RequestKind, UserReply};
 use crate::records::{terminal_state_key, TerminalStateRecord};
 use crate::request_budget::CallPriority;
@@ -26,8 +26,6 @@
 const THROTTLING_PAUSE: Duration = Duration::from_millis(60);
 /// Number of conditions that the state service accepts for each change that a transaction may have.
 pub(super) const CONDITIONS_PER_CHANGE: usize = 4;
-/// Seconds after which a user whose request is refused may retry.
-pub(super) const RETRY_AFTER_S: u64 = 1;
 /// Seconds after which a user may retry if the job's state cannot be decoded.
 const UNREADABLE_STATE_RETRY_AFTER_S: u64 = 5;
 
--- a/crates/controller/src/controller/mod.rs
+++ b/crates/controller/src/controller/mod.rs
@@ -21,6 +21,7 @@
 mod machine_records;
 mod mesh_messages;
 mod peers;
+mod pending_request;
 mod standby;
 mod state_replies;
 mod state_sync;
@@ -56,7 +57,7 @@
 pub use events::{
     DirectReply, Effect, Event, HeartbeatReply, Ticket, Tuning, UserReply, UserRequest,
 };
-pub(crate) use user_requests::{PendingRequest, RequestKind};
+pub(crate) use pending_request::{PendingRequest, RequestKind};
 
 /// One controller process.
 pub struct Controller {
--- a/crates/controller/src/controller/user_requests.rs
+++ b/crates/controller/src/controller/user_requests.rs
@@ -3,72 +3,17 @@
 //! A reply reports a terminal state only once that is durable. It reports any other state only after a
 //! read of the state service that began after the request arrived.
 
-use super::linearizable_reads::RETRY_AFTER_S;
+use super::pending_request::{
+    status_without_counts, PendingRequest, Rejection, RequestKind, RETRY_AFTER_S,
+};
 use super::{Controller, Ticket, UserReply, UserRequest};
-use model::{JobId, JobSpec, JobState, RejectReason, Timestamp};
+use model::{JobId, JobSpec, JobState};
 use std::time::Duration;
 use wire::users::{JobRequest, JobStatus};
 
 /// Maximum age of the last confirmed read of changes when a submission is accepted.
 const MAX_READ_AGE_FOR_SUBMISSIONS: Duration = Duration::from_secs(6);
 
-/// A user's request that waits for a read of the state service.
-#[derive(Debug, Clone)]
-pub(crate) struct PendingRequest {
-    pub(super) ticket: Ticket,
-    pub(super) kind: RequestKind,
-    pub(super) id: JobId,
-    /// When the request arrived or, for an accepted submission, when its write was confirmed.
-    pub(super) waiting_since: Timestamp,
-}
-
-/// What a waiting request asks for.
-#[derive(Debug, Clone)]
-pub(crate) enum RequestKind {
-    Get,
-    Cancel {
-        /// How often the cancellation was retried after its write had not been applied.
-        retries: u32,
-    },
-    /// A submission of a job that may have been accepted before.
-    Resubmit {
-        /// Why the job is rejected if it was not accepted before; without a reason the user is told to
-        /// retry.
-        rejection: Option<Rejection>,
-    },
-    /// A submission that this controller has accepted durably.
-    Accepted,
-}
-
-/// Why a job that was not accepted before is rejected. The limits on which this depends may have been others
-/// when it was accepted.
-#[derive(Debug, Clone)]
-pub(crate) enum Rejection {
-    /// The job can never run.
-    Unschedulable(RejectReason),
-    /// The job's description does not fit on a page.
-    TooLong,
-}
-
-impl From<Rejection> for UserReply {
-    fn from(rejection: Rejection) -> Self {
-        match rejection {
-            Rejection::Unschedulable(reason) => UserReply::Rejected(reason),
-            Rejection::TooLong => UserReply::Invalid("the job's description is too long".into()),
-        }
-    }
-}
-
-/// Status of a job without task counts.
-pub(super) fn status_without_counts(id: JobId, state: JobState) -> JobStatus {
-    JobStatus {
-        id: id.to_string(),
-        state,
-        done: None,
-        running: None,
-    }
-}
-
 impl Controller {
     /// Handles a user's request. The reply is an [`Effect`](super::Effect) of this event or of a later one.
     pub(super) fn handle_user_request(&mut self, ticket: Ticket, request: UserRequest) {
