Scheduler tests: one set-up for an unanswered direct launch

Cause: the test of an answer of an earlier term repeated twelve lines.

Change: both set-ups share one. No assertion changed; the scheduler's tests pass.

--- a/crates/scheduler/tests/partition_state/commands.rs
+++ b/crates/scheduler/tests/partition_state/commands.rs
@@ -308,10 +308,8 @@
     }
 }
 
-/// Guards against a launch that counts as settled though it may still arrive: the answer was to a call that this
-/// controller had made in an earlier term, with the same attempt.
-#[test]
-fn answer_to_call_of_earlier_term_does_not_settle_launch() {
+/// A partition that has launched a task on machine 1 by a direct call, which is not answered yet.
+fn partition_with_unanswered_launch() -> (PartitionState, TaskAttempt) {
     let mut partition = new_partition();
     let name = MachineName::from("host-000001");
     let now = Timestamp::from_millis(100);
@@ -324,19 +322,27 @@
     partition.add_job(spec, 1, &[], now);
     partition.run_cycles(now, 100);
     make_durable(&mut partition);
-    partition.commands_for(&name, CommandRoute::DirectCall, now);
-    let placement =
-        |partition: &PartitionState| partition.jobs[&model::JobId(1)].placed[&0].clone();
-    let launched = TaskAttempt {
-        task: model::TaskId {
-            job: model::JobId(1),
-            index: 0,
-        },
-        attempt: placement(&partition).attempt,
+    let launches = partition.commands_for(&name, CommandRoute::DirectCall, now);
+    let Some(Command::Launch { task, attempt }) = launches.first() else {
+        panic!("{launches:?}")
+    };
+    let id = TaskAttempt {
+        task: model::TaskId::parse(task).expect("a valid task id"),
+        attempt: model::Attempt(*attempt),
     };
+    (partition, id)
+}
+
+/// Guards against a launch that counts as settled though it may still arrive: the answer was to a call that this
+/// controller had made in an earlier term, with the same attempt.
+#[test]
+fn answer_to_call_of_earlier_term_does_not_settle_launch() {
+    let (mut partition, launched) = partition_with_unanswered_launch();
+    let name = MachineName::from("host-000001");
     for (token, is_settled) in [(4, false), (5, true)] {
         partition.record_direct_response(&name, &[launched], direct_launch(token));
-        let unconfirmed = placement(&partition).launch.unconfirmed_direct();
+        let placement = &partition.jobs[&model::JobId(1)].placed[&0];
+        let unconfirmed = placement.launch.unconfirmed_direct();
         assert_eq!(unconfirmed.is_none(), is_settled, "token {token}");
     }
 }
@@ -344,27 +350,10 @@
 /// A partition whose machine 1 runs a task that was launched by a direct call and answered; its status, and the id
 /// of the task.
 fn partition_with_directly_launched_task() -> (PartitionState, TaskStatus, TaskAttempt) {
-    let mut partition = new_partition();
+    let (mut partition, id) = partition_with_unanswered_launch();
     let name = MachineName::from("host-000001");
     let now = Timestamp::from_millis(100);
-    partition.reconcile(
-        &heartbeat(1, None, Vec::new()),
-        StatusSource::Heartbeat,
-        now,
-    );
-    let spec = job(1, "t", JobKind::Service, Priority::High, 1);
-    partition.add_job(spec, 1, &[], now);
-    partition.run_cycles(now, 100);
-    make_durable(&mut partition);
-    let launches = partition.commands_for(&name, CommandRoute::DirectCall, now);
-    let Some(Command::Launch { task, attempt }) = launches.first() else {
-        panic!("{launches:?}")
-    };
-    let id = TaskAttempt {
-        task: model::TaskId::parse(task).expect("a valid task id"),
-        attempt: model::Attempt(*attempt),
-    };
-    let running = task_status(task, *attempt, TaskState::Running, None);
+    let running = task_status(&id.task.to_string(), id.attempt.0, TaskState::Running, None);
     partition.record_direct_response(&name, &[id], direct_launch(5));
     let status = heartbeat(2, None, vec![running.clone()]);
     partition.reconcile(&status, StatusSource::DirectResponse, now);
