--- a/crates/simulator/tests/old_heartbeats.rs
+++ b/crates/simulator/tests/old_heartbeats.rs
@@ -136,14 +136,18 @@
     waiting: Vec<BrokenRun>,
 }
 
+/// Whether no rule was broken, except that jobs waited beside free capacity. That is judged 90 s after the last fault.
+fn only_waits(violations: &[Violation]) -> bool {
+    violations
+        .iter()
+        .all(|violation| violation.rule == "starved")
+}
+
 impl Outcome {
     fn add(&mut self, world: World, seed: u64, size: u64) {
         self.counts.add(&world.coverage.old_heartbeats);
         let violations = world.rules.violations;
-        let only_waits = violations
-            .iter()
-            .all(|violation| violation.rule == "starved");
-        let runs = if only_waits {
+        let runs = if only_waits(&violations) {
             &mut self.waiting
         } else {
             &mut self.broken
@@ -158,8 +162,8 @@
     }
 }
 
-/// Runs these seeds, on sites of the smallest two sizes in turn. At the end of each run no task of a previous leader is
-/// unproven.
+/// Runs these seeds, on sites of the smallest two sizes in turn. At the end of a run, also where jobs have waited, no
+/// task of a previous leader is unproven.
 fn run_seeds(seeds: &[u64]) -> Outcome {
     let outcome = Mutex::new(Outcome::default());
     for_seeds(seeds.len() as u64, |nth| {
@@ -174,8 +178,9 @@
             size,
         });
         world.run();
-        let is_complete = world.rules.violations.is_empty();
-        assert!(!is_complete || world.inherited_tasks() == 0, "seed {seed}");
+        if only_waits(&world.rules.violations) {
+            assert_eq!(world.inherited_tasks(), 0, "seed {seed}");
+        }
         let mut outcome = outcome.lock().expect("no run has panicked");
         outcome.add(world, seed, size);
     });
